--- /dev/null
+++ b/src/core/core.c
@@ -0,0 +1,190 @@
+/* The core's frame: actions out, calls and their completions, the clock. */
+#include "internal.h"
+#include <stdarg.h>
+
+void ws_policy_defaults(struct ws_policy *p)
+{
+	*p = (struct ws_policy){
+		.delta = 1.0,
+		.rentals_max = -1,
+		.wait_max_s = -1,
+		.latency_bound_s = -1,
+		.rental_ceiling = -1,
+		.waiting_loads = -1,
+		.empty_wait_s = 10,
+		.sizing_period_s = 30,
+		.leader_ttl_ratio = 1.0 / 6,
+		.silent_ratio = 0.5,
+		.boot_patience = 2.5,
+	};
+}
+
+void ws_log(struct ws_core *c, enum ws_log_level level, const char *fmt, ...)
+{
+	char text[512];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	if (c->log)
+		c->log(level, text);
+}
+
+struct ws_action *ws_act(struct ws_core *c, enum ws_action_kind kind)
+{
+	struct ws_action *a = calloc(1, sizeof(*a));
+
+	if (!a) /* nothing can be done without memory for an answer; start afresh */
+		abort();
+	a->kind = kind;
+	if (c->tail)
+		c->tail->next = a;
+	else
+		c->head = a;
+	c->tail = a;
+	return a;
+}
+
+struct ws_call *ws_call(struct ws_core *c, enum ws_call_kind kind, ws_done_fn done)
+{
+	struct ws_call *call = calloc(1, sizeof(*call));
+
+	if (!call)
+		abort();
+	call->kind = kind;
+	call->done = done;
+	call->generation = c->generation;
+	call->made = c->now;
+	ws_act(c, WS_ACT_CALL)->call = call;
+	return call;
+}
+
+void ws_call_free(struct ws_call *call)
+{
+	if (!call)
+		return;
+	for (size_t i = 0; i < call->nops; i++)
+		json_decref(call->ops[i].value);
+	free(call->ops);
+	free(call->conds);
+	free(call->names);
+	free(call->orders);
+	free(call);
+}
+
+struct ws_action *ws_core_pop(struct ws_core *c)
+{
+	struct ws_action *a = c->head;
+
+	if (a) {
+		c->head = a->next;
+		if (!c->head)
+			c->tail = NULL;
+		a->next = NULL;
+	}
+	return a;
+}
+
+void ws_action_free(struct ws_action *a)
+{
+	if (a)
+		free(a->orders);
+	free(a);
+}
+
+/* Whether the state service serves us, as the last answers tell. */
+void ws_state_seen(struct ws_core *c, int status)
+{
+	if (status == 503 || status == 0)
+		c->state_bad_at = c->now;
+	else
+		c->state_ok_at = c->now;
+}
+
+void ws_core_complete(struct ws_core *c, double now, struct ws_call *call,
+		      const struct ws_result *r)
+{
+	if (now > c->now)
+		c->now = now;
+	if (call->kind <= WS_CALL_HOLD_DROP && call->kind != WS_CALL_WATCH)
+		ws_state_seen(c, r->status);
+	call->done(c, call, r);
+	ws_call_free(call);
+	ws_core_tick(c, now);
+}
+
+struct ws_core *ws_core_new(const struct ws_settings *s, const struct ws_policy *p, ws_log_fn log,
+			    double now, uint64_t nonce)
+{
+	struct ws_core *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->set = s;
+	c->pol = *p;
+	c->log = log;
+	c->now = now;
+	c->nonce = nonce;
+	c->state_ok_at = c->state_bad_at = -1e9;
+	c->ttl = s->lease_s * p->leader_ttl_ratio;
+	if (c->ttl < 0.2)
+		c->ttl = 0.2;
+	if (c->pol.rental_ceiling < 0)
+		c->pol.rental_ceiling = -1; /* derived once the machine types are known */
+	c->dirty_jobs_tail = &c->dirty_jobs;
+	c->dirty_plans_tail = &c->dirty_plans;
+	c->dirty_rentals_tail = &c->dirty_rentals;
+	c->k = -1;
+	for (size_t i = 0; i < s->nteams; i++)
+		c->teams[i].set = &s->teams[i];
+	return c;
+}
+
+void ws_core_free(struct ws_core *c)
+{
+	struct ws_action *a;
+
+	if (!c)
+		return;
+	ws_lead_end(c, NULL);
+	while ((a = ws_core_pop(c))) {
+		ws_call_free(a->call);
+		ws_action_free(a);
+	}
+	ws_redirects_free(c);
+	free(c);
+}
+
+bool ws_core_ready(const struct ws_core *c)
+{
+	return c->ntypes > 0 && c->state_ok_at > 0;
+}
+
+bool ws_core_leading(const struct ws_core *c)
+{
+	return c->role == WS_LEADER;
+}
+
+double ws_core_next_tick(const struct ws_core *c)
+{
+	return c->tick_next;
+}
+
+/* Everything that is due; called after each event and by the shell's timer. */
+void ws_core_tick(struct ws_core *c, double now)
+{
+	if (now > c->now)
+		c->now = now;
+	ws_requests_tick(c);
+	ws_leader_tick(c);
+	if (c->role == WS_LEADER) {
+		ws_fleet_tick(c);
+		if (c->now > c->place_next + c->set->report_s / 4)
+			c->place_wanted = true; /* back-offs end without an event */
+		if (c->place_wanted && c->now >= c->place_next && ws_entitled(c) && !c->in_outage)
+			ws_place(c);
+		ws_rentals_tick(c);
+		ws_flush(c);
+	}
+}
--- /dev/null
+++ b/src/core/fleet.c
@@ -0,0 +1,612 @@
+/*
+ * The fleet: machines, what may be alive on them, reports and commands.
+ *
+ * A slot is one attempt of a task on one machine. It counts against machine, team and siblings
+ * from the moment it is planned until it is surely gone, and a task is placed anew only when it
+ * has no slot left. Surely gone means: the worker reported the attempt exited, or reported
+ * without it when no command for it can still arrive; or a report of a later tenure; or the cloud
+ * confirmed the machine's return; or its lease ran out by the longest reckoning.
+ */
+#include "internal.h"
+
+struct ws_machine *ws_machine_find(struct ws_core *c, const char *name)
+{
+	struct ws_machine *m;
+
+	HASH_FIND_STR(c->machines, name, m);
+	return m;
+}
+
+struct ws_machine *ws_machine_get(struct ws_core *c, const char *name)
+{
+	struct ws_machine *m = ws_machine_find(c, name);
+
+	if (m)
+		return m;
+	m = calloc(1, sizeof(*m));
+	if (!m)
+		abort();
+	snprintf(m->name, sizeof(m->name), "%s", name);
+	m->first_seen = c->now;
+	m->empty_since = c->now;
+	m->heard = -1e9;
+	/* an earlier leader may have answered it, and sent it commands, until we were elected */
+	m->alive_until = ws_lease_out(c, c->elected_at);
+	m->fence = c->epoch ? c->epoch - 1 : 0;
+	for (size_t i = 0; i < c->nowned; i++)
+		m->owned |= !strcmp(c->owned[i], name);
+	HASH_ADD_STR(c->machines, name, m);
+	return m;
+}
+
+/* The time by which a lease renewed at 'from' has run out on any clock. */
+double ws_lease_out(const struct ws_core *c, double from)
+{
+	return from + c->set->lease_s * (1 + WS_DRIFT) + c->set->lease_s / 32;
+}
+
+void ws_machine_dirty(struct ws_core *c, struct ws_machine *m)
+{
+	if (m->dirty)
+		return;
+	m->dirty = true;
+	m->dirty_next = NULL;
+	*c->dirty_plans_tail = m;
+	c->dirty_plans_tail = &m->dirty_next;
+}
+
+static void ws_slot_count(struct ws_core *c, struct ws_slot *s, int sign)
+{
+	struct ws_machine *m = s->machine;
+	struct ws_team *t;
+
+	if (!s->job)
+		return;
+	const struct ws_spec *p = &s->job->spec;
+	m->used_cpus += sign * p->cpus;
+	m->used_gpus += sign * p->gpus;
+	m->used_mem += sign * p->mem;
+	t = ws_team_of(c, p->team);
+	if (t) {
+		t->used_cpus += sign * p->cpus;
+		t->used_gpus += sign * p->gpus;
+	}
+	if (sign > 0)
+		s->job->nslots++;
+	else
+		s->job->nslots--;
+	if (s->task < p->tasks) {
+		struct ws_task *k = &s->job->tasks[s->task];
+
+		k->slots = (uint16_t)(k->slots + sign);
+		if (sign > 0 && (!k->slot || k->slot->attempt < s->attempt))
+			k->slot = s;
+		else if (sign < 0 && k->slot == s)
+			k->slot = NULL;
+	}
+}
+
+struct ws_slot *ws_slot_add(struct ws_core *c, struct ws_machine *m, const char *job, uint32_t task,
+			    uint64_t attempt)
+{
+	struct ws_slot *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		abort();
+	s->machine = m;
+	s->job = ws_job_find(c, job);
+	snprintf(s->job_id, sizeof(s->job_id), "%s", job);
+	s->task = task;
+	s->attempt = attempt;
+	s->tenure = m->tenure;
+	s->planned_at = c->now;
+	s->next = m->slots;
+	m->slots = s;
+	m->nslots++;
+	ws_slot_count(c, s, 1);
+	return s;
+}
+
+static void ws_slot_drop(struct ws_machine *m, struct ws_slot *s)
+{
+	struct ws_slot **p = &m->slots;
+
+	while (*p && *p != s)
+		p = &(*p)->next;
+	if (*p)
+		*p = s->next;
+	free(s);
+}
+
+/* The attempt is surely gone. Its task may be placed again once the plan no longer names it. */
+void ws_slot_release(struct ws_core *c, struct ws_slot *s)
+{
+	struct ws_machine *m = s->machine;
+	struct ws_job *j = s->job;
+
+	if (s->state == WS_SLOT_LEAVING)
+		return;
+	ws_slot_count(c, s, -1);
+	m->nslots--;
+	if (!m->nslots)
+		m->empty_since = c->now;
+	c->place_wanted = true;
+	if (s->orphan) {
+		ws_slot_drop(m, s);
+	} else {
+		s->state = WS_SLOT_LEAVING;
+		s->job = NULL;
+		ws_machine_dirty(c, m);
+	}
+	if (j)
+		ws_job_check_end(c, j);
+}
+
+/* Runs may reach the worker only while nothing else stands against the slot. */
+static bool ws_slot_runnable(const struct ws_core *c, const struct ws_slot *s)
+{
+	return s->state == WS_SLOT_WRITTEN && !s->stop && !s->seen && !s->orphan &&
+	       s->tenure == s->machine->tenure && !c->in_outage && s->job &&
+	       !ws_job_over(s->job) && !s->machine->returning;
+}
+
+void ws_slot_stop(struct ws_core *c, struct ws_slot *s, double grace, const char *why)
+{
+	if (s->state == WS_SLOT_LEAVING)
+		return;
+	if (!s->stop)
+		ws_log(c, WS_LOG_INFO, "machine %s: stop %s/%u: %s", s->machine->name, s->job_id,
+		       s->task, why);
+	s->stop = true;
+	s->grace = grace;
+	s->stop_at = c->now;
+	if (!s->sent && !s->seen)
+		ws_slot_release(c, s);
+}
+
+bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m)
+{
+	return m->reported && m->type && !m->gone && !m->returning && !m->failed && m->tenure &&
+	       c->now - m->heard < 3 * c->set->report_s && c->now < m->alive_until &&
+	       c->now >= m->quarantine_until && c->now >= m->refused_until && !m->noticed;
+}
+
+static void ws_cache_touch(struct ws_machine *m, const char *image)
+{
+	int i;
+
+	for (i = 0; i < m->ncache && strcmp(m->cache[i], image); i++)
+		;
+	if (i == m->ncache && m->ncache < WS_CACHE_MAX)
+		m->ncache++;
+	if (i == WS_CACHE_MAX)
+		i--;
+	memmove(m->cache + 1, m->cache, (size_t)i * sizeof(m->cache[0]));
+	snprintf(m->cache[0], WS_NAME_MAX, "%s", image);
+}
+
+/*
+ * A task failed. A machine is suspected only when different jobs fail on it in a row, and a job
+ * that fails on several machines is held back by itself: a mistake in a job must not condemn the
+ * fleet, nor a bad machine the job.
+ */
+static void ws_task_failed(struct ws_core *c, struct ws_machine *m, struct ws_slot *s)
+{
+	struct ws_job *j = s->job;
+
+	if (strcmp(m->strike_job, s->job_id)) {
+		m->strikes++;
+		snprintf(m->strike_job, sizeof(m->strike_job), "%s", s->job_id);
+	}
+	if (m->strikes >= 2 && c->now >= m->quarantine_until) {
+		double t = c->set->lease_s * (1 << (m->strikes < 6 ? m->strikes - 1 : 5));
+
+		m->quarantine_until = c->now + t;
+		ws_log(c, WS_LOG_INFO, "machine %s: %d jobs failed in a row, left out for %.0f s",
+		       m->name, m->strikes, t);
+	}
+	if (!j)
+		return;
+	j->errors++;
+	/* the first failures may be the machine's fault and are tried again at once, elsewhere */
+	if (j->errors > 4) {
+		double t = c->set->report_s * (1 << (j->errors < 12 ? (j->errors - 4) / 2 : 4));
+
+		j->not_before = c->now + t;
+	}
+	m->refused_until = c->now + c->set->report_s;
+}
+
+static void ws_slot_exited(struct ws_core *c, struct ws_slot *s)
+{
+	struct ws_machine *m = s->machine;
+	struct ws_job *j = s->job;
+
+	ws_log(c, WS_LOG_DEBUG, "machine %s: %s/%u attempt %llu exited (%d)", m->name, s->job_id,
+	       s->task, (unsigned long long)s->attempt, s->why);
+	switch (s->why) {
+	case WS_WHY_DONE:
+		m->strikes = 0;
+		m->strike_job[0] = 0;
+		if (j) {
+			if (s->running_at > 0) {
+				double load = ws_load_of(c, &j->spec);
+
+				c->busy_time += (c->now - s->running_at) * load;
+				c->work_done += load;
+			}
+			ws_job_task_done(c, j, s->task);
+		}
+		break;
+	case WS_WHY_ERROR:
+		ws_log(c, WS_LOG_INFO, "machine %s: %s/%u failed", m->name, s->job_id, s->task);
+		ws_task_failed(c, m, s);
+		break;
+	case WS_WHY_FULL:
+	case WS_WHY_BUSY:
+	case WS_WHY_UNKNOWN:
+		ws_log(c, WS_LOG_INFO, "machine %s refused %s/%u (%d)", m->name, s->job_id,
+		       s->task, s->why);
+		m->refused_until = c->now + c->set->report_s;
+		if (j && s->why == WS_WHY_UNKNOWN)
+			j->not_before = c->now + c->set->report_s;
+		break;
+	default:
+		break;
+	}
+	ws_slot_release(c, s);
+}
+
+/* Takes in the newest word of a worker: a report, or the answer to a direct command. */
+static void ws_fleet_read(struct ws_core *c, struct ws_machine *m, const struct ws_report *r)
+{
+	struct ws_slot *s, *n;
+
+	if (!m->reported || strcmp(m->type_name, r->type)) {
+		snprintf(m->type_name, sizeof(m->type_name), "%s", r->type);
+		m->type = ws_type_find(c, r->type);
+	}
+	snprintf(m->zone, sizeof(m->zone), "%s", r->zone);
+	m->spot = r->spot;
+	if (!m->reported) {
+		m->reported = true;
+		m->up_at = c->now;
+		if (!m->owned && c->now - m->first_seen > c->set->report_s) {
+			c->boot_sum += c->now - m->first_seen;
+			c->boot_n += 1;
+		}
+		ws_log(c, WS_LOG_INFO, "machine %s is up: %s in %s%s%s", m->name, m->type_name,
+		       m->zone, m->spot ? ", spot" : "", m->owned ? ", owned" : "");
+		c->place_wanted = true;
+	}
+	if (m->failed)
+		m->failed = false;
+	snprintf(m->host, sizeof(m->host), "%s", r->host);
+	m->port = r->port;
+	if (r->tenure > m->tenure) {
+		if (m->tenure && m->nslots)
+			ws_log(c, WS_LOG_INFO, "machine %s began tenure %llu, %u tasks lost",
+			       m->name, (unsigned long long)r->tenure, m->nslots);
+		m->tenure = r->tenure;
+		for (s = m->slots; s; s = n) {
+			n = s->next;
+			if (s->tenure < r->tenure)
+				ws_slot_release(c, s);
+		}
+		m->fence = 0; /* a command for an earlier tenure is refused */
+		ws_machine_dirty(c, m);
+	}
+	m->counter = r->counter;
+	m->epoch = r->epoch;
+	if (m->fence && r->epoch > m->fence)
+		m->fence = 0;
+	if (r->notice_s >= 0 && !m->noticed) {
+		m->noticed = true;
+		m->notice_until = c->now + r->notice_s;
+		ws_log(c, WS_LOG_INFO, "machine %s will be taken in %.0f s", m->name, r->notice_s);
+		c->place_wanted = true;
+	}
+	c->pass++;
+	for (size_t i = 0; i < r->ntasks; i++) {
+		const struct ws_task_report *t = &r->tasks[i];
+
+		for (s = m->slots; s; s = s->next)
+			if (s->state != WS_SLOT_LEAVING && s->attempt == t->attempt &&
+			    s->task == t->task && !strcmp(s->job_id, t->job))
+				break;
+		if (!s && t->state == WS_TASK_EXITED) {
+			struct ws_job *j = ws_job_find(c, t->job);
+
+			if (t->why == WS_WHY_DONE && j)
+				ws_job_task_done(c, j, t->task);
+			continue;
+		}
+		if (!s) { /* alive but not ours: it counts until it is gone */
+			s = ws_slot_add(c, m, t->job, t->task, t->attempt);
+			s->orphan = s->seen = s->sent = true;
+			s->state = WS_SLOT_WRITTEN;
+			ws_slot_stop(c, s, 0, "not in the plan");
+		}
+		s->pass = c->pass;
+		s->seen = s->sent = true;
+		if (t->state == WS_TASK_RUNNING && s->at != WS_TASK_RUNNING) {
+			s->running_at = c->now;
+			if (s->job) {
+				ws_cache_touch(m, s->job->spec.image);
+				if (!s->job->started && !ws_job_over(s->job)) {
+					s->job->started = true;
+					s->job->phase = WS_RUNNING;
+					ws_job_dirty(c, s->job);
+				}
+			}
+		}
+		s->at = t->state;
+		s->why = t->why;
+		if (t->state == WS_TASK_EXITED)
+			ws_slot_exited(c, s);
+	}
+	for (s = m->slots; s; s = n) {
+		n = s->next;
+		if (s->state == WS_SLOT_LEAVING || s->pass == c->pass || s->tenure != m->tenure)
+			continue;
+		if (s->seen) { /* it was there and is no more */
+			ws_slot_release(c, s);
+		} else if (s->sent && s->stop && !m->fence && !m->commands) {
+			/* told to run, not there, and no command on its way that could bring it */
+			ws_slot_release(c, s);
+		}
+	}
+}
+
+static bool ws_reap_ok(struct ws_core *c, struct ws_machine *m, const struct ws_task_report *t)
+{
+	struct ws_job *j;
+
+	/* a direct run that is still on its way would start the attempt again */
+	if (m->fence || m->commands)
+		return false;
+	for (struct ws_slot *s = m->slots; s; s = s->next)
+		if (s->attempt == t->attempt && s->task == t->task && !strcmp(s->job_id, t->job))
+			return false; /* the written plan still names it */
+	j = ws_job_find(c, t->job);
+	if (j && t->why == WS_WHY_DONE && !j->spec.service && j->phase != WS_CANCELLED &&
+	    t->task < j->spec.tasks && !j->tasks[t->task].saved)
+		return false; /* the result is not yet on record */
+	return true;
+}
+
+static size_t ws_orders(struct ws_core *c, struct ws_machine *m, const struct ws_report *r,
+			struct ws_order *o, size_t max, bool direct)
+{
+	size_t n = 0;
+
+	for (struct ws_slot *s = m->slots; s && n < max; s = s->next) {
+		bool stop = s->stop && s->state != WS_SLOT_LEAVING && s->tenure == m->tenure &&
+			    (s->sent || s->seen);
+
+		if (!stop && !(ws_slot_runnable(c, s) && (!direct || !s->sent)))
+			continue;
+		o[n].verb = stop ? WS_STOP : WS_RUN;
+		snprintf(o[n].job, sizeof(o[n].job), "%s", s->job_id);
+		o[n].task = s->task;
+		o[n].attempt = s->attempt;
+		o[n].grace_s = s->grace;
+		if (!stop) {
+			s->sent = true;
+			s->direct |= direct;
+		}
+		n++;
+	}
+	for (size_t i = 0; r && i < r->ntasks && n < max; i++) {
+		const struct ws_task_report *t = &r->tasks[i];
+
+		if (t->state != WS_TASK_EXITED || !ws_reap_ok(c, m, t))
+			continue;
+		o[n].verb = WS_REAP;
+		snprintf(o[n].job, sizeof(o[n].job), "%s", t->job);
+		o[n].task = t->task;
+		o[n].attempt = t->attempt;
+		n++;
+	}
+	return n;
+}
+
+void ws_follower_report(struct ws_core *c, uint64_t token, const struct ws_report *r, bool relayed);
+
+void ws_core_report(struct ws_core *c, double now, uint64_t token, const struct ws_report *r,
+		    bool relayed)
+{
+	struct ws_machine *m;
+	struct ws_action *a;
+	bool newer;
+
+	if (now > c->now)
+		c->now = now;
+	if (c->role == WS_FOLLOWER || c->role == WS_ASKING) {
+		ws_follower_report(c, token, r, relayed);
+		return;
+	}
+	if (c->role != WS_LEADER || !ws_entitled(c) ||
+	    (r->epoch > c->epoch && r->epoch >> WS_EPOCH_SHIFT != c->epoch >> WS_EPOCH_SHIFT)) {
+		a = ws_act(c, WS_ACT_ANSWER_REPORT);
+		a->token = token;
+		a->status = 503;
+		return;
+	}
+	if (r->epoch > c->epoch)
+		c->epoch = r->epoch;
+	if (relayed)
+		c->relayed_report_at = c->now;
+	else
+		c->direct_report_at = c->now;
+	m = ws_machine_get(c, r->machine);
+	newer = r->tenure > m->tenure || (r->tenure == m->tenure && r->counter > m->counter) ||
+		!m->reported;
+	if (newer && r->tenure >= m->tenure) {
+		m->heard = c->now;
+		ws_fleet_read(c, m, r);
+	}
+	a = ws_act(c, WS_ACT_ANSWER_REPORT);
+	a->token = token;
+	a->status = 200;
+	a->epoch = c->epoch;
+	m->alive_until = ws_lease_out(c, c->now);
+	if (r->tenure == m->tenure) {
+		size_t max = m->nslots + r->ntasks + 1;
+
+		if (max > 400)
+			max = 400; /* keeps the answer under the line limit */
+		a->orders = calloc(max, sizeof(*a->orders));
+		if (a->orders)
+			a->norders = ws_orders(c, m, newer ? r : NULL, a->orders, max, false);
+	}
+	ws_core_tick(c, now);
+}
+
+static void ws_push_done(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_machine *m;
+
+	if (call->generation != c->generation)
+		return;
+	m = ws_machine_find(c, call->ctx_name);
+	if (!m)
+		return;
+	m->commands--;
+	if (r->status < 0)
+		return; /* never left us: the next reply carries it */
+	if (r->report && !strcmp(r->report->machine, m->name)) {
+		if (r->report->tenure > m->tenure ||
+		    (r->report->tenure == m->tenure && r->report->counter > m->counter))
+			ws_fleet_read(c, m, r->report);
+	} else {
+		/* it may arrive later: until the worker knows a higher epoch, nothing of it can be
+		 * forgotten or moved */
+		if (call->epoch > m->fence)
+			m->fence = call->epoch;
+		if (c->epoch == call->epoch)
+			c->epoch++;
+		ws_log(c, WS_LOG_INFO, "machine %s: a direct command got no answer (%d)", m->name,
+		       r->status);
+		return;
+	}
+	for (struct ws_slot *s = m->slots; s; s = s->next)
+		if (ws_slot_runnable(c, s) && !s->sent) {
+			ws_fleet_push(c, m);
+			break;
+		}
+}
+
+/* Commands straight to a worker that is known to listen, for speed; replies carry them again. */
+void ws_fleet_push(struct ws_core *c, struct ws_machine *m)
+{
+	struct ws_call *call;
+	size_t max = m->nslots + 1;
+
+	if (!m->reported || !m->port || m->commands || m->fence || m->gone || m->returning ||
+	    !ws_entitled(c) || c->in_outage || c->now - m->heard > 1.5 * c->set->report_s)
+		return;
+	call = ws_call(c, WS_CALL_ORDERS, ws_push_done);
+	snprintf(call->host, sizeof(call->host), "%s", m->host);
+	call->port = m->port;
+	call->epoch = c->epoch;
+	call->tenure = m->tenure;
+	snprintf(call->ctx_name, sizeof(call->ctx_name), "%s", m->name);
+	call->orders = calloc(max, sizeof(*call->orders));
+	if (!call->orders)
+		abort();
+	call->norders = ws_orders(c, m, NULL, call->orders, max, true);
+	m->commands++;
+}
+
+/* The machine and all on it are surely gone, or its lease is. */
+static void ws_machine_clear(struct ws_core *c, struct ws_machine *m)
+{
+	for (struct ws_slot *s = m->slots, *n; s; s = n) {
+		n = s->next;
+		ws_slot_release(c, s);
+	}
+}
+
+void ws_machine_gone(struct ws_core *c, struct ws_machine *m, const char *why)
+{
+	if (m->gone)
+		return;
+	ws_log(c, WS_LOG_INFO, "machine %s is gone: %s", m->name, why);
+	m->gone = true;
+	ws_machine_clear(c, m);
+	ws_machine_dirty(c, m); /* its plan is deleted, then it is forgotten */
+}
+
+void ws_machine_forget(struct ws_core *c, struct ws_machine *m)
+{
+	ws_machine_clear(c, m);
+	while (m->slots)
+		ws_slot_drop(m, m->slots);
+	if (m->dirty) {
+		struct ws_machine **p = &c->dirty_plans;
+
+		while (*p && *p != m)
+			p = &(*p)->dirty_next;
+		if (*p)
+			*p = m->dirty_next;
+		for (p = &c->dirty_plans; *p; p = &(*p)->dirty_next)
+			;
+		c->dirty_plans_tail = p;
+	}
+	HASH_DEL(c->machines, m);
+	free(m);
+}
+
+/* One line of the cloud's list. */
+void ws_machine_host(struct ws_core *c, const struct ws_host *h)
+{
+	struct ws_machine *m = ws_machine_find(c, h->name);
+
+	if (!m) {
+		m = ws_machine_get(c, h->name);
+		m->first_seen = c->now - h->age_s;
+		if (!m->owned)
+			ws_log(c, WS_LOG_INFO, "machine %s found in the cloud's list", m->name);
+	}
+	m->listed = true;
+	if (!m->reported) {
+		snprintf(m->type_name, sizeof(m->type_name), "%s", h->type);
+		m->type = ws_type_find(c, h->type);
+		snprintf(m->zone, sizeof(m->zone), "%s", h->zone);
+		m->spot = h->spot;
+	}
+	if (h->phase == WS_HOST_FAILED && !m->failed && !m->gone && c->now > m->heard + c->set->report_s) {
+		m->failed = true;
+		ws_log(c, WS_LOG_INFO, "machine %s failed, says the cloud", m->name);
+		ws_machine_clear(c, m);
+	}
+}
+
+void ws_fleet_tick(struct ws_core *c)
+{
+	struct ws_machine *m, *t;
+
+	HASH_ITER(hh, c->machines, m, t)
+	{
+		if (m->nslots && c->now > m->alive_until && m->tenure) {
+			ws_log(c, WS_LOG_INFO, "machine %s: its lease has surely run out", m->name);
+			ws_machine_clear(c, m);
+		}
+		if (m->noticed && c->now < m->notice_until + c->set->lease_s) {
+			/* replicas move on notice; arrays that can't save run on while they can */
+			bool any = false;
+
+			for (struct ws_slot *s = m->slots, *n; s; s = n) {
+				n = s->next;
+				if (s->state != WS_SLOT_LEAVING && !s->stop && s->job &&
+				    (s->job->spec.service || s->job->spec.checkpoint_s > 0)) {
+					ws_slot_stop(c, s, s->job->spec.save_s, "spot notice");
+					any = true;
+				}
+			}
+			if (any)
+				ws_fleet_push(c, m);
+		}
+	}
+}
--- /dev/null
+++ b/src/core/internal.h
@@ -0,0 +1,302 @@
+/* What the parts of the core share. */
+#ifndef WS_INTERNAL_H
+#define WS_INTERNAL_H
+#include "core.h"
+#include "sizing.h"
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Bits of the epoch kept for the leader's own counter, below the leader key's stamp. */
+#define WS_EPOCH_SHIFT 20
+#define WS_CACHE_MAX 24
+/* Clocks of two machines drift apart by this share at most (the protocol's figure, doubled). */
+#define WS_DRIFT 0.001
+
+struct ws_slot;
+struct ws_job;
+
+struct ws_task {
+	struct ws_slot *slot; /* its newest attempt that may be alive */
+	uint16_t slots;       /* how many attempts may be alive, orphans included */
+	uint8_t fails;
+	bool done, saved; /* completed; and so recorded in the state service */
+	bool writing;     /* its completion is in the record being written */
+};
+
+struct ws_job {
+	struct ws_spec spec;
+	enum ws_phase phase;   /* as last read or written */
+	uint64_t stamp;        /* of its key */
+	double submitted_wall; /* time of day, for deadlines and order */
+	struct ws_task *tasks;
+	uint32_t ndone, nsaved, nslots;
+	bool dirty, writing, stale; /* stale: our stamp lost a race, wait for the watch */
+	bool started;               /* recorded as running */
+	bool known_running;
+	double not_before; /* back-off after failures */
+	uint32_t errors;   /* failures on machines that otherwise work */
+	double wait_logged;
+	bool guaranteed; /* fits its team's guarantee with the team's earlier jobs */
+	struct ws_job *dirty_next;
+	UT_hash_handle hh;
+};
+
+enum ws_slot_state {
+	WS_SLOT_PLANNED, /* in memory only: the plan is not yet written */
+	WS_SLOT_WRITTEN, /* may be told to run */
+	WS_SLOT_LEAVING, /* surely gone; the plan that says so is not yet written */
+};
+
+struct ws_slot {
+	struct ws_machine *machine;
+	struct ws_job *job; /* NULL: the job is unknown */
+	char job_id[WS_ID_MAX];
+	uint32_t task;
+	uint64_t attempt, tenure;
+	enum ws_slot_state state;
+	bool sent;   /* a run may have reached the worker, or may still */
+	bool direct; /* a run went out by a direct command */
+	bool orphan; /* reported but not in our plan */
+	bool seen;   /* the worker has reported it */
+	bool stop;   /* is to end */
+	bool writing;          /* is in the plan being written */
+	enum ws_task_state at; /* as reported */
+	enum ws_why why;
+	double grace, planned_at, running_at, stop_at;
+	uint64_t pass; /* mark of the report being read */
+	struct ws_slot *next;
+};
+
+struct ws_machine {
+	char name[WS_NAME_MAX];
+	char host[64];
+	int port;
+	char type_name[WS_NAME_MAX];
+	const struct ws_type *type;
+	char zone[WS_NAME_MAX];
+	bool spot, owned;
+	bool listed, reported, failed, gone;
+	uint64_t list_pass; /* the last list that named it */
+	bool returning;       /* asked for its return; never used again */
+	bool return_inflight;
+	double return_next;
+	uint64_t tenure, counter, epoch; /* of the newest report */
+	double heard;   /* when the newest report came in */
+	double alive_until; /* its tasks may live until then, as far as answers given tell */
+	double first_seen, up_at;
+	double notice_until; /* the cloud takes it then; 0: no notice */
+	bool noticed;
+	double empty_since;
+	uint64_t fence; /* a direct command of this epoch may yet arrive; 0: none */
+	int commands;   /* direct commands on their way */
+	int strikes;    /* failures in a row, of different jobs */
+	char strike_job[WS_ID_MAX];
+	double quarantine_until;
+	double refused_until;
+	struct ws_slot *slots;
+	double used_cpus, used_gpus, used_mem;
+	uint32_t nslots;
+	char cache[WS_CACHE_MAX][WS_NAME_MAX];
+	int ncache;
+	uint64_t plan_stamp, plan_tenure;
+	bool dirty, writing;
+	struct ws_machine *dirty_next;
+	double virt_cpus, virt_gpus, virt_mem; /* scratch of one placement pass */
+	UT_hash_handle hh;
+};
+
+enum ws_rental_state { WS_RENTAL_NEW, WS_RENTAL_RECORDED, WS_RENTAL_ASKING, WS_RENTAL_GOT,
+		       WS_RENTAL_DROP };
+#define WS_RENT_HOSTS 50
+
+struct ws_rental {
+	char booking[WS_NAME_MAX];
+	char type[WS_NAME_MAX], zone[WS_NAME_MAX];
+	bool spot;
+	uint32_t count;
+	enum ws_rental_state state;
+	char (*hosts)[WS_NAME_MAX];
+	uint32_t nhosts;
+	double made, next_try;
+	uint64_t stamp;
+	bool dirty, writing;
+	struct ws_rental *dirty_next;
+	UT_hash_handle hh;
+};
+
+struct ws_team {
+	const struct ws_team_setting *set;
+	double used_cpus, used_gpus;
+};
+
+struct ws_refusal { /* a kind of machine the cloud would not give */
+	char type[WS_NAME_MAX], zone[WS_NAME_MAX];
+	bool spot;
+	double until;
+	int times;
+};
+
+enum ws_role { WS_FOLLOWER, WS_ASKING, WS_LOADING, WS_LEADER };
+
+struct ws_core {
+	const struct ws_settings *set;
+	struct ws_policy pol;
+	ws_log_fn log;
+	double now, wall_offset;
+	uint64_t nonce;
+	struct ws_action *head, *tail;
+	uint64_t generation; /* rises whenever leadership ends: late completions are told apart */
+
+	/* what every node knows */
+	struct ws_type types[WS_MAX_TYPES];
+	size_t ntypes;
+	bool types_asked;
+	double types_next;
+	char leader[WS_NAME_MAX]; /* empty: none known */
+	uint64_t leader_stamp;
+	bool leader_watch;
+	double leader_next;
+	uint64_t leader_rev;
+	double state_ok_at, state_bad_at; /* last answer other than 503; last 503 or silence */
+	bool types_saved;
+	struct ws_redirect *redirects;
+
+	/* leadership */
+	enum ws_role role;
+	uint64_t hold;
+	double ttl, entitled_until, extend_next, stand_after, elected_at;
+	bool extend_inflight, drop_hold;
+	bool in_outage;
+	uint64_t ask_round;
+	int ask_yes, ask_out;
+	double ask_sent, ask_next;
+	uint64_t epoch;
+	uint64_t attempt_seq;
+	uint64_t rental_seq;
+	int loading;
+	uint64_t load_rev;
+	bool job_watch;
+	uint64_t watch_rev;
+	double watch_next;
+	bool owned_known, owned_writing;
+	char (*owned)[WS_NAME_MAX];
+	size_t nowned;
+	double direct_report_at, relayed_report_at;
+
+	struct ws_job *jobs;
+	struct ws_machine *machines;
+	struct ws_rental *rentals;
+	struct ws_team teams[WS_MAX_TEAMS];
+	struct ws_job *dirty_jobs, **dirty_jobs_tail;
+	struct ws_machine *dirty_plans, **dirty_plans_tail;
+	struct ws_rental *dirty_rentals, **dirty_rentals_tail;
+	bool flushing;
+	double flush_next;
+	int flush_fails;
+	bool place_wanted;
+	double place_next, tick_next;
+	uint64_t pass;
+
+	/* cloud */
+	double cloud_next, hosts_next;
+	bool hosts_inflight, rent_inflight, hosts_known;
+	char hosts_after[WS_KEY_MAX];
+	struct ws_refusal refusals[64];
+	int nrefusals;
+	int loads; /* waiting machine-loads at the last pass */
+	struct ws_lack *lacks; /* of the pass under way */
+	size_t nlacks, lacks_cap;
+	uint64_t list_pass;
+
+	/* sizing */
+	int k;
+	double size_next;
+	double work_arrived, work_done, busy_time, waits; /* machine-loads since the last run */
+	double boot_sum, boot_n;
+	double measured_at, last_count;
+};
+
+void ws_log(struct ws_core *c, enum ws_log_level level, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+struct ws_action *ws_act(struct ws_core *c, enum ws_action_kind kind);
+struct ws_call *ws_call(struct ws_core *c, enum ws_call_kind kind, ws_done_fn done);
+void ws_call_free(struct ws_call *call);
+void ws_state_seen(struct ws_core *c, int status);
+
+/* record.c: records of the state service to JSON and back */
+json_t *ws_record_job(const struct ws_job *j, size_t limit, bool *all);
+struct ws_job *ws_record_read_job(const char *id, json_t *v);
+json_t *ws_record_final(const struct ws_job *j);
+bool ws_record_read_phase(json_t *v, enum ws_phase *phase, uint32_t *done, uint32_t *running);
+json_t *ws_record_spec(const struct ws_spec *s, enum ws_phase phase, double wall);
+bool ws_record_withdraw(json_t *v);
+json_t *ws_record_plan(const struct ws_machine *m);
+bool ws_record_read_plan(json_t *v, struct ws_machine *m, struct ws_slot **list);
+json_t *ws_record_rental(const struct ws_rental *r);
+bool ws_record_read_rental(json_t *v, struct ws_rental *r);
+json_t *ws_record_names(char (*names)[WS_NAME_MAX], size_t n);
+json_t *ws_record_leader(const struct ws_settings *s, uint64_t nonce);
+const char *ws_record_leader_node(json_t *v);
+json_t *ws_record_types(const struct ws_type *t, size_t n);
+size_t ws_record_read_types(json_t *v, struct ws_type *t);
+
+/* jobs.c */
+struct ws_job *ws_job_find(struct ws_core *c, const char *id);
+void ws_job_event(struct ws_core *c, const char *id, json_t *value, uint64_t stamp);
+void ws_job_free(struct ws_core *c, struct ws_job *j);
+void ws_job_task_done(struct ws_core *c, struct ws_job *j, uint32_t task);
+void ws_job_dirty(struct ws_core *c, struct ws_job *j);
+void ws_job_check_end(struct ws_core *c, struct ws_job *j);
+struct ws_team *ws_team_of(struct ws_core *c, const char *name);
+bool ws_type_fits(const struct ws_type *t, const struct ws_spec *s);
+double ws_load_of(const struct ws_core *c, const struct ws_spec *s);
+bool ws_job_over(const struct ws_job *j);
+
+/* fleet.c */
+struct ws_machine *ws_machine_find(struct ws_core *c, const char *name);
+struct ws_machine *ws_machine_get(struct ws_core *c, const char *name);
+void ws_machine_dirty(struct ws_core *c, struct ws_machine *m);
+void ws_machine_gone(struct ws_core *c, struct ws_machine *m, const char *why);
+void ws_machine_forget(struct ws_core *c, struct ws_machine *m);
+struct ws_slot *ws_slot_add(struct ws_core *c, struct ws_machine *m, const char *job, uint32_t task,
+			    uint64_t attempt);
+void ws_slot_release(struct ws_core *c, struct ws_slot *s);
+void ws_slot_stop(struct ws_core *c, struct ws_slot *s, double grace, const char *why);
+void ws_fleet_tick(struct ws_core *c);
+void ws_fleet_push(struct ws_core *c, struct ws_machine *m);
+bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m);
+void ws_machine_host(struct ws_core *c, const struct ws_host *h);
+const struct ws_type *ws_type_find(const struct ws_core *c, const char *name);
+double ws_lease_out(const struct ws_core *c, double from);
+
+/* placement.c */
+void ws_place(struct ws_core *c);
+
+/* rentals.c */
+void ws_rentals_tick(struct ws_core *c);
+struct ws_lack { /* tasks of a job that found no room, and the zones they may be in */
+	const struct ws_job *job;
+	uint32_t tasks;
+	uint32_t zones;
+};
+void ws_rentals_want(struct ws_core *c, const struct ws_job *j, uint32_t tasks, uint32_t zones);
+void ws_rentals_plan(struct ws_core *c);
+void ws_rental_dirty(struct ws_core *c, struct ws_rental *r);
+void ws_rental_written(struct ws_core *c, struct ws_rental *r, bool deleted);
+void ws_rental_free(struct ws_core *c, struct ws_rental *r);
+int ws_rentals_held(struct ws_core *c, int *booting);
+bool ws_boot_late(const struct ws_core *c, const struct ws_machine *m);
+bool ws_refused(struct ws_core *c, const char *type, const char *zone, bool spot);
+
+/* recovery.c */
+void ws_leader_tick(struct ws_core *c);
+bool ws_entitled(const struct ws_core *c);
+void ws_lead_end(struct ws_core *c, const char *why);
+void ws_flush(struct ws_core *c);
+
+/* requests.c */
+void ws_requests_tick(struct ws_core *c);
+void ws_redirects_free(struct ws_core *c);
+#endif
--- /dev/null
+++ b/src/core/placement.c
@@ -0,0 +1,355 @@
+/*
+ * Placement: first fit, owned machines first, an image already there preferred among equals.
+ * Work within its team's guarantee goes first, then by tier, then by deadline and age.
+ */
+#include "internal.h"
+
+struct ws_want {
+	struct ws_job *job;
+	uint32_t waiting;
+};
+
+static int ws_want_cmp(const void *pa, const void *pb)
+{
+	const struct ws_job *a = ((const struct ws_want *)pa)->job,
+			    *b = ((const struct ws_want *)pb)->job;
+
+	if (a->guaranteed != b->guaranteed)
+		return a->guaranteed ? -1 : 1;
+	if (a->spec.tier != b->spec.tier)
+		return a->spec.tier > b->spec.tier ? -1 : 1;
+	double da = a->submitted_wall + (a->spec.deadline_s >= 0 ? a->spec.deadline_s : 1e9);
+	double db = b->submitted_wall + (b->spec.deadline_s >= 0 ? b->spec.deadline_s : 1e9);
+	if (da != db)
+		return da < db ? -1 : 1;
+	if (a->submitted_wall != b->submitted_wall)
+		return a->submitted_wall < b->submitted_wall ? -1 : 1;
+	return strcmp(a->spec.id, b->spec.id);
+}
+
+static int ws_machine_cmp(const void *pa, const void *pb)
+{
+	const struct ws_machine *a = *(struct ws_machine *const *)pa,
+				*b = *(struct ws_machine *const *)pb;
+
+	if (a->owned != b->owned)
+		return a->owned ? -1 : 1;
+	return strcmp(a->name, b->name);
+}
+
+static int ws_job_age_cmp(const void *pa, const void *pb)
+{
+	const struct ws_job *a = *(struct ws_job *const *)pa, *b = *(struct ws_job *const *)pb;
+
+	if (a->submitted_wall != b->submitted_wall)
+		return a->submitted_wall < b->submitted_wall ? -1 : 1;
+	return strcmp(a->spec.id, b->spec.id);
+}
+
+/* A job is guaranteed while it fits its team's guarantee along with the team's earlier jobs. */
+static void ws_mark_guaranteed(struct ws_core *c, struct ws_job **all, size_t n)
+{
+	double cpus[WS_MAX_TEAMS] = {0}, gpus[WS_MAX_TEAMS] = {0};
+
+	qsort(all, n, sizeof(*all), ws_job_age_cmp);
+	for (size_t i = 0; i < n; i++) {
+		struct ws_job *j = all[i];
+		struct ws_team *t = ws_team_of(c, j->spec.team);
+
+		j->guaranteed = false;
+		if (!t)
+			continue;
+		size_t k = (size_t)(t - c->teams);
+		cpus[k] += j->spec.cpus * j->spec.tasks;
+		gpus[k] += j->spec.gpus * j->spec.tasks;
+		j->guaranteed = cpus[k] <= t->set->cpus + 1e-9 &&
+				(gpus[k] <= t->set->gpus + 1e-9 || j->spec.gpus <= 0);
+	}
+}
+
+struct ws_zone_use {
+	char zone[WS_NAME_MAX];
+	uint32_t n;
+};
+
+/* Where siblings that may be alive are, counted afresh for each job. */
+static size_t ws_siblings(struct ws_core *c, const struct ws_job *j, struct ws_zone_use *z)
+{
+	size_t n = 0;
+	struct ws_machine *m, *t;
+
+	HASH_ITER(hh, c->machines, m, t)
+	for (struct ws_slot *s = m->slots; s; s = s->next) {
+		size_t i;
+
+		if (s->job != j || s->state == WS_SLOT_LEAVING)
+			continue;
+		for (i = 0; i < n && strcmp(z[i].zone, m->zone); i++)
+			;
+		if (i == n) {
+			if (n == WS_MAX_ZONES)
+				continue;
+			snprintf(z[n].zone, WS_NAME_MAX, "%s", m->zone);
+			z[n++].n = 0;
+		}
+		z[i].n++;
+	}
+	return n;
+}
+
+static bool ws_zone_ok(const struct ws_job *j, const char *zone, const struct ws_zone_use *z,
+		       size_t nz)
+{
+	if (j->spec.zone[0] && strcmp(j->spec.zone, zone))
+		return false;
+	for (size_t i = 0; i < nz; i++) {
+		bool same = !strcmp(z[i].zone, zone);
+
+		if (j->spec.one_zone && !same && z[i].n)
+			return false;
+		if (j->spec.spread && same && z[i].n >= (j->spec.tasks + 1) / 2)
+			return false;
+	}
+	return true;
+}
+
+static bool ws_kind_ok(const struct ws_job *j, const struct ws_machine *m)
+{
+	return m->type && ws_type_fits(m->type, &j->spec) && (!m->spot || j->spec.spot);
+}
+
+static bool ws_room(const struct ws_job *j, const struct ws_machine *m)
+{
+	return m->used_cpus + j->spec.cpus <= m->type->cpus + 1e-9 &&
+	       m->used_gpus + j->spec.gpus <= m->type->gpus + 1e-9 &&
+	       m->used_mem + j->spec.mem <= m->type->mem + 1e-9;
+}
+
+static bool ws_virt_room(const struct ws_job *j, const struct ws_machine *m)
+{
+	return j->spec.cpus <= m->virt_cpus + 1e-9 && j->spec.gpus <= m->virt_gpus + 1e-9 &&
+	       j->spec.mem <= m->virt_mem + 1e-9;
+}
+
+static void ws_virt_take(const struct ws_job *j, struct ws_machine *m)
+{
+	m->virt_cpus -= j->spec.cpus;
+	m->virt_gpus -= j->spec.gpus;
+	m->virt_mem -= j->spec.mem;
+}
+
+static bool ws_cached(const struct ws_machine *m, const char *image)
+{
+	for (int i = 0; i < m->ncache; i++)
+		if (!strcmp(m->cache[i], image))
+			return true;
+	return false;
+}
+
+/* Attempts a plan record can hold. */
+static uint32_t ws_plan_room(const struct ws_core *c)
+{
+	return (uint32_t)((c->set->value_kb * 1024 - 320) / (WS_ID_MAX / 2 + 24));
+}
+
+static bool ws_may_preempt(const struct ws_job *j, const struct ws_slot *v)
+{
+	if (!v->job || v->stop || v->orphan || v->state == WS_SLOT_LEAVING)
+		return false;
+	const struct ws_job *o = v->job;
+	if (j->spec.tier == WS_PRODUCTION && o->spec.tier < WS_PRODUCTION)
+		return true;
+	if (j->guaranteed && !o->guaranteed)
+		return o->spec.tier < j->spec.tier || strcmp(o->spec.team, j->spec.team);
+	return false;
+}
+
+/* Stops what loses least to make room on one machine; true if room will come. */
+static bool ws_preempt(struct ws_core *c, struct ws_job *j, struct ws_machine **ms, size_t n,
+		       const struct ws_zone_use *z, size_t nz)
+{
+	struct ws_machine *best = NULL;
+	double best_cost = 0;
+
+	for (int act = 0; act < 2; act++) {
+		for (size_t i = 0; i < n; i++) {
+			struct ws_machine *m = ms[i];
+			double cpus = m->virt_cpus, gpus = m->virt_gpus, mem = m->virt_mem, cost = 0;
+
+			if (act && m != best)
+				continue;
+			if (!ws_kind_ok(j, m) || !ws_zone_ok(j, m->zone, z, nz))
+				continue;
+			c->pass++;
+			while (cpus + 1e-9 < j->spec.cpus || gpus + 1e-9 < j->spec.gpus ||
+			       mem + 1e-9 < j->spec.mem) {
+				struct ws_slot *v = NULL;
+				double least = 0;
+
+				for (struct ws_slot *s = m->slots; s; s = s->next) {
+					if (s->pass == c->pass || !ws_may_preempt(j, s))
+						continue;
+					double lost = (c->now - s->planned_at + 1) * s->job->spec.cpus;
+					lost *= s->job->guaranteed ? 4 : 1;
+					if (!v || lost < least) {
+						v = s;
+						least = lost;
+					}
+				}
+				if (!v)
+					break;
+				v->pass = c->pass;
+				cpus += v->job->spec.cpus;
+				gpus += v->job->spec.gpus;
+				mem += v->job->spec.mem;
+				cost += least;
+				if (act) {
+					m->virt_cpus += v->job->spec.cpus;
+					m->virt_gpus += v->job->spec.gpus;
+					m->virt_mem += v->job->spec.mem;
+					ws_slot_stop(c, v, v->job->spec.save_s,
+						     j->guaranteed ? "room for a guarantee"
+								   : "room for production");
+				}
+			}
+			if (cpus + 1e-9 < j->spec.cpus || gpus + 1e-9 < j->spec.gpus ||
+			    mem + 1e-9 < j->spec.mem)
+				continue;
+			if (!act && (!best || cost < best_cost)) {
+				best = m;
+				best_cost = cost;
+			}
+		}
+		if (!best)
+			return false;
+	}
+	ws_virt_take(j, best);
+	ws_fleet_push(c, best);
+	return true;
+}
+
+void ws_place(struct ws_core *c)
+{
+	size_t nj = HASH_COUNT(c->jobs), nm = HASH_COUNT(c->machines), n = 0, nw = 0, nu = 0;
+	struct ws_job **all = calloc(nj + 1, sizeof(*all)), *j, *jt;
+	struct ws_want *wants = calloc(nj + 1, sizeof(*wants));
+	struct ws_machine **ms = calloc(nm + 1, sizeof(*ms)), *m, *mt;
+
+	if (!all || !wants || !ms)
+		abort();
+	c->place_wanted = false;
+	c->place_next = c->now + 1 / c->set->state_write_rps;
+	HASH_ITER(hh, c->jobs, j, jt)
+	if (!ws_job_over(j))
+		all[n++] = j;
+	ws_mark_guaranteed(c, all, n);
+	for (size_t i = 0; i < n; i++) {
+		uint32_t waiting = 0;
+
+		j = all[i];
+		for (uint32_t t = 0; t < j->spec.tasks; t++)
+			waiting += !j->tasks[t].done && !j->tasks[t].slots;
+		if (waiting)
+			wants[nw++] = (struct ws_want){j, waiting};
+	}
+	qsort(wants, nw, sizeof(*wants), ws_want_cmp);
+	HASH_ITER(hh, c->machines, m, mt)
+	{
+		if (!m->type)
+			m->type = ws_type_find(c, m->type_name);
+		if (!ws_machine_usable(c, m))
+			continue;
+		ms[nu++] = m;
+		m->virt_cpus = m->type->cpus;
+		m->virt_gpus = m->type->gpus;
+		m->virt_mem = m->type->mem;
+		for (struct ws_slot *s = m->slots; s; s = s->next)
+			if (s->job && s->state != WS_SLOT_LEAVING && !s->stop)
+				ws_virt_take(s->job, m);
+	}
+	qsort(ms, nu, sizeof(*ms), ws_machine_cmp);
+	for (size_t w = 0; w < nw; w++) {
+		struct ws_zone_use z[WS_MAX_ZONES];
+		size_t nz;
+		uint32_t lack = 0;
+		struct ws_team *team;
+		bool preempt = true;
+
+		j = wants[w].job;
+		team = ws_team_of(c, j->spec.team);
+		if (!team)
+			continue;
+		if (j->not_before > c->now)
+			continue;
+		nz = ws_siblings(c, j, z);
+		double cpus = team->used_cpus, gpus = team->used_gpus;
+		for (uint32_t t = 0; t < j->spec.tasks; t++) {
+			struct ws_machine *to = NULL;
+
+			if (j->tasks[t].done || j->tasks[t].slots)
+				continue;
+			if (cpus + j->spec.cpus > team->set->cpus_max + 1e-9 ||
+			    gpus + j->spec.gpus > team->set->gpus_max + 1e-9)
+				break; /* its limit: more machines would not help */
+			cpus += j->spec.cpus;
+			gpus += j->spec.gpus;
+			for (size_t i = 0; i < nu; i++) {
+				m = ms[i];
+				if (!ws_kind_ok(j, m) || !ws_room(j, m) || !ws_virt_room(j, m) ||
+				    !ws_zone_ok(j, m->zone, z, nz) || m->nslots >= ws_plan_room(c))
+					continue;
+				if (!to) {
+					to = m;
+					if (ws_cached(m, j->spec.image))
+						break;
+				} else if (m->owned == to->owned && ws_cached(m, j->spec.image)) {
+					to = m;
+					break;
+				}
+			}
+			if (to) {
+				struct ws_slot *s;
+
+				s = ws_slot_add(c, to, j->spec.id, t,
+						((c->epoch >> WS_EPOCH_SHIFT) << 24) +
+							++c->attempt_seq);
+				ws_virt_take(j, to);
+				ws_machine_dirty(c, to);
+				nz = ws_siblings(c, j, z);
+				ws_log(c, WS_LOG_DEBUG, "place %s/%u attempt %llu on %s",
+				       j->spec.id, t, (unsigned long long)s->attempt, to->name);
+				continue;
+			}
+			/* room that is being made already, or can be made */
+			for (size_t i = 0; i < nu && !to; i++)
+				if (ws_kind_ok(j, ms[i]) && ws_virt_room(j, ms[i]) &&
+				    ws_zone_ok(j, ms[i]->zone, z, nz))
+					to = ms[i];
+			if (to) {
+				ws_virt_take(j, to);
+				continue;
+			}
+			if (preempt && (preempt = ws_preempt(c, j, ms, nu, z, nz)))
+				continue;
+			lack++;
+		}
+		if (lack) {
+			uint32_t zones = 0;
+
+			for (size_t i = 0; i < c->set->nzones; i++)
+				if (ws_zone_ok(j, c->set->zones[i], z, nz))
+					zones |= 1u << i;
+			ws_rentals_want(c, j, lack, zones);
+			if (c->now - j->wait_logged > c->set->lease_s) {
+				j->wait_logged = c->now;
+				ws_log(c, WS_LOG_INFO, "job %s: %u tasks wait for room (%s%s)",
+				       j->spec.id, lack, j->guaranteed ? "guaranteed, " : "",
+				       j->spec.spot ? "spot allowed" : "ordinary machines only");
+			}
+		}
+	}
+	ws_rentals_plan(c);
+	free(all);
+	free(wants);
+	free(ms);
+}
--- /dev/null
+++ b/src/core/recovery.c
@@ -0,0 +1,789 @@
+/*
+ * Leadership, what a new leader reads back, and the writing of records.
+ *
+ * The leader is whoever attached the key `leader` to a hold of its own. Its epoch is the key's
+ * stamp, shifted, so every leader's epoch is above those before it. It acts only until the end of
+ * its hold as reckoned from when the last granted renewal was sent, and every write of a leader is
+ * conditioned on the stamp of the leader key, so one that comes late has no effect.
+ */
+#include "internal.h"
+
+bool ws_entitled(const struct ws_core *c)
+{
+	return c->role == WS_LEADER && c->now < c->entitled_until;
+}
+
+static void ws_follow(struct ws_core *c, double after)
+{
+	c->role = WS_FOLLOWER;
+	c->leader_next = c->now + after;
+}
+
+static void ws_nothing(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	(void)c;
+	(void)call;
+	(void)r;
+}
+
+void ws_lead_end(struct ws_core *c, const char *why)
+{
+	struct ws_job *j, *jt;
+	struct ws_machine *m, *mt;
+	struct ws_rental *r, *rt;
+
+	if (why && c->role != WS_FOLLOWER)
+		ws_log(c, WS_LOG_INFO, "no longer leading: %s", why);
+	c->generation++;
+	HASH_ITER(hh, c->machines, m, mt)
+	{
+		m->nslots = 0;
+		for (struct ws_slot *s; (s = m->slots);) {
+			m->slots = s->next;
+			free(s);
+		}
+		HASH_DEL(c->machines, m);
+		free(m);
+	}
+	HASH_ITER(hh, c->jobs, j, jt)
+	{
+		HASH_DEL(c->jobs, j);
+		free(j->tasks);
+		free(j);
+	}
+	HASH_ITER(hh, c->rentals, r, rt)
+	{
+		HASH_DEL(c->rentals, r);
+		free(r->hosts);
+		free(r);
+	}
+	c->dirty_jobs = NULL;
+	c->dirty_jobs_tail = &c->dirty_jobs;
+	c->dirty_plans = NULL;
+	c->dirty_plans_tail = &c->dirty_plans;
+	c->dirty_rentals = NULL;
+	c->dirty_rentals_tail = &c->dirty_rentals;
+	for (size_t i = 0; i < c->set->nteams; i++)
+		c->teams[i].used_cpus = c->teams[i].used_gpus = 0;
+	free(c->owned);
+	c->owned = NULL;
+	c->nowned = 0;
+	c->owned_known = c->owned_writing = c->types_saved = false;
+	free(c->lacks);
+	c->lacks = NULL;
+	c->nlacks = c->lacks_cap = 0;
+	c->flushing = c->job_watch = c->hosts_inflight = c->rent_inflight = false;
+	c->extend_inflight = c->in_outage = false;
+	c->ask_out = 0;
+	c->hosts_after[0] = 0;
+	c->hosts_next = c->cloud_next = c->flush_next = 0;
+	c->nrefusals = 0;
+	c->measured_at = 0;
+	c->work_arrived = c->work_done = c->busy_time = 0;
+	if (c->hold && why) {
+		struct ws_call *call;
+
+		call = ws_call(c, WS_CALL_HOLD_DROP, ws_nothing);
+		call->hold = c->hold;
+		call->urgent = true;
+	}
+	c->hold = 0;
+	c->epoch = 0;
+	c->entitled_until = 0;
+	ws_follow(c, 0);
+}
+
+/* ---- who leads ---- */
+
+static void ws_leader_is(struct ws_core *c, json_t *value, uint64_t stamp)
+{
+	const char *node = value ? ws_record_leader_node(value) : NULL;
+
+	if (strcmp(c->leader, node ? node : ""))
+		ws_log(c, WS_LOG_INFO, "leader: %s", node ? node : "none");
+	snprintf(c->leader, sizeof(c->leader), "%s", node ? node : "");
+	c->leader_stamp = node ? stamp : 0;
+	if ((c->role == WS_LEADER || c->role == WS_LOADING) && node &&
+	    stamp > c->epoch >> WS_EPOCH_SHIFT)
+		ws_lead_end(c, "another node leads");
+}
+
+static void ws_elect_written(struct ws_core *c, struct ws_call *call, const struct ws_result *r);
+static void ws_load(struct ws_core *c);
+
+static void ws_hold_got(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_call *t;
+
+	if (call->generation != c->generation || c->role != WS_ASKING)
+		return;
+	if (r->status != 200) {
+		ws_follow(c, c->ttl / 4);
+		return;
+	}
+	c->hold = r->hold;
+	c->entitled_until = call->made + c->ttl * (1 - WS_DRIFT);
+	t = ws_call(c, WS_CALL_TXN, ws_elect_written);
+	t->urgent = true;
+	t->conds = calloc(1, sizeof(*t->conds));
+	t->ops = calloc(1, sizeof(*t->ops));
+	if (!t->conds || !t->ops)
+		abort();
+	t->nconds = t->nops = 1;
+	snprintf(t->conds[0].key, WS_KEY_MAX, "leader");
+	t->conds[0].stamp = c->leader_stamp; /* 0, or the key of our own earlier life */
+	snprintf(t->ops[0].key, WS_KEY_MAX, "leader");
+	t->ops[0].value = ws_record_leader(c->set, c->nonce);
+	t->ops[0].hold = c->hold;
+}
+
+static void ws_elect_written(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	if (call->generation != c->generation || c->role != WS_ASKING)
+		return;
+	if (r->status != 200) {
+		/* lost, or unknown: the hold is given up, so that a late write of ours ends with it */
+		ws_lead_end(c, "the election was lost");
+		ws_follow(c, r->status == 409 ? 0 : c->ttl / 4);
+		return;
+	}
+	c->role = WS_LOADING;
+	c->elected_at = c->now;
+	c->epoch = r->rev << WS_EPOCH_SHIFT;
+	c->attempt_seq = 0;
+	c->rental_seq = 0;
+	c->leader_stamp = r->rev;
+	snprintf(c->leader, sizeof(c->leader), "%s", c->set->node);
+	c->extend_next = call->made + c->ttl / 4;
+	c->direct_report_at = c->relayed_report_at = c->now;
+	ws_log(c, WS_LOG_INFO, "elected, epoch %llu", (unsigned long long)c->epoch);
+	ws_load(c);
+}
+
+static void ws_stand(struct ws_core *c)
+{
+	struct ws_call *call;
+
+	c->role = WS_ASKING;
+	c->generation++;
+	call = ws_call(c, WS_CALL_HOLD_NEW, ws_hold_got);
+	call->ms = (uint32_t)(c->ttl * 1000);
+	call->urgent = true;
+}
+
+static void ws_leader_news(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	(void)call;
+	c->leader_watch = false;
+	if (r->status != 200) {
+		c->leader_rev = 0;
+		c->leader_next = c->now + c->ttl / 4;
+		if (r->status == 410)
+			c->leader_next = c->now;
+		return;
+	}
+	c->leader_rev = r->rev;
+	for (size_t i = 0; i < r->nkvs; i++)
+		if (!strcmp(r->kvs[i].key, "leader"))
+			ws_leader_is(c, r->kvs[i].value, r->kvs[i].stamp);
+}
+
+static void ws_leader_read(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	(void)call;
+	c->leader_watch = false;
+	if (r->status != 200) {
+		c->leader_next = c->now + c->ttl / 4;
+		return;
+	}
+	bool any = false;
+	c->leader_rev = r->rev;
+	for (size_t i = 0; i < r->nkvs; i++)
+		if (!strcmp(r->kvs[i].key, "leader")) {
+			any = true;
+			ws_leader_is(c, r->kvs[i].value, r->kvs[i].stamp);
+		}
+	if (!any)
+		ws_leader_is(c, NULL, 0);
+}
+
+static void ws_watch_leader(struct ws_core *c)
+{
+	struct ws_call *call;
+
+	if (c->leader_watch || c->now < c->leader_next)
+		return;
+	c->leader_watch = true;
+	if (!c->leader_rev) {
+		call = ws_call(c, WS_CALL_LIST, ws_leader_read);
+		snprintf(call->key, sizeof(call->key), "leader");
+		return;
+	}
+	call = ws_call(c, WS_CALL_WATCH, ws_leader_news);
+	snprintf(call->key, sizeof(call->key), "leader");
+	call->since = c->leader_rev;
+	call->ms = (uint32_t)(c->ttl * 1000);
+}
+
+/* ---- keeping the lead ---- */
+
+static void ws_extended(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	if (call->generation != c->generation)
+		return;
+	c->extend_inflight = false;
+	if (r->status == 200) {
+		double until = call->made + c->ttl * (1 - WS_DRIFT);
+
+		if (until > c->entitled_until)
+			c->entitled_until = until;
+		if (c->in_outage)
+			ws_log(c, WS_LOG_INFO, "the state service is back");
+		c->in_outage = false;
+		c->place_wanted = true;
+		c->extend_next = call->made + c->ttl / 4;
+	} else if (r->status == 404) {
+		ws_lead_end(c, "the hold ended");
+	} else {
+		c->extend_next = c->now + c->ttl / 16;
+		if (r->status == 503 && !c->in_outage && c->role == WS_LEADER) {
+			c->in_outage = true;
+			c->ask_next = c->now;
+			ws_log(c, WS_LOG_INFO, "the state service refuses us");
+		}
+	}
+}
+
+/*
+ * While the state service is down for everybody no hold runs out, so a leader may go on answering
+ * reports. Every peer must say so afresh; one that is silent or served ends it, for the service
+ * may be refusing us alone while another node takes over.
+ */
+static void ws_testified(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	if (call->generation != c->generation || call->ctx_n != c->ask_round)
+		return;
+	c->ask_out--;
+	if (r->status == 503)
+		c->ask_yes++;
+	if (c->ask_yes == (int)c->set->npeers && c->now < c->entitled_until) {
+		double until = c->ask_sent + c->ttl * (1 - WS_DRIFT);
+
+		if (until > c->entitled_until)
+			c->entitled_until = until;
+	}
+}
+
+static void ws_outage_tick(struct ws_core *c)
+{
+	if (!c->in_outage || c->now < c->ask_next)
+		return;
+	c->ask_next = c->now + c->ttl / 8;
+	c->ask_round++;
+	c->ask_yes = c->ask_out = 0;
+	c->ask_sent = c->now;
+	for (size_t i = 0; i < c->set->npeers; i++) {
+		struct ws_call *call = ws_call(c, WS_CALL_TESTIFY, ws_testified);
+
+		snprintf(call->key, sizeof(call->key), "%s", c->set->peers[i].node);
+		call->ctx_n = c->ask_round;
+		c->ask_out++;
+	}
+}
+
+/* ---- reading everything back ---- */
+
+static void ws_load_page(struct ws_core *c, struct ws_call *call, const struct ws_result *r);
+
+static void ws_load_from(struct ws_core *c, const char *prefix, const char *after)
+{
+	struct ws_call *call = ws_call(c, WS_CALL_LIST, ws_load_page);
+
+	snprintf(call->key, sizeof(call->key), "%s", prefix);
+	snprintf(call->after, sizeof(call->after), "%s", after);
+	call->urgent = true;
+}
+
+/* plan/ behind job/, so that each attempt finds its job */
+static const char *const ws_load_order[] = {"owned", "rental/", "job/", "plan/", NULL};
+
+static void ws_load(struct ws_core *c)
+{
+	c->loading = 0;
+	c->load_rev = 0;
+	ws_load_from(c, ws_load_order[0], "");
+}
+
+static void ws_loaded(struct ws_core *c)
+{
+	struct ws_machine *m, *mt;
+	struct ws_job *j, *jt;
+
+	c->role = WS_LEADER;
+	c->watch_rev = c->load_rev;
+	c->place_wanted = true;
+	c->watch_next = c->now;
+	HASH_ITER(hh, c->machines, m, mt)
+	{
+		m->type = ws_type_find(c, m->type_name);
+		for (struct ws_slot *s = m->slots; s; s = s->next)
+			if (s->job && s->job->phase == WS_CANCELLED)
+				s->stop = true;
+			else if (s->job && s->task < s->job->spec.tasks &&
+				 s->job->tasks[s->task].slot != s)
+				s->stop = true; /* an older attempt of a task placed anew */
+	}
+	HASH_ITER(hh, c->jobs, j, jt)
+	ws_job_check_end(c, j);
+	ws_log(c, WS_LOG_INFO, "leading: %u jobs, %u machines with plans, %u rentals on record",
+	       HASH_COUNT(c->jobs), HASH_COUNT(c->machines), HASH_COUNT(c->rentals));
+}
+
+static void ws_load_kv(struct ws_core *c, const struct ws_kv *kv)
+{
+	if (!strcmp(kv->key, "owned")) {
+		c->owned = calloc(json_array_size(kv->value) + 1, sizeof(*c->owned));
+		if (!c->owned)
+			abort();
+		for (size_t i = 0; i < json_array_size(kv->value); i++) {
+			const char *n = json_string_value(json_array_get(kv->value, i));
+
+			snprintf(c->owned[c->nowned++], WS_NAME_MAX, "%s", n ? n : "");
+		}
+		c->owned_known = true;
+	} else if (!strncmp(kv->key, "rental/", 7)) {
+		struct ws_rental *r = calloc(1, sizeof(*r));
+
+		if (!r)
+			abort();
+		snprintf(r->booking, sizeof(r->booking), "%s", kv->key + 7);
+		r->stamp = kv->stamp;
+		r->made = r->next_try = c->now;
+		if (!ws_record_read_rental(kv->value, r)) {
+			ws_log(c, WS_LOG_ERROR, "%s can't be read, left alone", kv->key);
+			free(r->hosts);
+			free(r);
+			return;
+		}
+		HASH_ADD_STR(c->rentals, booking, r);
+		for (uint32_t i = 0; i < r->nhosts; i++) {
+			struct ws_machine *m = ws_machine_get(c, r->hosts[i]);
+
+			snprintf(m->type_name, sizeof(m->type_name), "%s", r->type);
+			snprintf(m->zone, sizeof(m->zone), "%s", r->zone);
+			m->spot = r->spot;
+		}
+	} else if (!strncmp(kv->key, "job/", 4)) {
+		ws_job_event(c, kv->key + 4, kv->value, kv->stamp);
+	} else if (!strncmp(kv->key, "plan/", 5)) {
+		struct ws_machine *m = ws_machine_get(c, kv->key + 5);
+		struct ws_slot *list, *s;
+
+		m->plan_stamp = kv->stamp;
+		if (!ws_record_read_plan(kv->value, m, &list))
+			ws_log(c, WS_LOG_ERROR, "%s can't be read in full", kv->key);
+		while ((s = list)) {
+			struct ws_slot *n;
+
+			list = s->next;
+			n = ws_slot_add(c, m, s->job_id, s->task, s->attempt);
+			n->state = WS_SLOT_WRITTEN;
+			n->sent = n->direct = true; /* for all we know */
+			if (n->job && n->task < n->job->spec.tasks && n->job->tasks[n->task].done)
+				n->stop = true;
+			if (!n->job)
+				n->stop = true; /* over and archived */
+			free(s);
+		}
+	}
+}
+
+static void ws_load_page(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	if (call->generation != c->generation || c->role != WS_LOADING)
+		return;
+	if (r->status != 200) {
+		if (c->now > c->entitled_until) {
+			ws_lead_end(c, "the records could not be read in time");
+			return;
+		}
+		ws_load_from(c, call->key, call->after);
+		return;
+	}
+	if (!strcmp(call->key, "job/") && !c->load_rev)
+		c->load_rev = r->rev;
+	for (size_t i = 0; i < r->nkvs; i++)
+		ws_load_kv(c, &r->kvs[i]);
+	if (r->more && r->nkvs) {
+		ws_load_from(c, call->key, r->kvs[r->nkvs - 1].key);
+		return;
+	}
+	if (ws_load_order[++c->loading])
+		ws_load_from(c, ws_load_order[c->loading], "");
+	else
+		ws_loaded(c);
+}
+
+static void ws_job_news(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	if (call->generation != c->generation)
+		return;
+	c->job_watch = false;
+	if (r->status == 410) {
+		ws_lead_end(c, "the watch fell too far behind");
+		return;
+	}
+	if (r->status != 200) {
+		c->watch_next = c->now + c->ttl / 16;
+		return;
+	}
+	c->watch_rev = r->rev > c->watch_rev ? r->rev : c->watch_rev;
+	for (size_t i = 0; i < r->nkvs; i++)
+		if (!strncmp(r->kvs[i].key, "job/", 4))
+			ws_job_event(c, r->kvs[i].key + 4, r->kvs[i].value, r->kvs[i].stamp);
+}
+
+void ws_leader_tick(struct ws_core *c)
+{
+	ws_watch_leader(c);
+	if (c->role == WS_FOLLOWER) {
+		/* stand when nobody leads, or when the key is left over from our own last life */
+		bool own = c->leader[0] && !strcmp(c->leader, c->set->node);
+
+		if (c->leader_rev && (!c->leader[0] || own) && c->now >= c->stand_after &&
+		    c->now >= c->leader_next && c->ntypes)
+			ws_stand(c);
+		return;
+	}
+	if (c->role != WS_LEADER && c->role != WS_LOADING)
+		return;
+	if (!c->extend_inflight && c->now >= c->extend_next) {
+		struct ws_call *call = ws_call(c, WS_CALL_HOLD_EXTEND, ws_extended);
+
+		call->hold = c->hold;
+		call->urgent = true;
+		c->extend_inflight = true;
+	}
+	ws_outage_tick(c);
+	if (c->now >= c->entitled_until && !c->in_outage) {
+		ws_lead_end(c, "the hold could not be renewed in time");
+		return;
+	}
+	if (c->in_outage && c->now >= c->entitled_until) {
+		ws_lead_end(c, "the state service refuses us and not surely all");
+		return;
+	}
+	if (c->role == WS_LEADER && c->relayed_report_at > c->direct_report_at &&
+	    c->now - c->direct_report_at > c->set->lease_s / 4 + 2 * c->set->report_s &&
+	    c->relayed_report_at - c->elected_at > c->set->report_s && !c->in_outage) {
+		/* workers reach the others but not us: let one of them lead */
+		c->stand_after = c->now + c->set->lease_s;
+		ws_lead_end(c, "no worker reaches this node, but others do");
+		return;
+	}
+	if (c->role == WS_LEADER && !c->job_watch && c->now >= c->watch_next) {
+		struct ws_call *call = ws_call(c, WS_CALL_WATCH, ws_job_news);
+
+		snprintf(call->key, sizeof(call->key), "job/");
+		call->since = c->watch_rev;
+		call->ms = (uint32_t)(c->ttl * 2000);
+		c->job_watch = true;
+	}
+}
+
+/* ---- writing records ---- */
+
+static void ws_put(struct ws_call *t, const char *prefix, const char *name, uint64_t stamp,
+		   json_t *value)
+{
+	snprintf(t->conds[t->nconds].key, WS_KEY_MAX, "%s%s", prefix, name);
+	t->conds[t->nconds++].stamp = stamp;
+	snprintf(t->ops[t->nops].key, WS_KEY_MAX, "%s%s", prefix, name);
+	t->ops[t->nops++].value = value;
+}
+
+static void ws_reread(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_machine *m;
+	struct ws_rental *x;
+	uint64_t stamp = r->status == 200 && r->nkvs == 1 ? r->kvs[0].stamp : 0;
+
+	if (call->generation != c->generation)
+		return;
+	if (r->status != 200 && r->status != 404) {
+		struct ws_call *g = ws_call(c, WS_CALL_GET, ws_reread);
+
+		snprintf(g->key, sizeof(g->key), "%s", call->key);
+		return;
+	}
+	if (!strncmp(call->key, "plan/", 5) && (m = ws_machine_find(c, call->key + 5))) {
+		m->plan_stamp = stamp;
+		m->writing = false;
+		m->dirty = false;
+		ws_machine_dirty(c, m);
+	} else if (!strncmp(call->key, "rental/", 7)) {
+		HASH_FIND_STR(c->rentals, call->key + 7, x);
+		if (!x)
+			return;
+		x->stamp = stamp;
+		x->writing = false;
+		x->dirty = false;
+		ws_rental_dirty(c, x);
+	} else if (!strcmp(call->key, "owned")) {
+		c->owned_known = r->status == 200;
+		c->owned_writing = false;
+	}
+}
+
+static void ws_flush_op(struct ws_core *c, const struct ws_op *op, uint64_t rev)
+{
+	struct ws_machine *m;
+	struct ws_rental *r;
+	struct ws_job *j;
+
+	if (!strncmp(op->key, "plan/", 5) && (m = ws_machine_find(c, op->key + 5))) {
+		bool push = false;
+
+		m->writing = false;
+		m->plan_stamp = op->value ? rev : 0;
+		if (m->gone && !op->value) {
+			ws_machine_forget(c, m);
+			return;
+		}
+		for (struct ws_slot **p = &m->slots, *s; (s = *p);) {
+			if (s->state == WS_SLOT_LEAVING && !s->writing) {
+				/* what was just written no longer names it */
+				*p = s->next;
+				free(s);
+				continue;
+			}
+			if (s->writing && s->state == WS_SLOT_PLANNED) {
+				s->state = WS_SLOT_WRITTEN;
+				push = true;
+			}
+			s->writing = false;
+			p = &s->next;
+		}
+		if (push)
+			ws_fleet_push(c, m);
+	} else if (!strncmp(op->key, "rental/", 7)) {
+		HASH_FIND_STR(c->rentals, op->key + 7, r);
+		if (!r)
+			return;
+		r->writing = false;
+		r->stamp = op->value ? rev : 0;
+		ws_rental_written(c, r, !op->value);
+	} else if (!strncmp(op->key, "job/", 4) && (j = ws_job_find(c, op->key + 4))) {
+		j->writing = false;
+		if (!op->value) {
+			ws_job_free(c, j);
+			return;
+		}
+		if (rev > j->stamp)
+			j->stamp = rev;
+		for (uint32_t t = 0; t < j->spec.tasks; t++)
+			if (j->tasks[t].writing) {
+				j->tasks[t].saved = true;
+				j->tasks[t].writing = false;
+			}
+	} else if (!strcmp(op->key, "owned")) {
+		c->owned_known = true;
+		c->owned_writing = false;
+		ws_log(c, WS_LOG_INFO, "%zu owned machines recorded", c->nowned);
+	} else if (!strcmp(op->key, "types")) {
+		c->types_saved = true;
+	}
+}
+
+/* The write did not happen, or not surely: what it held is due again. */
+static void ws_flush_undo(struct ws_core *c, const struct ws_op *op, bool reread)
+{
+	struct ws_machine *m;
+	struct ws_rental *r;
+	struct ws_job *j;
+	struct ws_call *g;
+
+	if (!strncmp(op->key, "plan/", 5) && (m = ws_machine_find(c, op->key + 5))) {
+		for (struct ws_slot *s = m->slots; s; s = s->next)
+			s->writing = false;
+		if (!reread) {
+			m->writing = false;
+			ws_machine_dirty(c, m);
+		}
+	} else if (!strncmp(op->key, "rental/", 7)) {
+		HASH_FIND_STR(c->rentals, op->key + 7, r);
+		if (!r)
+			return;
+		if (!reread) {
+			r->writing = false;
+			ws_rental_dirty(c, r);
+		}
+	} else if (!strncmp(op->key, "job/", 4) && (j = ws_job_find(c, op->key + 4))) {
+		j->writing = false;
+		for (uint32_t t = 0; t < j->spec.tasks; t++)
+			j->tasks[t].writing = false;
+		ws_job_dirty(c, j);
+		return;
+	} else if (!strcmp(op->key, "owned")) {
+		if (!reread)
+			c->owned_writing = false;
+	} else {
+		return;
+	}
+	if (reread) {
+		g = ws_call(c, WS_CALL_GET, ws_reread);
+		snprintf(g->key, sizeof(g->key), "%s", op->key);
+	}
+}
+
+static void ws_flushed(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	if (call->generation != c->generation)
+		return;
+	c->flushing = false;
+	if (r->status == 200) {
+		c->flush_fails = 0;
+		for (size_t i = 0; i < call->nops; i++)
+			ws_flush_op(c, &call->ops[i], r->rev);
+		return;
+	}
+	if (r->status == 409) {
+		for (size_t i = 0; i < r->nfailed; i++)
+			if (!strcmp(r->failed[i], "leader")) {
+				ws_lead_end(c, "a write found another leader");
+				return;
+			}
+		for (size_t i = 0; i < call->nops; i++) {
+			bool failed = false;
+			struct ws_job *j;
+
+			for (size_t k = 0; k < r->nfailed; k++)
+				failed |= !strcmp(r->failed[k], call->ops[i].key);
+			/* a job's key moves when its user cancels: the watch brings it */
+			if (failed && !strncmp(call->ops[i].key, "job/", 4) &&
+			    (j = ws_job_find(c, call->ops[i].key + 4)))
+				for (size_t k = 0; k < call->nconds; k++)
+					if (!strcmp(call->conds[k].key, call->ops[i].key) &&
+					    call->conds[k].stamp == j->stamp)
+						j->stale = true;
+			ws_flush_undo(c, &call->ops[i], failed);
+		}
+		return;
+	}
+	if (r->status == 400) {
+		ws_log(c, WS_LOG_ERROR, "a write of %zu records was called malformed", call->nops);
+		ws_lead_end(c, "a write was refused");
+		return;
+	}
+	for (size_t i = 0; i < call->nops; i++)
+		ws_flush_undo(c, &call->ops[i], false);
+	if (c->flush_fails < 5)
+		c->flush_fails++;
+	c->flush_next = c->now + c->ttl / 64 * (1 << c->flush_fails);
+}
+
+/* One transaction at a time, with what is due: plans first, in the order they changed. */
+void ws_flush(struct ws_core *c)
+{
+	struct ws_call *t;
+	size_t max = (size_t)c->set->txn_ops, bytes = 0;
+	struct ws_job *j, *again = NULL, **again_tail = &again;
+
+	if (c->flushing || c->now < c->flush_next || !ws_entitled(c) || c->in_outage)
+		return;
+	if (!c->dirty_jobs && !c->dirty_plans && !c->dirty_rentals &&
+	    !(c->nowned && !c->owned_known && !c->owned_writing) && c->types_saved)
+		return;
+	t = calloc(1, sizeof(*t));
+	if (!t)
+		abort();
+	t->conds = calloc(2 * max + 2, sizeof(*t->conds));
+	t->ops = calloc(max + 1, sizeof(*t->ops));
+	if (!t->conds || !t->ops)
+		abort();
+	snprintf(t->conds[0].key, WS_KEY_MAX, "leader");
+	t->conds[0].stamp = c->epoch >> WS_EPOCH_SHIFT;
+	t->nconds = 1;
+	if (c->nowned && !c->owned_known && !c->owned_writing) {
+		ws_put(t, "", "owned", 0, ws_record_names(c->owned, c->nowned));
+		c->owned_writing = true;
+	}
+	if (!c->types_saved && c->ntypes) {
+		snprintf(t->ops[t->nops].key, WS_KEY_MAX, "types");
+		t->ops[t->nops++].value = ws_record_types(c->types, c->ntypes);
+	}
+	/* room is left below the transaction's 64 KiB */
+	while (c->dirty_plans && t->nops < max && bytes < 32768) {
+		struct ws_machine *m = c->dirty_plans;
+
+		c->dirty_plans = m->dirty_next;
+		if (!c->dirty_plans)
+			c->dirty_plans_tail = &c->dirty_plans;
+		m->dirty = false;
+		if (m->writing) /* being read again; due anew when that is done */
+			continue;
+		m->writing = true;
+		for (struct ws_slot *s = m->slots; s; s = s->next)
+			s->writing = s->state != WS_SLOT_LEAVING;
+		bytes += 256 + m->nslots * 64;
+		ws_put(t, "plan/", m->name, m->plan_stamp, m->gone ? NULL : ws_record_plan(m));
+	}
+	while (c->dirty_rentals && t->nops < max && bytes < 32768) {
+		struct ws_rental *r = c->dirty_rentals;
+
+		c->dirty_rentals = r->dirty_next;
+		if (!c->dirty_rentals)
+			c->dirty_rentals_tail = &c->dirty_rentals;
+		r->dirty = false;
+		if (r->writing)
+			continue;
+		r->writing = true;
+		bytes += 512 + r->nhosts * 64;
+		ws_put(t, "rental/", r->booking, r->stamp,
+		       r->state == WS_RENTAL_DROP ? NULL : ws_record_rental(r));
+	}
+	while ((j = c->dirty_jobs) && t->nops + 2 <= max && bytes < 32768) {
+		bool all, over = j->phase == WS_DONE || (j->phase == WS_CANCELLED && !j->nslots);
+
+		c->dirty_jobs = j->dirty_next;
+		if (!c->dirty_jobs)
+			c->dirty_jobs_tail = &c->dirty_jobs;
+		j->dirty = false;
+		if (j->phase == WS_CANCELLED && !over)
+			continue; /* the record says so already; due again when the last task is gone */
+		if (j->stale) { /* wait for the watch to bring its stamp */
+			j->dirty = true;
+			j->dirty_next = NULL;
+			*again_tail = j;
+			again_tail = &j->dirty_next;
+			continue;
+		}
+		j->writing = true;
+		if (over) {
+			snprintf(t->conds[t->nconds].key, WS_KEY_MAX, "old/%s", j->spec.id);
+			t->conds[t->nconds++].stamp = 0;
+			snprintf(t->ops[t->nops].key, WS_KEY_MAX, "old/%s", j->spec.id);
+			t->ops[t->nops++].value = ws_record_final(j);
+			ws_put(t, "job/", j->spec.id, j->stamp, NULL);
+			bytes += 256;
+		} else {
+			ws_put(t, "job/", j->spec.id, j->stamp,
+			       ws_record_job(j, (size_t)(c->set->value_kb * 1024) - 64, &all));
+			bytes += 4096;
+		}
+	}
+	if (again) {
+		*c->dirty_jobs_tail = again;
+		c->dirty_jobs_tail = again_tail;
+	}
+	if (!t->nops) {
+		ws_call_free(t);
+		return;
+	}
+	t->kind = WS_CALL_TXN;
+	t->done = ws_flushed;
+	t->generation = c->generation;
+	t->made = c->now;
+	ws_act(c, WS_ACT_CALL)->call = t;
+	c->flushing = true;
+}
--- /dev/null
+++ b/src/core/rentals.c
@@ -0,0 +1,569 @@
+/*
+ * Rentals: what is waiting is packed into machine-loads, one machine is rented for each load that
+ * owned, active and booting machines don't cover, up to k; empty rentals go back after a wait.
+ * A booking's name is on record before the cloud is asked, so that a lost answer is asked for
+ * again under the same name, and no name serves twice.
+ */
+#include "internal.h"
+
+struct ws_bin { /* a machine that is booting, or one that ought to be rented */
+	const struct ws_type *type;
+	const char *zone;
+	bool spot;
+	double cpus, gpus, mem;
+};
+
+#define WS_BINS 256
+
+bool ws_boot_late(const struct ws_core *c, const struct ws_machine *m)
+{
+	double boot = m->type ? m->type->boot_s : c->set->lease_s;
+
+	return !m->reported && c->now - m->first_seen > boot * c->pol.boot_patience;
+}
+
+/* Rentals that count against k; those that boot are counted apart as well. */
+int ws_rentals_held(struct ws_core *c, int *booting)
+{
+	struct ws_machine *m, *mt;
+	struct ws_rental *r, *rt;
+	int n = 0, b = 0;
+
+	HASH_ITER(hh, c->machines, m, mt)
+	{
+		if (m->owned || m->gone || m->failed || m->returning || ws_boot_late(c, m))
+			continue;
+		n++;
+		b += !m->reported;
+	}
+	HASH_ITER(hh, c->rentals, r, rt)
+	if (r->state == WS_RENTAL_NEW || r->state == WS_RENTAL_RECORDED ||
+	    r->state == WS_RENTAL_ASKING) {
+		n += (int)r->count;
+		b += (int)r->count;
+	}
+	if (booting)
+		*booting = b;
+	return n;
+}
+
+bool ws_refused(struct ws_core *c, const char *type, const char *zone, bool spot)
+{
+	for (int i = 0; i < c->nrefusals; i++) {
+		struct ws_refusal *f = &c->refusals[i];
+
+		if (f->spot == spot && !strcmp(f->type, type) && !strcmp(f->zone, zone))
+			return f->until > c->now;
+	}
+	return false;
+}
+
+static void ws_refuse(struct ws_core *c, const struct ws_rental *r, bool refused)
+{
+	struct ws_refusal *f = NULL;
+
+	for (int i = 0; i < c->nrefusals; i++)
+		if (c->refusals[i].spot == r->spot && !strcmp(c->refusals[i].type, r->type) &&
+		    !strcmp(c->refusals[i].zone, r->zone))
+			f = &c->refusals[i];
+	if (!f) {
+		if (!refused || c->nrefusals == (int)(sizeof(c->refusals) / sizeof(c->refusals[0])))
+			return;
+		f = &c->refusals[c->nrefusals++];
+		memset(f, 0, sizeof(*f));
+		snprintf(f->type, sizeof(f->type), "%s", r->type);
+		snprintf(f->zone, sizeof(f->zone), "%s", r->zone);
+		f->spot = r->spot;
+	}
+	f->times = refused ? f->times + 1 : 0;
+	/* what the cloud lacks may come back: ask again, at growing intervals */
+	f->until = refused ? c->now + c->set->list_lag_s * (f->times < 4 ? f->times : 4) : 0;
+}
+
+void ws_rentals_want(struct ws_core *c, const struct ws_job *j, uint32_t tasks, uint32_t zones)
+{
+	if (c->nlacks == c->lacks_cap) {
+		c->lacks_cap = c->lacks_cap ? c->lacks_cap * 2 : 64;
+		c->lacks = realloc(c->lacks, c->lacks_cap * sizeof(*c->lacks));
+		if (!c->lacks)
+			abort();
+	}
+	c->lacks[c->nlacks++] = (struct ws_lack){j, tasks, zones};
+}
+
+static bool ws_zone_in(const struct ws_core *c, uint32_t zones, const char *zone)
+{
+	for (size_t i = 0; i < c->set->nzones; i++)
+		if (!strcmp(c->set->zones[i], zone))
+			return zones >> i & 1;
+	return false;
+}
+
+static bool ws_bin_take(struct ws_core *c, struct ws_bin *b, const struct ws_lack *l)
+{
+	const struct ws_spec *s = &l->job->spec;
+
+	if (!b->type || (b->spot && !s->spot) || !ws_type_fits(b->type, s) ||
+	    !ws_zone_in(c, l->zones, b->zone) || b->cpus + 1e-9 < s->cpus ||
+	    b->gpus + 1e-9 < s->gpus || b->mem + 1e-9 < s->mem)
+		return false;
+	b->cpus -= s->cpus;
+	b->gpus -= s->gpus;
+	b->mem -= s->mem;
+	return true;
+}
+
+/* The kind of machine that costs least for what waits. */
+static bool ws_kind_for(struct ws_core *c, const struct ws_lack *l, uint32_t tasks,
+			const struct ws_bin *bins, int nbins, struct ws_bin *kind)
+{
+	const struct ws_spec *s = &l->job->spec;
+	double best = 0;
+	bool found = false;
+
+	for (size_t i = 0; i < c->ntypes; i++) {
+		const struct ws_type *t = &c->types[i];
+		double fit;
+
+		if (!ws_type_fits(t, s))
+			continue;
+		fit = s->cpus > 0 ? floor(t->cpus / s->cpus + 1e-9) : tasks;
+		if (s->mem > 0)
+			fit = fmin(fit, floor(t->mem / s->mem + 1e-9));
+		if (s->gpus > 0)
+			fit = fmin(fit, floor(t->gpus / s->gpus + 1e-9));
+		fit = fmax(1, fmin(fit, tasks));
+		for (size_t z = 0; z < t->nzones; z++)
+			for (int spot = 0; spot < (s->spot ? 2 : 1); spot++) {
+				double cost = (spot ? t->spot_price : t->price) / fit;
+				int same = 0;
+
+				if (!ws_zone_in(c, l->zones, t->zones[z]) ||
+				    ws_refused(c, t->name, t->zones[z], spot))
+					continue;
+				for (int k = 0; k < nbins; k++)
+					same += bins[k].type == t && !strcmp(bins[k].zone, t->zones[z]);
+				cost *= 1 + same * 1e-4; /* even zones, among equals */
+				if (found && cost >= best)
+					continue;
+				found = true;
+				best = cost;
+				*kind = (struct ws_bin){t, t->zones[z], spot, t->cpus, t->gpus, t->mem};
+			}
+	}
+	return found;
+}
+
+/* Called at the end of a placement pass with all that found no room. */
+void ws_rentals_plan(struct ws_core *c)
+{
+	struct ws_bin *bins = calloc(WS_BINS, sizeof(*bins));
+	struct ws_machine *m, *mt;
+	struct ws_rental *r, *rt;
+	int n = 0, old, allowed, booting;
+
+	if (!bins)
+		abort();
+	HASH_ITER(hh, c->machines, m, mt)
+	if (!m->owned && !m->gone && !m->failed && !m->returning && !m->reported && m->type &&
+	    !ws_boot_late(c, m) && n < WS_BINS)
+		bins[n++] = (struct ws_bin){m->type,	   m->zone,	  m->spot,
+					    m->type->cpus, m->type->gpus, m->type->mem};
+	HASH_ITER(hh, c->rentals, r, rt)
+	if (r->state < WS_RENTAL_GOT)
+		for (uint32_t i = 0; i < r->count && n < WS_BINS; i++) {
+			const struct ws_type *t = ws_type_find(c, r->type);
+
+			if (t)
+				bins[n++] = (struct ws_bin){t, r->zone, r->spot, t->cpus, t->gpus, t->mem};
+		}
+	old = n;
+	for (size_t i = 0; i < c->nlacks; i++) {
+		struct ws_lack *l = &c->lacks[i];
+
+		for (uint32_t left = l->tasks; left; left--) {
+			int b;
+
+			for (b = 0; b < n && !ws_bin_take(c, &bins[b], l); b++)
+				;
+			if (b < n)
+				continue;
+			if (n == WS_BINS || !ws_kind_for(c, l, left, bins, n, &bins[n]))
+				break;
+			if (!ws_bin_take(c, &bins[n], l))
+				break;
+			n++;
+		}
+	}
+	c->nlacks = 0;
+	c->loads = n - old;
+	allowed = (c->k < 0 ? c->pol.rental_ceiling : c->k) - ws_rentals_held(c, &booting);
+	if (c->loads > 0 && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next) {
+		/* as many of one kind as the loads ask for, in one request */
+		struct ws_bin *first = &bins[old];
+		uint32_t count = 0;
+		struct ws_rental *x;
+
+		for (int b = old; b < n; b++)
+			count += bins[b].type == first->type && bins[b].spot == first->spot &&
+				 !strcmp(bins[b].zone, first->zone);
+		if (count > (uint32_t)allowed)
+			count = (uint32_t)allowed;
+		if (count > WS_RENT_HOSTS)
+			count = WS_RENT_HOSTS;
+		x = calloc(1, sizeof(*x));
+		if (!x)
+			abort();
+		snprintf(x->booking, sizeof(x->booking), "r-%llu-%llu",
+			 (unsigned long long)(c->epoch >> WS_EPOCH_SHIFT),
+			 (unsigned long long)++c->rental_seq);
+		snprintf(x->type, sizeof(x->type), "%s", first->type->name);
+		snprintf(x->zone, sizeof(x->zone), "%s", first->zone);
+		x->spot = first->spot;
+		x->count = count;
+		x->made = c->now;
+		HASH_ADD_STR(c->rentals, booking, x);
+		ws_rental_dirty(c, x);
+		c->rent_inflight = true;
+		c->cloud_next = c->now + 1;
+		ws_log(c, WS_LOG_INFO,
+		       "rent %u x %s in %s%s (%s): %d loads wait, %d rentals held, %d booting, k %d",
+		       count, x->type, x->zone, x->spot ? ", spot" : "", x->booking, c->loads,
+		       ws_rentals_held(c, NULL) - (int)count, booting, c->k);
+	}
+	free(bins);
+}
+
+void ws_rental_dirty(struct ws_core *c, struct ws_rental *r)
+{
+	if (r->dirty)
+		return;
+	r->dirty = true;
+	r->dirty_next = NULL;
+	*c->dirty_rentals_tail = r;
+	c->dirty_rentals_tail = &r->dirty_next;
+}
+
+void ws_rental_free(struct ws_core *c, struct ws_rental *r)
+{
+	if (r->dirty) {
+		struct ws_rental **p = &c->dirty_rentals;
+
+		while (*p && *p != r)
+			p = &(*p)->dirty_next;
+		if (*p)
+			*p = r->dirty_next;
+		for (p = &c->dirty_rentals; *p; p = &(*p)->dirty_next)
+			;
+		c->dirty_rentals_tail = p;
+	}
+	HASH_DEL(c->rentals, r);
+	free(r->hosts);
+	free(r);
+}
+
+static void ws_rent_done(struct ws_core *c, struct ws_call *call, const struct ws_result *res)
+{
+	struct ws_rental *r;
+
+	if (call->generation != c->generation)
+		return;
+	c->rent_inflight = false;
+	HASH_FIND_STR(c->rentals, call->key, r);
+	if (!r)
+		return;
+	if (res->status == 200) {
+		free(r->hosts);
+		r->nhosts = 0;
+		r->hosts = calloc(res->nhosts + 1, sizeof(*r->hosts));
+		if (!r->hosts)
+			abort();
+		for (size_t i = 0; i < res->nhosts && i < WS_RENT_HOSTS; i++) {
+			struct ws_machine *m = ws_machine_get(c, res->hosts[i].name);
+
+			snprintf(r->hosts[r->nhosts++], WS_NAME_MAX, "%s", res->hosts[i].name);
+			if (m->reported)
+				continue;
+			snprintf(m->type_name, sizeof(m->type_name), "%s", r->type);
+			m->type = ws_type_find(c, r->type);
+			snprintf(m->zone, sizeof(m->zone), "%s", r->zone);
+			m->spot = r->spot;
+		}
+		ws_log(c, WS_LOG_INFO, "booking %s: %u of %u machines", r->booking, r->nhosts,
+		       r->count);
+		ws_refuse(c, r, r->nhosts < r->count);
+		r->state = r->nhosts ? WS_RENTAL_GOT : WS_RENTAL_DROP;
+		ws_rental_dirty(c, r);
+	} else if (res->status == 503 && res->no_capacity) {
+		/* "no capacity": a plain no; the booking is done with */
+		ws_log(c, WS_LOG_INFO, "booking %s: no capacity for %s in %s%s", r->booking, r->type,
+		       r->zone, r->spot ? ", spot" : "");
+		ws_refuse(c, r, true);
+		r->state = WS_RENTAL_DROP;
+		ws_rental_dirty(c, r);
+	} else if (res->status == 400) {
+		ws_log(c, WS_LOG_ERROR, "booking %s: the cloud calls it malformed", r->booking);
+		ws_refuse(c, r, true);
+		r->state = WS_RENTAL_DROP;
+		ws_rental_dirty(c, r);
+	} else { /* outage, too fast, or no answer: ask again under the same name */
+		r->state = WS_RENTAL_RECORDED;
+		r->next_try = c->now + 1 + c->set->list_lag_s / 4;
+	}
+	c->place_wanted = true;
+}
+
+void ws_rental_written(struct ws_core *c, struct ws_rental *r, bool deleted)
+{
+	if (deleted) {
+		ws_rental_free(c, r);
+		return;
+	}
+	if (r->state == WS_RENTAL_NEW) {
+		r->state = WS_RENTAL_RECORDED;
+		r->next_try = c->now;
+	}
+}
+
+static void ws_return_done(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	if (call->generation != c->generation)
+		return;
+	for (size_t i = 0; i < call->nnames; i++) {
+		struct ws_machine *m = ws_machine_find(c, call->names[i]);
+
+		if (!m)
+			continue;
+		m->return_inflight = false;
+		m->return_next = c->now + 1 + c->set->list_lag_s / 4;
+		if (r->status == 200)
+			ws_machine_gone(c, m, "returned");
+	}
+}
+
+static void ws_hosts_done(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_machine *m, *mt;
+
+	if (call->generation != c->generation)
+		return;
+	c->hosts_inflight = false;
+	c->hosts_next = c->now + c->set->list_lag_s;
+	if (r->status != 200) {
+		c->hosts_after[0] = 0;
+		return;
+	}
+	if (!c->owned_known && !c->hosts_after[0] && !r->more && r->nhosts && !c->nowned) {
+		/* the first list ever read: these machines were here before any rental */
+		c->owned = calloc(r->nhosts, sizeof(*c->owned));
+		if (!c->owned)
+			abort();
+		for (size_t i = 0; i < r->nhosts; i++) {
+			snprintf(c->owned[c->nowned++], WS_NAME_MAX, "%s", r->hosts[i].name);
+			if ((m = ws_machine_find(c, r->hosts[i].name)))
+				m->owned = true;
+		}
+	}
+	for (size_t i = 0; i < r->nhosts; i++) {
+		ws_machine_host(c, &r->hosts[i]);
+		if ((m = ws_machine_find(c, r->hosts[i].name)))
+			m->list_pass = c->list_pass;
+	}
+	if (r->more && r->nhosts) {
+		snprintf(c->hosts_after, sizeof(c->hosts_after), "%s", r->hosts[r->nhosts - 1].name);
+		c->hosts_next = c->now;
+		return;
+	}
+	c->hosts_after[0] = 0;
+	HASH_ITER(hh, c->machines, m, mt)
+	if (!m->owned && m->listed && m->list_pass != c->list_pass && !m->returning &&
+	    c->now - m->heard > 2 * c->set->report_s &&
+	    c->now - c->elected_at > 2 * c->set->report_s && c->owned_known) {
+		/* listed once, listed no more, and silent: have the cloud confirm that it is gone */
+		ws_log(c, WS_LOG_INFO, "machine %s is no longer listed", m->name);
+		m->returning = true;
+	}
+}
+
+static void ws_give_back(struct ws_core *c, struct ws_machine *m, const char *why)
+{
+	ws_log(c, WS_LOG_INFO, "return machine %s: %s", m->name, why);
+	m->returning = true;
+	c->place_wanted = true;
+}
+
+static void ws_returns(struct ws_core *c)
+{
+	struct ws_machine *m, *mt;
+	size_t up = 0, heard = 0;
+	struct ws_call *call = NULL;
+
+	HASH_ITER(hh, c->machines, m, mt)
+	if (m->reported && !m->gone && !m->failed) {
+		up++;
+		heard += c->now - m->heard < 3 * c->set->report_s;
+	}
+	HASH_ITER(hh, c->machines, m, mt)
+	{
+		double base = fmax(m->heard, c->elected_at);
+
+		if (m->owned || m->gone || m->returning)
+			continue;
+		if (m->failed)
+			ws_give_back(c, m, "failed");
+		else if (ws_boot_late(c, m) && c->now - c->elected_at > c->set->lease_s)
+			ws_give_back(c, m, "did not come up");
+		else if ((m->reported || m->plan_stamp) && c->set->lease_s * c->pol.silent_ratio < c->now - base &&
+			 heard * 2 >= up && up)
+			ws_give_back(c, m, "silent");
+		else if (m->reported && !m->nslots && !m->noticed &&
+			 c->now - m->empty_since > c->pol.empty_wait_s &&
+			 c->now - m->up_at > c->pol.empty_wait_s && c->loads == 0)
+			ws_give_back(c, m, "empty");
+		else if (m->strikes >= 3 && !m->nslots)
+			ws_give_back(c, m, "fails its tasks");
+	}
+	if (c->now < c->cloud_next)
+		return;
+	HASH_ITER(hh, c->machines, m, mt)
+	{
+		if (!m->returning || m->gone || m->return_inflight || m->owned ||
+		    c->now < m->return_next || m->dirty || m->writing)
+			continue;
+		if (!call) {
+			call = ws_call(c, WS_CALL_RETURN, ws_return_done);
+			call->names = calloc(100, sizeof(*call->names));
+			if (!call->names)
+				abort();
+			c->cloud_next = c->now + 1;
+		}
+		snprintf(call->names[call->nnames++], WS_NAME_MAX, "%s", m->name);
+		m->return_inflight = true;
+		if (call->nnames == 100)
+			break;
+	}
+}
+
+void ws_rentals_tick(struct ws_core *c)
+{
+	struct ws_rental *r, *rt;
+	struct ws_machine *m;
+
+	if (c->pol.rental_ceiling < 0 && c->ntypes) {
+		/* enough machines of the middling type to honour every guarantee at once */
+		double cpus = 0, size = 0;
+
+		for (size_t i = 0; i < c->set->nteams; i++)
+			cpus += c->set->teams[i].cpus;
+		for (size_t i = 0; i < c->ntypes; i++)
+			size += c->types[i].cpus / (double)c->ntypes;
+		c->pol.rental_ceiling = size > 0 ? (int)ceil(cpus / size) : 1;
+	}
+	if (!ws_entitled(c) || c->in_outage)
+		return;
+	if (c->owned_known) {
+		HASH_ITER(hh, c->rentals, r, rt)
+		{
+			if (r->state == WS_RENTAL_RECORDED && !r->dirty && !r->writing &&
+			    c->now >= r->next_try && c->now >= c->cloud_next - 1) {
+				struct ws_call *call = ws_call(c, WS_CALL_RENT, ws_rent_done);
+
+				snprintf(call->key, sizeof(call->key), "%s", r->booking);
+				snprintf(call->type, sizeof(call->type), "%s", r->type);
+				snprintf(call->zone, sizeof(call->zone), "%s", r->zone);
+				call->spot = r->spot;
+				call->count = r->count;
+				r->state = WS_RENTAL_ASKING;
+				c->rent_inflight = true;
+				c->cloud_next = c->now + 1;
+				break;
+			}
+			if (r->state != WS_RENTAL_GOT)
+				continue;
+			uint32_t left = 0;
+			for (uint32_t i = 0; i < r->nhosts; i++) {
+				m = ws_machine_find(c, r->hosts[i]);
+				if (m && !m->gone)
+					memmove(r->hosts[left++], r->hosts[i], WS_NAME_MAX);
+			}
+			if (left == r->nhosts)
+				continue;
+			r->nhosts = left;
+			if (!left)
+				r->state = WS_RENTAL_DROP;
+			ws_rental_dirty(c, r);
+		}
+		ws_returns(c);
+	}
+	if (!c->hosts_inflight && c->now >= c->hosts_next && c->now >= c->cloud_next) {
+		struct ws_call *call = ws_call(c, WS_CALL_HOSTS, ws_hosts_done);
+
+		snprintf(call->after, sizeof(call->after), "%s", c->hosts_after);
+		if (!c->hosts_after[0])
+			c->list_pass++;
+		c->hosts_inflight = true;
+		c->cloud_next = c->now + 1;
+	}
+}
+
+/* ---- measurements for Algorithm 1 ---- */
+
+bool ws_core_measure(struct ws_core *c, double now, struct ws_measure *m)
+{
+	struct ws_machine *x, *xt;
+	double span, services = 0, size = 0, boot = 0;
+	int owned = 0, bound = -1;
+
+	if (c->role != WS_LEADER || c->pol.rental_ceiling < 0 || now < c->size_next || !c->ntypes)
+		return false;
+	if (!c->measured_at) {
+		c->measured_at = now;
+		c->size_next = now + c->pol.sizing_period_s;
+		return false;
+	}
+	span = now - c->measured_at;
+	for (size_t i = 0; i < c->ntypes; i++) {
+		size += c->types[i].cpus / (double)c->ntypes;
+		boot += c->types[i].boot_s / (double)c->ntypes;
+	}
+	HASH_ITER(hh, c->machines, x, xt)
+	{
+		if (x->owned && x->reported && c->now - x->heard < 3 * c->set->report_s)
+			owned++;
+		for (struct ws_slot *s = x->slots; s; s = s->next)
+			if (s->job && s->job->spec.service)
+				services += s->job->spec.cpus / size;
+	}
+	memset(m, 0, sizeof(*m));
+	m->lambda = c->work_arrived / span;
+	m->mu = c->busy_time > 0 ? c->work_done / c->busy_time : 0;
+	m->alpha = c->boot_n > 0 ? c->boot_n / c->boot_sum : boot > 0 ? 1 / boot : 0;
+	m->owned = owned - (int)services > 0 ? owned - (int)services : 0;
+	m->ceiling = c->pol.rental_ceiling;
+	m->waiting_loads = c->pol.waiting_loads >= 0 ? c->pol.waiting_loads : m->ceiling / 2 + 1;
+	m->delta = c->pol.delta;
+	m->rentals_max = c->pol.rentals_max > 0 ? c->pol.rentals_max : m->ceiling;
+	for (size_t i = 0; i < c->set->nobjectives; i++)
+		if (!strcmp(c->set->objectives[i].kind, "guarantee"))
+			bound = (int)i;
+	m->bound_s = c->pol.latency_bound_s > 0 ? c->pol.latency_bound_s
+		     : bound >= 0 && c->set->objectives[bound].within_s > 0
+			     ? c->set->objectives[bound].within_s
+			     : c->set->lease_s / 4;
+	m->wait_max_s = c->pol.wait_max_s > 0 ? c->pol.wait_max_s : 2 * m->bound_s;
+	c->work_arrived = c->work_done = c->busy_time = 0;
+	c->measured_at = now;
+	c->size_next = now + c->pol.sizing_period_s;
+	return m->lambda > 0 && m->mu > 0 && m->alpha > 0;
+}
+
+void ws_core_set_k(struct ws_core *c, double now, int k, double s, double wq)
+{
+	(void)now;
+	if (k < 0 || wq <= 0)
+		return; /* lacking a wait, k stays */
+	if (k != c->k)
+		ws_log(c, WS_LOG_INFO, "k %d -> %d (S %.2f, Wq %.2f s)", c->k, k, s, wq);
+	c->k = k;
+	c->place_wanted = true;
+}
--- /dev/null
+++ b/src/core/requests.c
@@ -0,0 +1,473 @@
+/*
+ * What users ask of any node. Every answer that binds the service (accepted, done, cancelled) is
+ * read from or written to the state service first; a node that can't tell says 503 at once.
+ */
+#include "internal.h"
+
+struct ws_redirect { /* a worker sent to the leader a short while ago */
+	char machine[WS_NAME_MAX];
+	double at;
+	bool relaying;
+	UT_hash_handle hh;
+};
+
+struct ws_ask { /* a user's request under way */
+	struct ws_spec spec;
+	bool relayed, abort;
+	int tries;
+	double wall;
+};
+
+static void ws_answer(struct ws_core *c, uint64_t token, int status, const char *id,
+		      enum ws_phase phase)
+{
+	struct ws_action *a = ws_act(c, WS_ACT_ANSWER_USER);
+
+	a->token = token;
+	a->status = status;
+	a->phase = phase;
+	snprintf(a->name, sizeof(a->name), "%s", id);
+	if (status == 503 || status == 429)
+		a->retry_after = 1;
+}
+
+/* The state service does not serve us: a peer may do better, unless the request came from one. */
+static void ws_cannot(struct ws_core *c, uint64_t token, const char *id, bool relayed, int status)
+{
+	if (!relayed && (status == 503 || status == 0) && c->set->npeers) {
+		struct ws_action *a = ws_act(c, WS_ACT_RELAY);
+
+		a->token = token;
+		return;
+	}
+	ws_answer(c, token, 503, id, WS_QUEUED);
+}
+
+static struct ws_call *ws_get(struct ws_core *c, const char *prefix, const char *id, uint64_t token,
+			      struct ws_ask *ask, ws_done_fn done)
+{
+	struct ws_call *call = ws_call(c, WS_CALL_GET, done);
+
+	snprintf(call->key, sizeof(call->key), "%s/%s", prefix, id);
+	snprintf(call->ctx_name, sizeof(call->ctx_name), "%s", id);
+	call->ctx = ask;
+	call->ctx_n = token;
+	return call;
+}
+
+/* Recently refused by the state service: ask a peer straight away instead of trying once more. */
+static bool ws_state_refuses(const struct ws_core *c)
+{
+	return c->state_bad_at > c->state_ok_at && c->now - c->state_bad_at < c->ttl / 4;
+}
+
+const struct ws_type *ws_type_find(const struct ws_core *c, const char *name)
+{
+	for (size_t i = 0; i < c->ntypes; i++)
+		if (!strcmp(c->types[i].name, name))
+			return &c->types[i];
+	return NULL;
+}
+
+bool ws_type_fits(const struct ws_type *t, const struct ws_spec *s)
+{
+	bool ok = s->ntypes == 0, zone = !s->zone[0];
+
+	for (size_t i = 0; i < s->ntypes && !ok; i++)
+		ok = !strcmp(s->types[i], t->name);
+	for (size_t i = 0; i < t->nzones && !zone; i++)
+		zone = !strcmp(t->zones[i], s->zone);
+	return ok && zone && s->cpus <= t->cpus + 1e-9 && s->gpus <= t->gpus + 1e-9 &&
+	       s->mem <= t->mem + 1e-9;
+}
+
+static bool ws_can_ever_run(struct ws_core *c, const struct ws_spec *s)
+{
+	struct ws_team *team = ws_team_of(c, s->team);
+	double n = s->service ? s->tasks : 1;
+	bool fits = false;
+
+	for (size_t i = 0; i < c->ntypes; i++)
+		fits |= ws_type_fits(&c->types[i], s);
+	return team && fits && n * s->cpus <= team->set->cpus_max + 1e-9 &&
+	       n * s->gpus <= team->set->gpus_max + 1e-9;
+}
+
+static void ws_state_answer(struct ws_core *c, struct ws_call *call, const struct ws_result *r,
+			    bool poll)
+{
+	enum ws_phase phase;
+	uint32_t done, running;
+	struct ws_action *a;
+
+	if (r->nkvs != 1 || !ws_record_read_phase(r->kvs[0].value, &phase, &done, &running)) {
+		ws_log(c, WS_LOG_ERROR, "record %s can't be read", call->key);
+		ws_answer(c, call->ctx_n, 503, call->ctx_name, WS_QUEUED);
+		return;
+	}
+	a = ws_act(c, WS_ACT_ANSWER_USER);
+	a->token = call->ctx_n;
+	a->status = 200;
+	a->phase = phase;
+	a->counts = poll;
+	a->done = done;
+	a->running = running;
+	snprintf(a->name, sizeof(a->name), "%s", call->ctx_name);
+	if (poll && c->role == WS_LEADER && phase == WS_RUNNING) {
+		struct ws_job *j = ws_job_find(c, call->ctx_name);
+
+		if (j) {
+			a->done = j->ndone;
+			a->running = j->nslots;
+		}
+	}
+}
+
+/* ---- submit ---- */
+
+static void ws_submit_known_old(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_ask *ask = call->ctx;
+
+	if (r->status == 200)
+		ws_state_answer(c, call, r, false);
+	else if (r->status == 404) /* moved between two reads; it is known in any case */
+		ws_answer(c, call->ctx_n, 503, call->ctx_name, WS_QUEUED);
+	else
+		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
+	free(ask);
+}
+
+static void ws_submit_known(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_ask *ask = call->ctx;
+
+	if (r->status == 404) {
+		ws_get(c, "old", call->ctx_name, call->ctx_n, ask, ws_submit_known_old);
+		return;
+	}
+	if (r->status == 200)
+		ws_state_answer(c, call, r, false);
+	else
+		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
+	free(ask);
+}
+
+static void ws_submit_written(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_ask *ask = call->ctx;
+
+	if (r->status == 409) {
+		ws_get(c, "job", call->ctx_name, call->ctx_n, ask, ws_submit_known);
+		return;
+	}
+	if (r->status == 200) {
+		ws_log(c, WS_LOG_DEBUG, "job %s accepted", call->ctx_name);
+		ws_answer(c, call->ctx_n, 201, call->ctx_name, WS_QUEUED);
+	} else if (r->status == 400) { /* a record over the limits: it can't be kept */
+		ws_answer(c, call->ctx_n, 503, call->ctx_name, WS_QUEUED);
+	} else {
+		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
+	}
+	free(ask);
+}
+
+void ws_core_submit(struct ws_core *c, double now, double wall, uint64_t token,
+		    const struct ws_spec *spec, bool relayed)
+{
+	struct ws_ask *ask;
+	struct ws_call *call;
+
+	if (now > c->now)
+		c->now = now;
+	if (!c->ntypes) {
+		ws_cannot(c, token, spec->id, relayed, 503);
+		return;
+	}
+	if (!ws_can_ever_run(c, spec)) {
+		ws_answer(c, token, 422, spec->id, WS_QUEUED);
+		return;
+	}
+	if (!relayed && ws_state_refuses(c)) {
+		ws_cannot(c, token, spec->id, relayed, 503);
+		return;
+	}
+	ask = calloc(1, sizeof(*ask));
+	if (!ask) {
+		ws_answer(c, token, 503, spec->id, WS_QUEUED);
+		return;
+	}
+	ask->relayed = relayed;
+	call = ws_call(c, WS_CALL_TXN, ws_submit_written);
+	call->ctx = ask;
+	call->ctx_n = token;
+	snprintf(call->ctx_name, sizeof(call->ctx_name), "%s", spec->id);
+	call->conds = calloc(2, sizeof(*call->conds));
+	call->ops = calloc(1, sizeof(*call->ops));
+	if (!call->conds || !call->ops)
+		abort();
+	call->nconds = 2;
+	call->nops = 1;
+	snprintf(call->conds[0].key, WS_KEY_MAX, "job/%s", spec->id);
+	snprintf(call->conds[1].key, WS_KEY_MAX, "old/%s", spec->id);
+	snprintf(call->ops[0].key, WS_KEY_MAX, "job/%s", spec->id);
+	call->ops[0].value = ws_record_spec(spec, WS_QUEUED, wall);
+	ws_core_tick(c, now);
+}
+
+/* ---- poll ---- */
+
+static void ws_poll_old(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_ask *ask = call->ctx;
+
+	if (r->status == 200)
+		ws_state_answer(c, call, r, true);
+	else if (r->status == 404)
+		ws_answer(c, call->ctx_n, 404, call->ctx_name, WS_QUEUED);
+	else
+		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
+	free(ask);
+}
+
+static void ws_poll_got(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_ask *ask = call->ctx;
+
+	if (r->status == 404) { /* a job moves from job/ to old/ once and never back */
+		ws_get(c, "old", call->ctx_name, call->ctx_n, ask, ws_poll_old);
+		return;
+	}
+	if (r->status == 200)
+		ws_state_answer(c, call, r, true);
+	else
+		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
+	free(ask);
+}
+
+void ws_core_poll(struct ws_core *c, double now, uint64_t token, const char *id, bool relayed)
+{
+	struct ws_ask *ask;
+
+	if (now > c->now)
+		c->now = now;
+	if (!relayed && ws_state_refuses(c)) {
+		ws_cannot(c, token, id, relayed, 503);
+		return;
+	}
+	ask = calloc(1, sizeof(*ask));
+	if (!ask) {
+		ws_answer(c, token, 503, id, WS_QUEUED);
+		return;
+	}
+	ask->relayed = relayed;
+	ws_get(c, "job", id, token, ask, ws_poll_got);
+	ws_core_tick(c, now);
+}
+
+/* ---- abort ---- */
+
+static void ws_abort_got(struct ws_core *c, struct ws_call *call, const struct ws_result *r);
+
+static void ws_abort_old(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	ws_poll_old(c, call, r);
+}
+
+static void ws_abort_written(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_ask *ask = call->ctx;
+
+	if (r->status == 200) {
+		ws_answer(c, call->ctx_n, 200, call->ctx_name, WS_CANCELLED);
+	} else if (r->status == 409 && ++ask->tries < 8) { /* changed meanwhile: read it again */
+		ws_get(c, "job", call->ctx_name, call->ctx_n, ask, ws_abort_got);
+		return;
+	} else {
+		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
+	}
+	free(ask);
+}
+
+static void ws_abort_got(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_ask *ask = call->ctx;
+	enum ws_phase phase;
+	uint32_t done, running;
+	struct ws_call *w;
+
+	if (r->status == 404) {
+		ws_get(c, "old", call->ctx_name, call->ctx_n, ask, ws_abort_old);
+		return;
+	}
+	if (r->status != 200 || r->nkvs != 1 ||
+	    !ws_record_read_phase(r->kvs[0].value, &phase, &done, &running)) {
+		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed,
+			  r->status == 200 ? 500 : r->status);
+		free(ask);
+		return;
+	}
+	if (phase == WS_DONE || phase == WS_CANCELLED) {
+		ws_answer(c, call->ctx_n, 200, call->ctx_name, phase);
+		free(ask);
+		return;
+	}
+	w = ws_call(c, WS_CALL_TXN, ws_abort_written);
+	w->ctx = ask;
+	w->ctx_n = call->ctx_n;
+	snprintf(w->ctx_name, sizeof(w->ctx_name), "%s", call->ctx_name);
+	w->conds = calloc(1, sizeof(*w->conds));
+	w->ops = calloc(1, sizeof(*w->ops));
+	if (!w->conds || !w->ops)
+		abort();
+	w->nconds = w->nops = 1;
+	snprintf(w->conds[0].key, WS_KEY_MAX, "%s", call->key);
+	w->conds[0].stamp = r->kvs[0].stamp;
+	snprintf(w->ops[0].key, WS_KEY_MAX, "%s", call->key);
+	w->ops[0].value = json_deep_copy(r->kvs[0].value);
+	ws_record_withdraw(w->ops[0].value);
+}
+
+void ws_core_abort(struct ws_core *c, double now, uint64_t token, const char *id, bool relayed)
+{
+	struct ws_ask *ask;
+
+	if (now > c->now)
+		c->now = now;
+	ask = calloc(1, sizeof(*ask));
+	if (!ask) {
+		ws_answer(c, token, 503, id, WS_QUEUED);
+		return;
+	}
+	ask->relayed = relayed;
+	ask->abort = true;
+	ws_get(c, "job", id, token, ask, ws_abort_got);
+	ws_core_tick(c, now);
+}
+
+/* ---- machine types: needed before anything can be decided ---- */
+
+static void ws_types_record(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	(void)call;
+	c->types_asked = false;
+	if (r->status == 200 && r->nkvs == 1 && !c->ntypes)
+		c->ntypes = ws_record_read_types(r->kvs[0].value, c->types);
+	if (!c->ntypes)
+		c->types_next = c->now + c->set->report_s / 2;
+}
+
+static void ws_types_cloud(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	(void)call;
+	if (r->status == 200 && r->ntypes) {
+		for (size_t i = 0; i < r->ntypes && i < WS_MAX_TYPES; i++) {
+			const struct ws_type *have = ws_type_find(c, r->types[i].name);
+
+			if (have) /* prices move; pointers to types stay good */
+				c->types[have - c->types] = r->types[i];
+			else if (c->ntypes < WS_MAX_TYPES)
+				c->types[c->ntypes++] = r->types[i];
+		}
+		c->types_asked = false;
+		c->types_next = c->now + c->set->lease_s * 8;
+		c->place_wanted = true;
+		return;
+	}
+	if (!c->ntypes) { /* the cloud is down: an earlier leader wrote them down */
+		struct ws_call *g = ws_call(c, WS_CALL_GET, ws_types_record);
+
+		snprintf(g->key, sizeof(g->key), "types");
+		return;
+	}
+	c->types_asked = false;
+	c->types_next = c->now + c->set->lease_s;
+}
+
+void ws_requests_tick(struct ws_core *c)
+{
+	struct ws_redirect *d, *t;
+
+	if (!c->types_asked && c->now >= c->types_next &&
+	    (!c->ntypes || c->role == WS_LEADER)) {
+		c->types_asked = true;
+		ws_call(c, WS_CALL_TYPES, ws_types_cloud);
+	}
+	HASH_ITER(hh, c->redirects, d, t)
+	if (c->now - d->at > c->set->lease_s) {
+		HASH_DEL(c->redirects, d);
+		free(d);
+	}
+}
+
+void ws_redirects_free(struct ws_core *c)
+{
+	struct ws_redirect *d, *t;
+
+	HASH_ITER(hh, c->redirects, d, t)
+	{
+		HASH_DEL(c->redirects, d);
+		free(d);
+	}
+}
+
+static void ws_report_answer(struct ws_core *c, uint64_t token, int status, const char *leader)
+{
+	struct ws_action *a = ws_act(c, WS_ACT_ANSWER_REPORT);
+
+	a->token = token;
+	a->status = status;
+	snprintf(a->name, sizeof(a->name), "%s", leader ? leader : "");
+}
+
+/*
+ * A worker reports to a node that does not lead. It is sent to the leader; one that is back within
+ * a lease could not get through, so its report is passed on by us from then on.
+ */
+void ws_follower_report(struct ws_core *c, uint64_t token, const struct ws_report *r, bool relayed)
+{
+	struct ws_redirect *d;
+
+	if (relayed || !c->leader[0] || !strcmp(c->leader, c->set->node)) {
+		ws_report_answer(c, token, 503, NULL);
+		return;
+	}
+	HASH_FIND_STR(c->redirects, r->machine, d);
+	if (!d) {
+		d = calloc(1, sizeof(*d));
+		if (!d)
+			abort();
+		snprintf(d->machine, sizeof(d->machine), "%s", r->machine);
+		HASH_ADD_STR(c->redirects, machine, d);
+		d->at = c->now;
+		ws_report_answer(c, token, 421, c->leader);
+		return;
+	}
+	d->at = c->now;
+	struct ws_action *a = ws_act(c, WS_ACT_RELAY);
+
+	a->token = token;
+	snprintf(a->name, sizeof(a->name), "%s", c->leader);
+}
+
+/* ---- testimony: does the state service refuse us right now? ---- */
+
+static void ws_testify_done(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_action *a = ws_act(c, WS_ACT_ANSWER_TESTIFY);
+
+	a->token = call->ctx_n;
+	a->status = r->status == 503 ? 503 : 200; /* silence is no testimony */
+}
+
+void ws_core_testify(struct ws_core *c, double now, uint64_t token)
+{
+	struct ws_call *call;
+
+	if (now > c->now)
+		c->now = now;
+	call = ws_call(c, WS_CALL_GET, ws_testify_done);
+	snprintf(call->key, sizeof(call->key), "leader");
+	call->ctx_n = token;
+	call->urgent = true;
+}
--- /dev/null
+++ b/src/core/sizing.c
@@ -0,0 +1,126 @@
+/*
+ * Stationary distribution of the M/M/N/K/Setup queue after the paper's section V: row i holds the
+ * states with i rentals active. Within a row every probability is an affine function of the one
+ * before it (Lemmas 1 and 2); rows are joined by the cut equations (10) and (23). Only positive
+ * numbers are added and multiplied; rows are rescaled so that nothing overflows.
+ *
+ * Two misprints of the paper are put right here: (10) must read min(j - n0, N - n0), as its
+ * sibling (23) does, and in (4) the case j = n0 belongs to (5).
+ */
+#include "sizing.h"
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+static double ws_min(double a, double b)
+{
+	return a < b ? a : b;
+}
+
+bool ws_queue_solve(double lambda, double mu, double alpha, int n0, int k, int kmax,
+		    struct ws_queue *q)
+{
+	if (!(lambda > 0) || !(mu > 0) || !(alpha > 0) || n0 < 0 || k < 0 || kmax < n0 + k ||
+	    kmax < 1 || !isfinite(lambda + mu + alpha))
+		return false;
+	int n = n0 + k;
+	size_t w = (size_t)kmax + 2;
+	double *prev = calloc(w, sizeof(double)), *cur = calloc(w, sizeof(double));
+	double *a = calloc(w, sizeof(double)), *b = calloc(w, sizeof(double));
+	bool ok = prev && cur && a && b;
+	double total = 0, jobs = 0, rentals = 0, full = 0;
+
+	for (int i = 0; ok && i <= k; i++) {
+		int ni = n0 + i;
+		double up = 0; /* flow from row i - 1 into this one */
+
+		memset(cur, 0, w * sizeof(double));
+		memset(a, 0, w * sizeof(double));
+		memset(b, 0, w * sizeof(double));
+		for (int j = kmax; j > ni; j--) {
+			double setup = ws_min(j - ni, n - ni) * alpha;
+			double in = i ? ws_min(j - ni + 1, n - ni + 1) * alpha * prev[j] : 0;
+			double next_a = j < kmax ? a[j + 1] : 0, next_b = j < kmax ? b[j + 1] : 0;
+			double den = (j < kmax ? lambda : 0) + setup + ni * mu - ni * mu * next_b;
+
+			if (!(den > 0)) {
+				ok = false;
+				break;
+			}
+			a[j] = (ni * mu * next_a + in) / den;
+			b[j] = lambda / den;
+		}
+		if (!ok)
+			break;
+		if (i == 0) {
+			cur[0] = 1;
+			for (int j = 1; j <= kmax; j++)
+				cur[j] = cur[j - 1] * (j <= n0 ? lambda / (j * mu) : b[j]);
+		} else {
+			for (int j = ni; j <= kmax; j++)
+				up += ws_min(j - ni + 1, n - ni + 1) * alpha * prev[j];
+			cur[ni] = up / (ni * mu);
+			for (int j = ni + 1; j <= kmax; j++)
+				cur[j] = a[j] + b[j] * cur[j - 1];
+		}
+		double peak = 0;
+		for (int j = 0; j <= kmax; j++)
+			peak = cur[j] > peak ? cur[j] : peak;
+		if (!isfinite(peak)) {
+			ok = false;
+			break;
+		}
+		for (int j = 0; j <= kmax; j++) {
+			if (cur[j] == 0)
+				continue;
+			total += cur[j];
+			jobs += cur[j] * j;
+			rentals += cur[j] * i;
+			if (j > ni)
+				rentals += cur[j] * ws_min(j - ni, n - ni);
+		}
+		full += cur[kmax];
+		if (peak > 1e100) {
+			for (int j = 0; j <= kmax; j++)
+				cur[j] /= peak;
+			total /= peak, jobs /= peak, rentals /= peak, full /= peak;
+		}
+		double *t = prev;
+		prev = cur;
+		cur = t;
+	}
+	free(prev);
+	free(cur);
+	free(a);
+	free(b);
+	if (!ok || !(total > 0) || !isfinite(total))
+		return false;
+	q->pb = full / total;
+	q->s = rentals / total;
+	double taken = lambda * (1 - q->pb);
+	if (!(taken > 0))
+		return false;
+	q->wq = jobs / total / taken - 1 / mu;
+	if (q->wq < 0)
+		q->wq = 0;
+	return isfinite(q->wq) && isfinite(q->s);
+}
+
+int ws_sizing_run(const struct ws_measure *m, struct ws_queue *at)
+{
+	int cap = m->owned + m->ceiling + m->waiting_loads, k;
+
+	for (k = 0; k <= m->ceiling; k++) {
+		if (!ws_queue_solve(m->lambda, m->mu, m->alpha, m->owned, k, cap, at))
+			return -1;
+		if (k == m->ceiling)
+			break;
+		if (m->bound_s > 0 && at->wq > m->bound_s)
+			continue;
+		if (at->wq <= 0)
+			break;
+		if ((at->s / m->rentals_max) / (at->wq / m->wait_max_s) >= m->delta)
+			break;
+	}
+	return k;
+}
--- /dev/null
+++ b/src/io/service.c
@@ -0,0 +1,690 @@
+#include "service.h"
+#include "../core/sizing.h"
+#include "../log.h"
+#include "codec.h"
+#include "http.h"
+#include "peer.h"
+#include <math.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <time.h>
+
+enum ws_ask_kind { WS_ASK_USER, WS_ASK_REPORT, WS_ASK_TESTIFY };
+
+struct ws_pending { /* a request that has not been answered */
+	uint64_t token;
+	enum ws_ask_kind kind;
+	uint64_t from, id; /* the peer's pipe and frame; from 0: straight from a client */
+	char *method, *path, *body;
+	size_t len;
+	struct ws_service *service;
+	UT_hash_handle hh;
+};
+
+struct ws_worker {
+	char name[80];
+	struct ws_client *client;
+	UT_hash_handle hh;
+};
+
+struct ws_flight { /* a call on its way */
+	struct ws_service *service;
+	struct ws_call *call;
+};
+
+struct ws_service {
+	struct ev_loop *loop;
+	const struct ws_settings *set;
+	struct ws_core *core;
+	pthread_mutex_t lock; /* the core's; never held across input or output */
+	struct ws_server *server;
+	struct ws_client *state, *watch, *cloud;
+	struct ws_worker *workers;
+	struct ws_peers *peers;
+	struct ws_pending *pending;
+	int users; /* users' requests among them */
+	uint64_t next_token;
+	ev_timer tick;
+	ev_async sized;
+	double writes, writes_at, write_rate;
+	bool leading, draining;
+	double sweep_at;
+	pthread_t sizer;
+	pthread_mutex_t size_lock;
+	pthread_cond_t size_cond;
+	struct ws_measure measure;
+	bool size_due, size_stop, sizer_runs;
+};
+
+#define WS_PEER_TOKEN (1ULL << 63)
+
+static void ws_drain(struct ws_service *v);
+
+static double ws_wall(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (double)ts.tv_sec + (double)ts.tv_nsec * 1e-9;
+}
+
+/* ---- answers ---- */
+
+static void ws_pending_free(struct ws_pending *p)
+{
+	HASH_DEL(p->service->pending, p);
+	if (p->kind == WS_ASK_USER)
+		p->service->users--;
+	free(p->method);
+	free(p->path);
+	free(p->body);
+	free(p);
+}
+
+static void ws_reply(struct ws_service *v, uint64_t token, int status, const char *body, size_t len,
+		     int retry_after)
+{
+	struct ws_pending *p;
+
+	HASH_FIND(hh, v->pending, &token, sizeof(token), p);
+	if (!p)
+		return;
+	if (p->from) {
+		Ws__PeerFrame f = WS__PEER_FRAME__INIT;
+
+		f.kind = WS__PEER_FRAME__KIND__REPLY;
+		f.id = p->id;
+		f.node = (char *)v->set->node;
+		f.body.data = (uint8_t *)body;
+		f.body.len = len;
+		f.status = (uint32_t)status;
+		f.retry_after = (uint32_t)retry_after;
+		ws_peers_reply(v->peers, p->from, &f);
+	} else {
+		ws_server_answer(v->server, token, status, body, len, retry_after);
+	}
+	ws_pending_free(p);
+}
+
+static void ws_reply_plain(struct ws_service *v, uint64_t token, int status)
+{
+	ws_reply(v, token, status, "{}", 2, status == 503 || status == 429 ? 1 : 0);
+}
+
+static void ws_relayed(void *ctx, const Ws__PeerFrame *f)
+{
+	struct ws_flight *x = ctx;
+	struct ws_service *v = x->service;
+	uint64_t token = (uint64_t)(uintptr_t)x->call;
+
+	free(x);
+	if (!f || f->status < 200 || f->status > 599)
+		ws_reply_plain(v, token, 503);
+	else
+		ws_reply(v, token, (int)f->status, (const char *)f->body.data, f->body.len,
+			 (int)f->retry_after);
+}
+
+static void ws_relay(struct ws_service *v, uint64_t token, const char *node)
+{
+	struct ws_pending *p;
+	Ws__PeerFrame f = WS__PEER_FRAME__INIT;
+	struct ws_flight *x;
+	bool get;
+
+	HASH_FIND(hh, v->pending, &token, sizeof(token), p);
+	if (!p)
+		return;
+	x = calloc(1, sizeof(*x));
+	if (!x) {
+		ws_reply_plain(v, token, 503);
+		return;
+	}
+	x->service = v;
+	x->call = (struct ws_call *)(uintptr_t)token;
+	get = !strcmp(p->method, "GET");
+	f.kind = p->kind == WS_ASK_REPORT ? WS__PEER_FRAME__KIND__REPORT
+					  : WS__PEER_FRAME__KIND__USER;
+	f.node = (char *)v->set->node;
+	f.method = p->method;
+	f.path = p->path;
+	f.body.data = (uint8_t *)p->body;
+	f.body.len = p->len;
+	/* within what the asker waits: 4 s for workers, 2 s for polls, 5 s for submissions */
+	if (!ws_peers_send(v->peers, node, &f, p->kind == WS_ASK_REPORT ? 3 : get ? 1 : 2.5,
+			   ws_relayed, x)) {
+		free(x);
+		ws_reply_plain(v, token, 503);
+	}
+}
+
+/* ---- calls ---- */
+
+static void ws_complete(struct ws_service *v, struct ws_call *call, int status, const char *body,
+			size_t len)
+{
+	struct ws_result r;
+
+	ws_decode_reply(call, status, body, len, &r);
+	if (r.status < 0 && call->kind != WS_CALL_ORDERS)
+		r.status = 0;
+	pthread_mutex_lock(&v->lock);
+	ws_core_complete(v->core, ws_now(), call, &r);
+	pthread_mutex_unlock(&v->lock);
+	ws_result_free(&r);
+	ws_drain(v);
+}
+
+static void ws_call_done(void *ctx, int status, const char *body, size_t len)
+{
+	struct ws_flight *x = ctx;
+	struct ws_service *v = x->service;
+	struct ws_call *call = x->call;
+
+	free(x);
+	ws_complete(v, call, status, body, len);
+}
+
+static void ws_testimony(void *ctx, const Ws__PeerFrame *f)
+{
+	ws_call_done(ctx, f ? (int)f->status : 0, "{}", 2);
+}
+
+static struct ws_client *ws_worker_client(struct ws_service *v, const char *host, int port)
+{
+	struct ws_worker *w;
+	char name[80];
+
+	snprintf(name, sizeof(name), "%s:%d", host, port);
+	HASH_FIND_STR(v->workers, name, w);
+	if (w)
+		return w->client;
+	struct ws_client_opts o = {.max_conns = 1,
+				   .max_queue = 4,
+				   .max_reply = 256 * 1024,
+				   .idle_s = v->set->lease_s};
+	w = calloc(1, sizeof(*w));
+	if (!w)
+		return NULL;
+	strcpy(w->name, name);
+	w->client = ws_client_new(v->loop, host, port, &o);
+	if (!w->client) {
+		free(w);
+		return NULL;
+	}
+	HASH_ADD_STR(v->workers, name, w);
+	return w->client;
+}
+
+/* Puts and deletes a second are shared out: half for the leader, half for the others. */
+static bool ws_write_allowed(struct ws_service *v, size_t ops)
+{
+	double now = ws_now();
+
+	v->writes += (now - v->writes_at) * v->write_rate;
+	v->writes_at = now;
+	if (v->writes > v->write_rate)
+		v->writes = v->write_rate;
+	if (v->writes < 1)
+		return false;
+	v->writes -= (double)ops;
+	return true;
+}
+
+static void ws_call_start(struct ws_service *v, struct ws_call *call)
+{
+	struct ws_flight *x = calloc(1, sizeof(*x));
+	struct ws_client *to = v->state;
+	const char *method;
+	char path[WS_URL_MAX], *body;
+	double ttl = v->set->lease_s / 6, timeout = fmin(ttl / 2, 1.5);
+	bool ok;
+
+	if (!x)
+		abort();
+	x->service = v;
+	x->call = call;
+	if (call->kind == WS_CALL_TESTIFY) {
+		Ws__PeerFrame f = WS__PEER_FRAME__INIT;
+
+		f.kind = WS__PEER_FRAME__KIND__TESTIFY;
+		f.node = (char *)v->set->node;
+		if (!ws_peers_send(v->peers, call->key, &f, ttl / 2, ws_testimony, x))
+			ws_call_done(x, 0, "", 0);
+		return;
+	}
+	switch (call->kind) {
+	case WS_CALL_WATCH:
+		to = v->watch;
+		timeout = call->ms / 1000.0 + 1;
+		break;
+	case WS_CALL_HOLD_EXTEND:
+		timeout = ttl / 4;
+		break;
+	case WS_CALL_TYPES:
+	case WS_CALL_HOSTS:
+	case WS_CALL_RENT:
+	case WS_CALL_RETURN:
+		to = v->cloud;
+		timeout = 5;
+		break;
+	case WS_CALL_ORDERS:
+		to = ws_worker_client(v, call->host, call->port);
+		timeout = v->set->report_s;
+		break;
+	case WS_CALL_TXN:
+		if (!ws_write_allowed(v, call->nops)) {
+			ws_call_done(x, 429, "", 0);
+			return;
+		}
+		break;
+	default:
+		break;
+	}
+	body = ws_encode_call(call, &method, path);
+	ok = to && ws_client_send(to, method, path, body ? body : "", body ? strlen(body) : 0,
+				  timeout, call->urgent, ws_call_done, x);
+	free(body);
+	if (!ok)
+		ws_call_done(x, call->kind == WS_CALL_ORDERS ? -1 : 429, "", 0);
+}
+
+/* ---- what the core wants done ---- */
+
+static void ws_shares(struct ws_service *v, bool leading)
+{
+	double share = leading || !v->set->npeers ? 0.5 : 0.5 / (double)v->set->npeers;
+
+	if (!v->set->npeers)
+		share = 1;
+	v->leading = leading;
+	v->write_rate = v->set->state_write_rps * share;
+	ws_client_rate(v->state, v->set->state_rps * share * 0.95, v->set->state_rps * share / 2);
+}
+
+static void ws_act_do(struct ws_service *v, struct ws_action *a)
+{
+	char *body;
+
+	switch (a->kind) {
+	case WS_ACT_CALL:
+		ws_call_start(v, a->call);
+		break;
+	case WS_ACT_ANSWER_USER:
+		body = ws_encode_user(a);
+		ws_reply(v, a->token, body ? a->status : 503, body ? body : "{}",
+			 body ? strlen(body) : 2, body ? a->retry_after : 1);
+		free(body);
+		break;
+	case WS_ACT_ANSWER_REPORT:
+		body = ws_encode_report_answer(a);
+		ws_reply(v, a->token, body ? a->status : 503, body ? body : "{}",
+			 body ? strlen(body) : 2, 0);
+		free(body);
+		break;
+	case WS_ACT_RELAY:
+		ws_relay(v, a->token, a->name);
+		break;
+	case WS_ACT_ANSWER_TESTIFY:
+		ws_reply(v, a->token, a->status, "{}", 2, 0);
+		break;
+	}
+}
+
+static void ws_drain(struct ws_service *v)
+{
+	if (v->draining)
+		return; /* the outer call goes on with what was added */
+	v->draining = true;
+	for (;;) {
+		struct ws_action *a;
+
+		pthread_mutex_lock(&v->lock);
+		a = ws_core_pop(v->core);
+		bool leading = ws_core_leading(v->core);
+		pthread_mutex_unlock(&v->lock);
+		if (leading != v->leading)
+			ws_shares(v, leading);
+		if (!a)
+			break;
+		ws_act_do(v, a);
+		ws_action_free(a);
+	}
+	v->draining = false;
+}
+
+/* ---- requests ---- */
+
+static struct ws_pending *ws_pend(struct ws_service *v, uint64_t token, enum ws_ask_kind kind,
+				  const char *method, const char *path, const char *body, size_t len)
+{
+	struct ws_pending *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return NULL;
+	p->token = token;
+	p->kind = kind;
+	p->service = v;
+	p->method = strdup(method);
+	p->path = strdup(path);
+	p->body = malloc(len + 1);
+	if (!p->method || !p->path || !p->body) {
+		free(p->method);
+		free(p->path);
+		free(p->body);
+		free(p);
+		return NULL;
+	}
+	memcpy(p->body, body, len);
+	p->body[len] = 0;
+	p->len = len;
+	HASH_ADD(hh, v->pending, token, sizeof(p->token), p);
+	if (kind == WS_ASK_USER)
+		v->users++;
+	return p;
+}
+
+static void ws_user(struct ws_service *v, uint64_t token, const char *method, const char *path,
+		    const char *body, size_t len, bool relayed)
+{
+	static const char base[] = "/v2/runs";
+	const char *rest = path + sizeof(base) - 1;
+	bool post = !strcmp(method, "POST"), get = !strcmp(method, "GET");
+	char id[WS_ID_MAX];
+	size_t n;
+
+	/* a small buffer: half a second of what the state service can take */
+	if (v->users > (int)(v->set->state_rps / 2)) {
+		ws_reply_plain(v, token, 503);
+		return;
+	}
+	if (!rest[0]) {
+		struct ws_spec spec;
+		int bad;
+
+		if (!post) {
+			ws_reply_plain(v, token, 405);
+			return;
+		}
+		bad = ws_decode_job(body, len, &spec);
+		if (bad) {
+			ws_reply_plain(v, token, bad);
+			return;
+		}
+		pthread_mutex_lock(&v->lock);
+		ws_core_submit(v->core, ws_now(), ws_wall(), token, &spec, relayed);
+		pthread_mutex_unlock(&v->lock);
+		ws_drain(v);
+		return;
+	}
+	rest++;
+	n = strcspn(rest, "/");
+	if (n >= sizeof(id) || !n) {
+		ws_reply_plain(v, token, 404);
+		return;
+	}
+	memcpy(id, rest, n);
+	id[n] = 0;
+	bool abort_job = !strcmp(rest + n, "/abort");
+
+	if (rest[n] && !abort_job) {
+		ws_reply_plain(v, token, 404);
+	} else if (abort_job ? !post : !get) {
+		ws_reply_plain(v, token, 405);
+	} else if (!ws_job_id_ok(id)) {
+		ws_reply_plain(v, token, 404); /* no job has such an id */
+	} else {
+		pthread_mutex_lock(&v->lock);
+		if (abort_job)
+			ws_core_abort(v->core, ws_now(), token, id, relayed);
+		else
+			ws_core_poll(v->core, ws_now(), token, id, relayed);
+		pthread_mutex_unlock(&v->lock);
+		ws_drain(v);
+	}
+}
+
+static void ws_report_in(struct ws_service *v, uint64_t token, const char *body, size_t len,
+			 bool relayed)
+{
+	struct ws_report r;
+
+	if (!ws_decode_report(body, len, &r)) {
+		ws_logf(WS_LOG_ERROR, "a report of %zu bytes can't be read", len);
+		ws_reply_plain(v, token, 400);
+		return;
+	}
+	pthread_mutex_lock(&v->lock);
+	ws_core_report(v->core, ws_now(), token, &r, relayed);
+	pthread_mutex_unlock(&v->lock);
+	ws_report_free(&r);
+	ws_drain(v);
+}
+
+static void ws_request(void *ctx, uint64_t token, const char *method, const char *url,
+		       const char *body, size_t len)
+{
+	struct ws_service *v = ctx;
+	char path[1100];
+	bool report;
+
+	snprintf(path, sizeof(path), "%.*s", (int)strcspn(url, "?#"), url);
+	report = !strcmp(path, "/checkin");
+	if (!ws_pend(v, token, report ? WS_ASK_REPORT : WS_ASK_USER, method, path, body, len)) {
+		ws_server_answer(v->server, token, 503, "{}", 2, 1);
+		return;
+	}
+	if (report) {
+		if (strcmp(method, "POST"))
+			ws_reply_plain(v, token, 405);
+		else
+			ws_report_in(v, token, body, len, false);
+	} else if (!strncmp(path, "/v2/runs", 8) && (!path[8] || path[8] == '/')) {
+		ws_user(v, token, method, path, body, len, false);
+	} else if (!strcmp(path, "/healthz")) {
+		bool ready;
+
+		pthread_mutex_lock(&v->lock);
+		ready = ws_core_ready(v->core);
+		pthread_mutex_unlock(&v->lock);
+		ws_reply_plain(v, token, strcmp(method, "GET") ? 405 : ready ? 200 : 503);
+	} else {
+		ws_reply_plain(v, token, 404);
+	}
+}
+
+static void ws_peer_ask(void *ctx, uint64_t from, const Ws__PeerFrame *f)
+{
+	struct ws_service *v = ctx;
+	uint64_t token = WS_PEER_TOKEN | ++v->next_token;
+	enum ws_ask_kind kind = f->kind == WS__PEER_FRAME__KIND__REPORT ? WS_ASK_REPORT
+				: f->kind == WS__PEER_FRAME__KIND__USER ? WS_ASK_USER
+									: WS_ASK_TESTIFY;
+	struct ws_pending *p;
+
+	if (f->body.len > WS_BODY_MAX || strlen(f->path) > 1000)
+		return;
+	p = ws_pend(v, token, kind, f->method, f->path, (const char *)f->body.data, f->body.len);
+	if (!p)
+		return;
+	p->from = from;
+	p->id = f->id;
+	if (kind == WS_ASK_REPORT) {
+		ws_report_in(v, token, p->body, p->len, true);
+	} else if (kind == WS_ASK_USER) {
+		if (!strncmp(p->path, "/v2/runs", 8))
+			ws_user(v, token, p->method, p->path, p->body, p->len, true);
+		else
+			ws_reply_plain(v, token, 404);
+	} else if (f->kind == WS__PEER_FRAME__KIND__TESTIFY) {
+		pthread_mutex_lock(&v->lock);
+		ws_core_testify(v->core, ws_now(), token);
+		pthread_mutex_unlock(&v->lock);
+		ws_drain(v);
+	} else {
+		ws_reply_plain(v, token, 400);
+	}
+}
+
+/* ---- the sizing thread ---- */
+
+static void *ws_sizer(void *ctx)
+{
+	struct ws_service *v = ctx;
+
+	pthread_mutex_lock(&v->size_lock);
+	for (;;) {
+		struct ws_measure m;
+		struct ws_queue q = {0};
+		int k;
+
+		while (!v->size_due && !v->size_stop)
+			pthread_cond_wait(&v->size_cond, &v->size_lock);
+		if (v->size_stop)
+			break;
+		v->size_due = false;
+		m = v->measure;
+		pthread_mutex_unlock(&v->size_lock);
+		k = ws_sizing_run(&m, &q);
+		pthread_mutex_lock(&v->lock);
+		ws_core_set_k(v->core, ws_now(), k, q.s, q.wq);
+		pthread_mutex_unlock(&v->lock);
+		ev_async_send(v->loop, &v->sized);
+		pthread_mutex_lock(&v->size_lock);
+	}
+	pthread_mutex_unlock(&v->size_lock);
+	return NULL;
+}
+
+static void ws_sized(struct ev_loop *loop, ev_async *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	ws_drain(w->data);
+}
+
+static void ws_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct ws_service *v = w->data;
+	struct ws_measure m;
+	double now = ws_now();
+	bool due;
+
+	(void)loop;
+	(void)revents;
+	pthread_mutex_lock(&v->lock);
+	ws_core_tick(v->core, now);
+	due = ws_core_measure(v->core, now, &m);
+	pthread_mutex_unlock(&v->lock);
+	if (due) {
+		pthread_mutex_lock(&v->size_lock);
+		v->measure = m;
+		v->size_due = true;
+		pthread_cond_signal(&v->size_cond);
+		pthread_mutex_unlock(&v->size_lock);
+	}
+	ws_drain(v);
+	if (now > v->sweep_at) {
+		struct ws_worker *x, *t;
+
+		v->sweep_at = now + v->set->lease_s;
+		HASH_ITER(hh, v->workers, x, t)
+		if (ws_client_idle(x->client, now, 4 * v->set->lease_s)) {
+			HASH_DEL(v->workers, x);
+			ws_client_free(x->client);
+			free(x);
+		}
+	}
+}
+
+struct ws_service *ws_service_new(struct ev_loop *loop, const struct ws_settings *s,
+				  const struct ws_policy *p, char *err, size_t n)
+{
+	struct ws_service *v = calloc(1, sizeof(*v));
+	uint64_t nonce = 0;
+	double tick = s->report_s / 40;
+	struct ws_client_opts state = {.max_conns = 8,
+				       .max_queue = (int)(s->state_rps / 2),
+				       .max_reply = 4 * 1024 * 1024};
+	struct ws_client_opts watch = {.max_conns = 4, .max_queue = 8, .max_reply = 16 * 1024 * 1024};
+	struct ws_client_opts cloud = {.max_conns = 2,
+				       .max_queue = 8,
+				       .max_reply = 4 * 1024 * 1024,
+				       .rate = s->cloud_rps,
+				       .burst = fmax(1, s->cloud_rps)};
+
+	if (!v)
+		return NULL;
+	if (getrandom(&nonce, sizeof(nonce), 0) != sizeof(nonce))
+		nonce = (uint64_t)(ws_wall() * 1e6);
+	v->loop = loop;
+	v->set = s;
+	pthread_mutex_init(&v->lock, NULL);
+	pthread_mutex_init(&v->size_lock, NULL);
+	pthread_cond_init(&v->size_cond, NULL);
+	v->core = ws_core_new(s, p, ws_log_write, ws_now(), nonce);
+	v->state = ws_client_new(loop, s->state.host, s->state.port, &state);
+	v->watch = ws_client_new(loop, s->state.host, s->state.port, &watch);
+	v->cloud = ws_client_new(loop, s->cloud.host, s->cloud.port, &cloud);
+	v->server = ws_server_new(loop, s->bind.host, s->bind.port, s->max_sockets * 4 / 5,
+				  ws_request, v, err, n);
+	if (v->server)
+		v->peers = ws_peers_new(loop, s, ws_peer_ask, v, err, n);
+	if (!v->core || !v->state || !v->watch || !v->cloud || !v->server || !v->peers) {
+		ws_service_free(v);
+		return NULL;
+	}
+	ws_shares(v, false);
+	v->writes = v->write_rate;
+	v->writes_at = ws_now();
+	ev_async_init(&v->sized, ws_sized);
+	v->sized.data = v;
+	ev_async_start(loop, &v->sized);
+	ev_timer_init(&v->tick, ws_tick, 0.001, tick);
+	v->tick.data = v;
+	ev_timer_start(loop, &v->tick);
+	if (pthread_create(&v->sizer, NULL, ws_sizer, v)) {
+		snprintf(err, n, "can't start the sizing thread");
+		ws_service_free(v);
+		return NULL;
+	}
+	v->sizer_runs = true;
+	return v;
+}
+
+void ws_service_free(struct ws_service *v)
+{
+	struct ws_worker *w, *t;
+	struct ws_pending *p, *q;
+
+	if (!v)
+		return;
+	if (v->sizer_runs) {
+		pthread_mutex_lock(&v->size_lock);
+		v->size_stop = true;
+		pthread_cond_signal(&v->size_cond);
+		pthread_mutex_unlock(&v->size_lock);
+		pthread_join(v->sizer, NULL);
+	}
+	v->draining = true; /* nothing more is started */
+	ev_timer_stop(v->loop, &v->tick);
+	ev_async_stop(v->loop, &v->sized);
+	ws_client_free(v->state);
+	ws_client_free(v->watch);
+	ws_client_free(v->cloud);
+	HASH_ITER(hh, v->workers, w, t)
+	{
+		HASH_DEL(v->workers, w);
+		ws_client_free(w->client);
+		free(w);
+	}
+	ws_peers_free(v->peers);
+	HASH_ITER(hh, v->pending, p, q)
+	ws_pending_free(p);
+	ws_server_free(v->server);
+	ws_core_free(v->core);
+	free(v);
+}
--- /dev/null
+++ b/src/io/service.h
@@ -0,0 +1,11 @@
+/* The shell: sockets, timers and the sizing thread round the core. */
+#ifndef WS_SERVICE_H
+#define WS_SERVICE_H
+#include "../core/core.h"
+#include <ev.h>
+
+struct ws_service;
+struct ws_service *ws_service_new(struct ev_loop *loop, const struct ws_settings *s,
+				  const struct ws_policy *p, char *err, size_t n);
+void ws_service_free(struct ws_service *v);
+#endif
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,113 @@
+/* waystep: a cluster scheduler. Command line, settings, log, loop. */
+#include "config.h"
+#include "io/service.h"
+#include "log.h"
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#ifndef WS_VERSION
+#define WS_VERSION "0"
+#endif
+
+const char *argp_program_version = "waystep " WS_VERSION;
+
+struct ws_args {
+	const char *config, *policy;
+	bool check;
+};
+
+static const struct argp_option ws_options[] = {
+	{"config", 'c', "FILE", 0, "The platform's settings (TOML); required", 0},
+	{"policy", 'p', "FILE", 0, "The operators' own settings (TOML)", 0},
+	{"check", 'k', NULL, 0, "Check the settings and exit", 0},
+	{0},
+};
+
+static error_t ws_arg(int key, char *arg, struct argp_state *state)
+{
+	struct ws_args *a = state->input;
+
+	switch (key) {
+	case 'c':
+		a->config = arg;
+		return 0;
+	case 'p':
+		a->policy = arg;
+		return 0;
+	case 'k':
+		a->check = true;
+		return 0;
+	case ARGP_KEY_ARG:
+		argp_error(state, "unexpected argument: %s", arg);
+		return 0;
+	case ARGP_KEY_END:
+		if (!a->config)
+			argp_error(state, "--config FILE is required");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void ws_stop(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	(void)w;
+	(void)revents;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+		ws_options, ws_arg, NULL,
+		"waystep -- one controller of a cluster: takes jobs, rents machines, places tasks\v"
+		"LOG_LEVEL (error, info, debug) sets the amount of log on standard error.",
+		NULL, NULL, NULL};
+	static struct ws_settings settings;
+	static struct ws_policy policy;
+	struct ws_args args = {0};
+	struct ev_loop *loop;
+	struct ws_service *service;
+	ev_signal term, intr;
+	char err[512] = "";
+
+	argp_err_exit_status = 2;
+	argp_parse(&argp, argc, argv, 0, NULL, &args);
+	ws_policy_defaults(&policy);
+	if (!ws_config_settings(args.config, &settings, err, sizeof(err)) ||
+	    (args.policy && !ws_config_policy(args.policy, &policy, err, sizeof(err)))) {
+		fprintf(stderr, "waystep: %s\n", err);
+		return 2;
+	}
+	if (args.check) {
+		printf("%s: fine: node %s, %zu peers, %zu teams\n", args.config, settings.node,
+		       settings.npeers, settings.nteams);
+		return 0;
+	}
+	ws_log_open(settings.node, getenv("LOG_LEVEL"));
+	signal(SIGPIPE, SIG_IGN);
+	loop = ev_default_loop(EVFLAG_AUTO);
+	if (!loop) {
+		fprintf(stderr, "waystep: no event loop\n");
+		return 1;
+	}
+	service = ws_service_new(loop, &settings, &policy, err, sizeof(err));
+	if (!service) {
+		fprintf(stderr, "waystep: %s\n", err);
+		return 1;
+	}
+	ws_logf(WS_LOG_INFO, "waystep %s on %s:%d, %zu peers", WS_VERSION, settings.bind.host,
+		settings.bind.port, settings.npeers);
+	ev_signal_init(&term, ws_stop, SIGTERM);
+	ev_signal_start(loop, &term);
+	ev_signal_init(&intr, ws_stop, SIGINT);
+	ev_signal_start(loop, &intr);
+	ev_run(loop, 0);
+	ws_logf(WS_LOG_INFO, "stopping");
+	ws_service_free(service);
+	ev_loop_destroy(loop);
+	return 0;
+}
--- /dev/null
+++ b/src/toml.cpp
@@ -0,0 +1,68 @@
+#include "toml.h"
+#include <cstdio>
+#include <cstring>
+#include <string>
+#include <toml++/toml.h>
+#include <vector>
+
+struct ws_toml {
+	toml::table root;
+	std::vector<std::string> keys;
+};
+
+extern "C" struct ws_toml *ws_toml_open(const char *path, char *err, size_t n)
+{
+	try {
+		auto *t = new ws_toml{toml::parse_file(path), {}};
+		for (auto &&kv : t->root)
+			t->keys.emplace_back(kv.first.str());
+		return t;
+	} catch (const toml::parse_error &e) {
+		snprintf(err, n, "%s: line %u: %s", path, (unsigned)e.source().begin.line,
+			 std::string(e.description()).c_str());
+	} catch (const std::exception &e) {
+		snprintf(err, n, "%s: %s", path, e.what());
+	}
+	return nullptr;
+}
+
+extern "C" void ws_toml_close(struct ws_toml *t)
+{
+	delete t;
+}
+
+extern "C" enum ws_toml_got ws_toml_string(struct ws_toml *t, const char *path, char *to, size_t n)
+{
+	auto v = t->root.at_path(path);
+	if (!v)
+		return WS_TOML_MISSING;
+	auto s = v.value<std::string>();
+	if (!v.is_string() || !s || s->size() >= n)
+		return WS_TOML_WRONG_TYPE;
+	memcpy(to, s->c_str(), s->size() + 1);
+	return WS_TOML_OK;
+}
+
+extern "C" enum ws_toml_got ws_toml_number(struct ws_toml *t, const char *path, double *to)
+{
+	auto v = t->root.at_path(path);
+	if (!v)
+		return WS_TOML_MISSING;
+	auto d = v.value<double>();
+	if (!v.is_number() || !d)
+		return WS_TOML_WRONG_TYPE;
+	*to = *d;
+	return WS_TOML_OK;
+}
+
+extern "C" long ws_toml_length(struct ws_toml *t, const char *path)
+{
+	auto v = t->root.at_path(path);
+	const toml::array *a = v.as_array();
+	return a ? (long)a->size() : -1;
+}
+
+extern "C" const char *ws_toml_key(struct ws_toml *t, size_t i)
+{
+	return i < t->keys.size() ? t->keys[i].c_str() : nullptr;
+}
--- /dev/null
+++ b/src/toml.h
@@ -0,0 +1,25 @@
+/* The little of TOML that waystep reads, from toml++ (Debian has no C parser). */
+#ifndef WS_TOML_H
+#define WS_TOML_H
+#include <stdbool.h>
+#include <stddef.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+struct ws_toml;
+enum ws_toml_got { WS_TOML_OK, WS_TOML_MISSING, WS_TOML_WRONG_TYPE };
+
+struct ws_toml *ws_toml_open(const char *path, char *err, size_t n);
+void ws_toml_close(struct ws_toml *t);
+/* Paths as toml++ has them: "settings.workers.lease_s", "seeds[0].node". */
+enum ws_toml_got ws_toml_string(struct ws_toml *t, const char *path, char *to, size_t n);
+enum ws_toml_got ws_toml_number(struct ws_toml *t, const char *path, double *to);
+/* Length of an array; -1 if there is none. */
+long ws_toml_length(struct ws_toml *t, const char *path);
+/* Name of the i-th key of the root table; NULL behind the last. */
+const char *ws_toml_key(struct ws_toml *t, size_t i);
+#ifdef __cplusplus
+}
+#endif
+#endif
