--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -180,7 +180,7 @@
 	bool job_watch;
 	uint64_t watch_rev;
 	double watch_next;
-	bool owned_known, owned_writing;
+	bool owned_seen, owned_known, owned_writing;
 	char (*owned)[WS_NAME_MAX];
 	size_t nowned;
 	double direct_report_at, relayed_report_at;
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -65,7 +65,7 @@
 		ws_log(c, WS_LOG_INFO, "job %s done", j->spec.id);
 		ws_job_dirty(c, j);
 	}
-	if (j->phase == WS_CANCELLED && !j->nslots)
+	if (ws_job_over(j) && !j->nslots)
 		ws_job_dirty(c, j);
 }
 
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -68,7 +68,7 @@
 	free(c->owned);
 	c->owned = NULL;
 	c->nowned = 0;
-	c->owned_known = c->owned_writing = c->types_saved = false;
+	c->owned_seen = c->owned_known = c->owned_writing = c->types_saved = false;
 	free(c->lacks);
 	c->lacks = NULL;
 	c->nlacks = c->lacks_cap = 0;
@@ -122,6 +122,11 @@
 		return;
 	}
 	c->hold = r->hold;
+	if (c->leader[0] && strcmp(c->leader, c->set->node)) {
+		/* another was elected meanwhile: our write must not be conditioned on its key */
+		ws_lead_end(c, "another node was elected");
+		return;
+	}
 	c->entitled_until = call->made + c->ttl * (1 - WS_DRIFT);
 	t = ws_call(c, WS_CALL_TXN, ws_elect_written);
 	t->urgent = true;
@@ -342,6 +347,7 @@
 static void ws_load_kv(struct ws_core *c, const struct ws_kv *kv)
 {
 	if (!strcmp(kv->key, "owned")) {
+		c->owned_seen = true;
 		c->owned = calloc(json_array_size(kv->value) + 1, sizeof(*c->owned));
 		if (!c->owned)
 			abort();
@@ -692,7 +698,7 @@
 	if (c->flushing || c->now < c->flush_next || !ws_entitled(c) || c->in_outage)
 		return;
 	if (!c->dirty_jobs && !c->dirty_plans && !c->dirty_rentals &&
-	    !(c->nowned && !c->owned_known && !c->owned_writing) && c->types_saved)
+	    !(c->owned_seen && !c->owned_known && !c->owned_writing) && c->types_saved)
 		return;
 	t = calloc(1, sizeof(*t));
 	if (!t)
@@ -704,7 +710,7 @@
 	snprintf(t->conds[0].key, WS_KEY_MAX, "leader");
 	t->conds[0].stamp = c->epoch >> WS_EPOCH_SHIFT;
 	t->nconds = 1;
-	if (c->nowned && !c->owned_known && !c->owned_writing) {
+	if (c->owned_seen && !c->owned_known && !c->owned_writing) {
 		ws_put(t, "", "owned", 0, ws_record_names(c->owned, c->nowned));
 		c->owned_writing = true;
 	}
@@ -743,7 +749,8 @@
 		       r->state == WS_RENTAL_DROP ? NULL : ws_record_rental(r));
 	}
 	while ((j = c->dirty_jobs) && t->nops + 2 <= max && bytes < 32768) {
-		bool all, over = j->phase == WS_DONE || (j->phase == WS_CANCELLED && !j->nslots);
+		/* archived once nothing of it can be alive, so that what is counts for its team */
+		bool all, over = ws_job_over(j) && !j->nslots;
 
 		c->dirty_jobs = j->dirty_next;
 		if (!c->dirty_jobs)
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -353,9 +353,14 @@
 		c->hosts_after[0] = 0;
 		return;
 	}
-	if (!c->owned_known && !c->hosts_after[0] && !r->more && r->nhosts && !c->nowned) {
-		/* the first list ever read: these machines were here before any rental */
-		c->owned = calloc(r->nhosts, sizeof(*c->owned));
+	/*
+	 * The first list ever read names the machines that were here before any rental. A list that
+	 * names none is believed only when the cloud's lag can't be why.
+	 */
+	if (!c->owned_known && !c->owned_seen && !c->hosts_after[0] && !r->more &&
+	    (r->nhosts || c->now - c->elected_at > 2 * c->set->list_lag_s)) {
+		c->owned_seen = true;
+		c->owned = calloc(r->nhosts + 1, sizeof(*c->owned));
 		if (!c->owned)
 			abort();
 		for (size_t i = 0; i < r->nhosts; i++) {
@@ -461,7 +466,7 @@
 	}
 	if (!ws_entitled(c) || c->in_outage)
 		return;
-	if (c->owned_known) {
+	if (c->owned_known) { /* else rentals could not be told from what was here before */
 		HASH_ITER(hh, c->rentals, r, rt)
 		{
 			if (r->state == WS_RENTAL_RECORDED && !r->dirty && !r->writing &&
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -632,6 +632,7 @@
 		return;
 	r = l->req;
 	l->req = NULL;
+	l->complete = false; /* an idle link that ends must not pass for an answered one */
 	l->used = ws_now();
 	int status = l->parser.status_code;
 	struct ws_buf body = l->body;
