--- a/src/core/core.h
+++ b/src/core/core.h
@@ -26,6 +26,7 @@
 	char job_class[WS_NAME_MAX];
 	char team[WS_NAME_MAX];
 	bool service;
+	bool gang; /* all tasks run at once or none */
 	enum ws_tier tier;
 	uint32_t tasks;
 	double cpus, gpus, mem;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -228,6 +228,60 @@
 	return true;
 }
 
+/*
+ * A gang starts whole or not at all: tried first on what the machines would have left. For a gang
+ * that must share a zone, the zone where it fits is handed back.
+ */
+static bool ws_gang_fits(struct ws_core *c, struct ws_job *j, uint32_t waiting,
+			 struct ws_machine **ms, size_t n, const struct ws_zone_use *z, size_t nz,
+			 const char **zone)
+{
+	double(*keep)[3] = calloc(n + 1, sizeof(*keep));
+	size_t rounds = j->spec.one_zone ? c->set->nzones : 1;
+	bool fits = false;
+
+	if (!keep)
+		abort();
+	*zone = NULL;
+	for (size_t r = 0; r < rounds && !fits; r++) {
+		uint32_t placed = 0;
+
+		for (size_t i = 0; i < n; i++) {
+			keep[i][0] = ms[i]->virt_cpus;
+			keep[i][1] = ms[i]->virt_gpus;
+			keep[i][2] = ms[i]->virt_mem;
+		}
+		for (size_t i = 0; i < n && placed < waiting; i++) {
+			double used = ms[i]->used_cpus, gpus = ms[i]->used_gpus, mem = ms[i]->used_mem;
+
+			if (!ws_kind_ok(j, ms[i]) || !ws_zone_ok(j, ms[i]->zone, z, nz) ||
+			    (j->spec.one_zone && strcmp(ms[i]->zone, c->set->zones[r])))
+				continue;
+			while (placed < waiting && ws_virt_room(j, ms[i]) && ws_room(j, ms[i])) {
+				ws_virt_take(j, ms[i]);
+				ms[i]->used_cpus += j->spec.cpus;
+				ms[i]->used_gpus += j->spec.gpus;
+				ms[i]->used_mem += j->spec.mem;
+				placed++;
+			}
+			ms[i]->used_cpus = used;
+			ms[i]->used_gpus = gpus;
+			ms[i]->used_mem = mem;
+		}
+		for (size_t i = 0; i < n; i++) {
+			ms[i]->virt_cpus = keep[i][0];
+			ms[i]->virt_gpus = keep[i][1];
+			ms[i]->virt_mem = keep[i][2];
+		}
+		if (placed == waiting) {
+			fits = true;
+			*zone = j->spec.one_zone ? c->set->zones[r] : NULL;
+		}
+	}
+	free(keep);
+	return fits;
+}
+
 void ws_place(struct ws_core *c)
 {
 	size_t nj = HASH_COUNT(c->jobs), nm = HASH_COUNT(c->machines), n = 0, nw = 0, nu = 0;
@@ -283,6 +337,18 @@
 			continue;
 		nz = ws_siblings(c, j, z);
 		double cpus = team->used_cpus, gpus = team->used_gpus;
+		const char *zone = NULL;
+		uint32_t shared = 0;
+
+		if (j->spec.gang && !ws_gang_fits(c, j, wants[w].waiting, ms, nu, z, nz, &zone)) {
+			uint32_t zones = 0;
+
+			for (size_t i = 0; i < c->set->nzones; i++)
+				if (ws_zone_ok(j, c->set->zones[i], z, nz))
+					zones |= 1u << i;
+			ws_rentals_want(c, j, wants[w].waiting, zones);
+			continue;
+		}
 		for (uint32_t t = 0; t < j->spec.tasks; t++) {
 			struct ws_machine *to = NULL;
 
@@ -295,6 +361,8 @@
 			gpus += j->spec.gpus;
 			for (size_t i = 0; i < nu; i++) {
 				m = ms[i];
+				if (zone && strcmp(zone, m->zone))
+					continue;
 				if (!ws_kind_ok(j, m) || !ws_room(j, m) || !ws_virt_room(j, m) ||
 				    !ws_zone_ok(j, m->zone, z, nz) || m->nslots >= ws_plan_room(c))
 					continue;
@@ -310,9 +378,12 @@
 			if (to) {
 				struct ws_slot *s;
 
+				/* a gang's tasks know each other by the attempt they share */
+				if (!j->spec.gang || !shared++)
+					c->attempt_seq++;
 				s = ws_slot_add(c, to, j->spec.id, t,
 						((c->epoch >> WS_EPOCH_SHIFT) << 24) +
-							++c->attempt_seq);
+							c->attempt_seq);
 				ws_virt_take(j, to);
 				ws_machine_dirty(c, to);
 				nz = ws_siblings(c, j, z);
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -35,7 +35,7 @@
 	json_object_set_new(v, "ty", types);
 	json_object_set_new(v, "z", json_string(s->zone));
 	json_object_set_new(v, "fl", json_integer((s->one_zone ? 1 : 0) | (s->spread ? 2 : 0) |
-						  (s->spot ? 4 : 0)));
+						  (s->spot ? 4 : 0) | (s->gang ? 8 : 0)));
 	json_object_set_new(v, "e", json_real(s->estimate_s));
 	json_object_set_new(v, "ck", json_real(s->checkpoint_s));
 	json_object_set_new(v, "sa", json_real(s->save_s));
@@ -126,6 +126,7 @@
 	s->one_zone = fl & 1;
 	s->spread = fl & 2;
 	s->spot = fl & 4;
+	s->gang = fl & 8;
 	for (size_t i = 0; i < json_array_size(types); i++)
 		ws_copy(s->types[s->ntypes++], WS_NAME_MAX,
 			json_string_value(json_array_get(types, i)));
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -160,7 +160,7 @@
 	struct ws_bin *bins = calloc(WS_BINS, sizeof(*bins));
 	struct ws_machine *m, *mt;
 	struct ws_rental *r, *rt;
-	int n = 0, old, allowed, booting;
+	int n = 0, old, allowed, booting, limit, gang = 0;
 
 	if (!bins)
 		abort();
@@ -180,6 +180,7 @@
 	old = n;
 	for (size_t i = 0; i < c->nlacks; i++) {
 		struct ws_lack *l = &c->lacks[i];
+		int before = n;
 
 		for (uint32_t left = l->tasks; left; left--) {
 			int b;
@@ -194,10 +195,15 @@
 				break;
 			n++;
 		}
+		if (l->job->spec.gang && n - before > gang)
+			gang = n - before;
 	}
 	c->nlacks = 0;
 	c->loads = n - old;
-	allowed = (c->k < 0 ? c->pol.rental_ceiling : c->k) - ws_rentals_held(c, &booting);
+	limit = c->k < 0 ? c->pol.rental_ceiling : c->k;
+	if (gang > limit) /* k is at least what the largest waiting gang lacks */
+		limit = gang < c->pol.rental_ceiling ? gang : c->pol.rental_ceiling;
+	allowed = limit - ws_rentals_held(c, &booting);
 	if (c->loads > 0 && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next) {
 		/* as many of one kind as the loads ask for, in one request */
 		struct ws_bin *first = &bins[old];
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -84,7 +84,7 @@
 static bool ws_can_ever_run(struct ws_core *c, const struct ws_spec *s)
 {
 	struct ws_team *team = ws_team_of(c, s->team);
-	double n = s->service ? s->tasks : 1;
+	double n = s->service || s->gang ? s->tasks : 1;
 	bool fits = false;
 
 	for (size_t i = 0; i < c->ntypes; i++)
--- a/src/io/codec.c
+++ b/src/io/codec.c
@@ -84,7 +84,8 @@
 	    !ws_str(o, "shape", text, sizeof(text), false))
 		return false;
 	s->service = !strcmp(text, "daemon");
-	if (!s->service && strcmp(text, "sweep"))
+	s->gang = !strcmp(text, "gang"); /* the bench's real processes send it: docs/questions.md */
+	if (!s->service && !s->gang && strcmp(text, "sweep"))
 		return false;
 	if (!ws_str(o, "tier", text, sizeof(text), false))
 		return false;
@@ -193,7 +194,7 @@
 	if (t->state == WS_TASK_EXITED) {
 		if (!ws_str(o, "cause", text, sizeof(text), true))
 			return false;
-		t->why = WS_WHY_ERROR;
+		t->why = WS_WHY_STOPPED; /* a cause we do not know blames nobody */
 		for (i = 1; i < 7; i++)
 			if (!strcmp(text, whys[i]))
 				t->why = (enum ws_why)i;
