--- a/src/core/core.c
+++ b/src/core/core.c
@@ -70,6 +70,7 @@
 	free(call->conds);
 	free(call->names);
 	free(call->orders);
+	free(call->ctx);
 	free(call);
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -170,7 +170,7 @@
 	bool urgent; /* goes before other calls to the same service */
 	/* the core's own */
 	ws_done_fn done;
-	void *ctx;
+	void *ctx; /* owned by the call; a handler that passes it on clears it */
 	char ctx_name[WS_NAME_MAX];
 	uint64_t ctx_n, generation;
 	double made;
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -281,7 +281,9 @@
 
 static void ws_outage_tick(struct ws_core *c)
 {
-	if (!c->in_outage || c->now < c->ask_next)
+	/* a round whose answers are slow is waited for, or none would ever be complete */
+	if (!c->in_outage || c->now < c->ask_next ||
+	    (c->ask_out > 0 && c->now < c->ask_sent + c->ttl / 2))
 		return;
 	c->ask_next = c->now + c->ttl / 8;
 	c->ask_round++;
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -135,7 +135,6 @@
 		ws_answer(c, call->ctx_n, 503, call->ctx_name, WS_QUEUED);
 	else
 		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
-	free(ask);
 }
 
 static void ws_submit_known(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
@@ -143,6 +142,7 @@
 	struct ws_ask *ask = call->ctx;
 
 	if (r->status == 404) {
+		call->ctx = NULL;
 		ws_get(c, "old", call->ctx_name, call->ctx_n, ask, ws_submit_known_old);
 		return;
 	}
@@ -150,7 +150,6 @@
 		ws_state_answer(c, call, r, false);
 	else
 		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
-	free(ask);
 }
 
 static void ws_submit_written(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
@@ -158,6 +157,7 @@
 	struct ws_ask *ask = call->ctx;
 
 	if (r->status == 409) {
+		call->ctx = NULL;
 		ws_get(c, "job", call->ctx_name, call->ctx_n, ask, ws_submit_known);
 		return;
 	}
@@ -169,7 +169,6 @@
 	} else {
 		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
 	}
-	free(ask);
 }
 
 void ws_core_submit(struct ws_core *c, double now, double wall, uint64_t token,
@@ -227,7 +226,6 @@
 		ws_answer(c, call->ctx_n, 404, call->ctx_name, WS_QUEUED);
 	else
 		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
-	free(ask);
 }
 
 static void ws_poll_got(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
@@ -235,6 +233,7 @@
 	struct ws_ask *ask = call->ctx;
 
 	if (r->status == 404) { /* a job moves from job/ to old/ once and never back */
+		call->ctx = NULL;
 		ws_get(c, "old", call->ctx_name, call->ctx_n, ask, ws_poll_old);
 		return;
 	}
@@ -242,7 +241,6 @@
 		ws_state_answer(c, call, r, true);
 	else
 		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
-	free(ask);
 }
 
 void ws_core_poll(struct ws_core *c, double now, uint64_t token, const char *id, bool relayed)
@@ -281,12 +279,12 @@
 	if (r->status == 200) {
 		ws_answer(c, call->ctx_n, 200, call->ctx_name, WS_CANCELLED);
 	} else if (r->status == 409 && ++ask->tries < 8) { /* changed meanwhile: read it again */
+		call->ctx = NULL;
 		ws_get(c, "job", call->ctx_name, call->ctx_n, ask, ws_abort_got);
 		return;
 	} else {
 		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
 	}
-	free(ask);
 }
 
 static void ws_abort_got(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
@@ -297,6 +295,7 @@
 	struct ws_call *w;
 
 	if (r->status == 404) {
+		call->ctx = NULL;
 		ws_get(c, "old", call->ctx_name, call->ctx_n, ask, ws_abort_old);
 		return;
 	}
@@ -304,16 +303,15 @@
 	    !ws_record_read_phase(r->kvs[0].value, &phase, &done, &running)) {
 		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed,
 			  r->status == 200 ? 500 : r->status);
-		free(ask);
-		return;
+			return;
 	}
 	if (phase == WS_DONE || phase == WS_CANCELLED) {
 		ws_answer(c, call->ctx_n, 200, call->ctx_name, phase);
-		free(ask);
-		return;
+			return;
 	}
 	w = ws_call(c, WS_CALL_TXN, ws_abort_written);
 	w->ctx = ask;
+	call->ctx = NULL;
 	w->ctx_n = call->ctx_n;
 	snprintf(w->ctx_name, sizeof(w->ctx_name), "%s", call->ctx_name);
 	w->conds = calloc(1, sizeof(*w->conds));
--- /dev/null
+++ b/tests/runner.c
@@ -0,0 +1,34 @@
+/* Plays scenario files: runner [-v] FILE... */
+#include "sim.h"
+
+int main(int argc, char **argv)
+{
+	int bad = 0, good = 0;
+
+	for (int i = 1; i < argc; i++) {
+		struct sim *s;
+		FILE *f;
+		char line[300], err[512] = "";
+		bool ok = true;
+
+		if (!strcmp(argv[i], "-v")) {
+			sim_verbose = true;
+			continue;
+		}
+		f = fopen(argv[i], "r");
+		if (!f) {
+			perror(argv[i]);
+			return 2;
+		}
+		s = sim_new();
+		while (ok && fgets(line, sizeof(line), f))
+			ok = sim_line(s, line, err, sizeof(err));
+		fclose(f);
+		ok = ok && sim_play(s, err, sizeof(err));
+		printf("%s %s%s%s\n", ok ? "ok  " : "FAIL", argv[i], ok ? "" : ": ", err);
+		sim_free(s);
+		ok ? good++ : bad++;
+	}
+	printf("%d passed, %d failed\n", good, bad);
+	return bad || !good;
+}
