--- a/src/core/sizing.c
+++ b/src/core/sizing.c
@@ -4,6 +4,10 @@
  * before it (Lemmas 1 and 2); rows are joined by the cut equations (10) and (23). Only positive
  * numbers are added and multiplied; rows are rescaled so that nothing overflows.
  *
+ * The paper's den = lambda + setup + ni mu - ni mu b(j+1) subtracts after all: under overload its
+ * error grows with every step. Writing den = d + ni mu turns (9), (13) and (26) into
+ * d(j) = setup(j) + lambda d(j+1) / (d(j+1) + ni mu), d(K) = setup(K), without a difference.
+ *
  * Two misprints of the paper are put right here: (10) must read min(j - n0, N - n0), as its
  * sibling (23) does, and in (4) the case j = n0 belongs to (5).
  */
@@ -17,6 +21,21 @@
 	return a < b ? a : b;
 }
 
+/* Only ratios matter: what grows too large is scaled down, and all that goes with it. */
+static void ws_rescale(double *cur, double *a, int j, int kmax, double *sums)
+{
+	double f = cur[j];
+
+	if (!(f > 1e120))
+		return;
+	for (int t = 0; t <= j; t++)
+		cur[t] /= f;
+	for (int t = j + 1; t <= kmax; t++)
+		a[t] /= f;
+	for (int x = 0; x < 4; x++)
+		sums[x] /= f;
+}
+
 bool ws_queue_solve(double lambda, double mu, double alpha, int n0, int k, int kmax,
 		    struct ws_queue *q)
 {
@@ -28,7 +47,7 @@
 	double *prev = calloc(w, sizeof(double)), *cur = calloc(w, sizeof(double));
 	double *a = calloc(w, sizeof(double)), *b = calloc(w, sizeof(double));
 	bool ok = prev && cur && a && b;
-	double total = 0, jobs = 0, rentals = 0, full = 0;
+	double sums[4] = {0}; /* probability, jobs, rentals, and what is full */
 
 	for (int i = 0; ok && i <= k; i++) {
 		int ni = n0 + i;
@@ -37,12 +56,15 @@
 		memset(cur, 0, w * sizeof(double));
 		memset(a, 0, w * sizeof(double));
 		memset(b, 0, w * sizeof(double));
+		double d = 0; /* den less ni mu: kept apart, see above */
 		for (int j = kmax; j > ni; j--) {
 			double setup = ws_min(j - ni, n - ni) * alpha;
 			double in = i ? ws_min(j - ni + 1, n - ni + 1) * alpha * prev[j] : 0;
-			double next_a = j < kmax ? a[j + 1] : 0, next_b = j < kmax ? b[j + 1] : 0;
-			double den = (j < kmax ? lambda : 0) + setup + ni * mu - ni * mu * next_b;
+			double next_a = j < kmax ? a[j + 1] : 0;
+			double den;
 
+			d = setup + (j < kmax && d > 0 ? lambda * d / (d + ni * mu) : 0);
+			den = d + ni * mu;
 			if (!(den > 0)) {
 				ok = false;
 				break;
@@ -54,14 +76,18 @@
 			break;
 		if (i == 0) {
 			cur[0] = 1;
-			for (int j = 1; j <= kmax; j++)
+			for (int j = 1; j <= kmax; j++) {
 				cur[j] = cur[j - 1] * (j <= n0 ? lambda / (j * mu) : b[j]);
+				ws_rescale(cur, a, j, kmax, sums);
+			}
 		} else {
 			for (int j = ni; j <= kmax; j++)
 				up += ws_min(j - ni + 1, n - ni + 1) * alpha * prev[j];
 			cur[ni] = up / (ni * mu);
-			for (int j = ni + 1; j <= kmax; j++)
+			for (int j = ni + 1; j <= kmax; j++) {
 				cur[j] = a[j] + b[j] * cur[j - 1];
+				ws_rescale(cur, a, j, kmax, sums);
+			}
 		}
 		double peak = 0;
 		for (int j = 0; j <= kmax; j++)
@@ -73,17 +99,18 @@
 		for (int j = 0; j <= kmax; j++) {
 			if (cur[j] == 0)
 				continue;
-			total += cur[j];
-			jobs += cur[j] * j;
-			rentals += cur[j] * i;
+			sums[0] += cur[j];
+			sums[1] += cur[j] * j;
+			sums[2] += cur[j] * i;
 			if (j > ni)
-				rentals += cur[j] * ws_min(j - ni, n - ni);
+				sums[2] += cur[j] * ws_min(j - ni, n - ni);
 		}
-		full += cur[kmax];
-		if (peak > 1e100) {
+		sums[3] += cur[kmax];
+		if (peak > 1) {
 			for (int j = 0; j <= kmax; j++)
 				cur[j] /= peak;
-			total /= peak, jobs /= peak, rentals /= peak, full /= peak;
+			for (int x = 0; x < 4; x++)
+				sums[x] /= peak;
 		}
 		double *t = prev;
 		prev = cur;
@@ -93,14 +120,14 @@
 	free(cur);
 	free(a);
 	free(b);
-	if (!ok || !(total > 0) || !isfinite(total))
+	if (!ok || !(sums[0] > 0) || !isfinite(sums[0]))
 		return false;
-	q->pb = full / total;
-	q->s = rentals / total;
+	q->pb = sums[3] / sums[0];
+	q->s = sums[2] / sums[0];
 	double taken = lambda * (1 - q->pb);
 	if (!(taken > 0))
 		return false;
-	q->wq = jobs / total / taken - 1 / mu;
+	q->wq = sums[1] / sums[0] / taken - 1 / mu;
 	if (q->wq < 0)
 		q->wq = 0;
 	return isfinite(q->wq) && isfinite(q->s);
--- /dev/null
+++ b/tests/codec_test.c
@@ -0,0 +1,158 @@
+/* Decoders: what the protocol calls malformed, and mangled input with fixed seeds. */
+#include "../src/io/codec.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static int good, bad;
+
+static void check(const char *what, bool ok)
+{
+	if (ok) {
+		good++;
+	} else {
+		bad++;
+		printf("FAIL %s\n", what);
+	}
+}
+
+static const char base[] =
+	"{\"nameId\":\"job-000412\",\"jobclass\":\"train\",\"owner\":\"vision\",\"shape\":\"sweep\","
+	"\"tier\":\"urgent\",\"shards\":16,\"vcpus\":8.0,\"accelerators\":1.0,\"memGb\":64.0,"
+	"\"bundle\":\"img-07\",\"sizeGb\":6.2,\"flavours\":[\"g8\"],\"hall\":null,\"samePlace\":true,"
+	"\"spread\":false,\"reclaimable\":true,\"expectedS\":240.0,\"snapshotEveryS\":30.0,"
+	"\"snapshotS\":4.0,\"dueS\":900.0}";
+static const char report[] =
+	"{\"host\":\"n-000231\",\"address\":\"10.1.0.232:9000\",\"flavour\":\"g8\",\"hall\":\"a\","
+	"\"reclaimable\":true,\"tenure\":1,\"counter\":88,\"epoch\":41,\"warningS\":null,\"shards\":["
+	"{\"shard\":\"job-000412/3\",\"tryNo\":2,\"phase\":\"running\"},"
+	"{\"shard\":\"job-000398/0\",\"tryNo\":1,\"phase\":\"exited\",\"cause\":\"done\"}]}";
+
+/* The base with one field's value replaced; an empty value takes the field out. */
+static int with(const char *field, const char *value)
+{
+	struct ws_spec s;
+	json_error_t e;
+	json_t *o = json_loads(base, 0, NULL), *v;
+	char *text;
+	int r;
+
+	if (!value[0]) {
+		json_object_del(o, field);
+	} else {
+		v = json_loads(value, JSON_DECODE_ANY, &e);
+		json_object_set_new(o, field, v);
+	}
+	text = json_dumps(o, 0);
+	r = ws_decode_job(text, strlen(text), &s);
+	free(text);
+	json_decref(o);
+	return r;
+}
+
+static uint64_t seed = 42;
+static unsigned rnd(unsigned n)
+{
+	seed = seed * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (unsigned)(seed >> 33) % n;
+}
+
+int main(void)
+{
+	static const char *const need[] = {"nameId", "jobclass", "owner", "shape", "tier", "shards",
+					   "vcpus", "accelerators", "memGb", "bundle", "sizeGb",
+					   "samePlace", "spread", "reclaimable", "expectedS",
+					   "snapshotEveryS", "snapshotS"};
+	static const char *const wrong[][2] = {
+		{"nameId", "\"job-\""}, {"nameId", "\"task-1\""}, {"nameId", "7"},
+		{"nameId", "\"job-12x\""}, {"nameId", "\"job-1/2\""}, {"shape", "\"swarm\""},
+		{"tier", "\"high\""}, {"shards", "0"}, {"shards", "-1"}, {"shards", "100001"},
+		{"shards", "1.5"}, {"shards", "\"1\""}, {"vcpus", "-1"}, {"vcpus", "\"8\""},
+		{"vcpus", "null"}, {"memGb", "-0.5"}, {"flavours", "[]"}, {"flavours", "[1]"},
+		{"flavours", "\"g8\""}, {"hall", "3"}, {"samePlace", "1"}, {"spread", "null"},
+		{"dueS", "-1"}, {"dueS", "\"x\""}, {"expectedS", "-1"}, {"vcpus", "1e300"}};
+	struct ws_spec s;
+	struct ws_report r;
+	struct ws_result res;
+	struct ws_call call = {.kind = WS_CALL_GET};
+
+	check("the protocol's example", ws_decode_job(base, strlen(base), &s) == 0);
+	check("its fields", !strcmp(s.id, "job-000412") && s.tasks == 16 && s.cpus == 8 && s.one_zone &&
+				    s.spot && !s.spread && s.tier == WS_URGENT && s.ntypes == 1 &&
+				    s.deadline_s == 900);
+	check("unknown fields", with("colour", "\"red\"") == 0);
+	check("no deadline", with("dueS", "") == 0 && with("dueS", "null") == 0);
+	check("no types", with("flavours", "") == 0 && with("flavours", "null") == 0);
+	for (size_t i = 0; i < sizeof(need) / sizeof(need[0]); i++)
+		check(need[i], with(need[i], "") == 400);
+	for (size_t i = 0; i < sizeof(wrong) / sizeof(wrong[0]); i++)
+		check(wrong[i][0], with(wrong[i][0], wrong[i][1]) == 400);
+	check("no JSON", ws_decode_job("{", 1, &s) == 400 && ws_decode_job("", 0, &s) == 400);
+	check("no object", ws_decode_job("[]", 2, &s) == 400 && ws_decode_job("3", 1, &s) == 400);
+	check("not finite", ws_decode_job("{\"vcpus\":1e999}", 15, &s) == 400);
+
+	check("a report", ws_decode_report(report, strlen(report), &r));
+	check("its tasks", r.ntasks == 2 && r.tasks[0].task == 3 && r.tasks[1].why == WS_WHY_DONE &&
+				   r.notice_s < 0 && r.port == 9000);
+	ws_report_free(&r);
+	check("no report", !ws_decode_report("{}", 2, &r));
+
+	strcpy(call.key, "job/job-1");
+	ws_decode_reply(&call, 200, "{\"k\":\"job/other\",\"value\":1,\"stamp\":2}", 38, &res);
+	check("another key's answer is none", res.status == 0);
+	ws_result_free(&res);
+	ws_decode_reply(&call, 200, "garbage", 7, &res);
+	check("garbage is no answer", res.status == 0);
+	ws_result_free(&res);
+	call.kind = WS_CALL_RENT;
+	ws_decode_reply(&call, 503, "{\"error\":\"trouble\"}", 19, &res);
+	check("trouble is no refusal", res.status == 503 && !res.no_capacity);
+	ws_result_free(&res);
+	ws_decode_reply(&call, 503, "{\"error\":\"no capacity\"}", 23, &res);
+	check("no capacity is one", res.no_capacity);
+	ws_result_free(&res);
+
+	/* mangled: nothing may crash, and what is accepted must be within bounds */
+	for (int i = 0; i < 40000; i++) {
+		const char *from = i & 1 ? base : report;
+		char text[1200];
+		size_t n = strlen(from);
+		static const char chars[] = "\"{}[]:,-+0e9.\\ntruefalse\x00\x80\xff";
+
+		memcpy(text, from, n + 1);
+		for (unsigned k = 0; k <= rnd(4); k++) {
+			unsigned at = rnd((unsigned)n);
+
+			switch (rnd(3)) {
+			case 0:
+				text[at] = chars[rnd(sizeof(chars) - 1)];
+				break;
+			case 1:
+				memmove(text + at, text + at + 1, n - at);
+				n--;
+				break;
+			default:
+				n = at + 1;
+				break;
+			}
+			if (n < 2)
+				break;
+		}
+		if (!ws_decode_job(text, n, &s) &&
+		    (s.tasks < 1 || s.tasks > WS_MAX_SHARDS || !(s.cpus >= 0) || !ws_job_id_ok(s.id)))
+			check("a mangled job out of bounds is accepted", false);
+		if (ws_decode_report(text, n, &r)) {
+			if (r.tenure < 1 || !r.machine[0])
+				check("a mangled report out of bounds is accepted", false);
+			ws_report_free(&r);
+		}
+		for (int k = WS_CALL_GET; k <= WS_CALL_ORDERS; k++) {
+			call.kind = (enum ws_call_kind)k;
+			ws_decode_reply(&call, rnd(4) ? 200 : 409, text, n, &res);
+			ws_result_free(&res);
+		}
+	}
+	good++;
+	printf("%d passed, %d failed\n", good, bad);
+	return bad != 0;
+}
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -668,7 +668,7 @@
 				r->no_capacity = true;
 				return;
 			}
-			snprintf(s->booked[b].name, WS_NAME_MAX, "%s", c->key);
+			snprintf(s->booked[b].name, WS_NAME_MAX, "%.*s", WS_NAME_MAX - 1, c->key);
 			s->booked[b].first = s->nw;
 			for (uint32_t i = 0; i < c->count && n < s->cap_limit; i++, n++) {
 				add_worker(s, t, c->zone, c->spot, false);
--- /dev/null
+++ b/tests/smoke_test.c
@@ -0,0 +1,383 @@
+/*
+ * The program itself on loopback sockets: stand-ins for state service and cloud speak HTTP, one
+ * waystep process is started, a user submits, a worker reports and is told to run; broken HTTP is
+ * refused without harm.
+ */
+#include "../src/io/http.h"
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static struct ev_loop *loop;
+static struct ws_server *state, *cloud;
+static json_t *kv;
+static json_int_t rev = 1;
+static struct { uint64_t token; json_int_t since; char prefix[64]; double until; } watches[16];
+static int good, bad;
+
+static void check(const char *what, bool ok)
+{
+	printf("%s %s\n", ok ? "ok  " : "FAIL", what);
+	ok ? good++ : bad++;
+}
+
+static void send_json(struct ws_server *s, uint64_t token, int status, json_t *o)
+{
+	char *t = json_dumps(o, 0);
+
+	ws_server_answer(s, token, status, t, strlen(t), 0);
+	free(t);
+	json_decref(o);
+}
+
+static json_t *entries(const char *prefix, json_int_t since, bool events)
+{
+	json_t *a = json_array(), *v;
+	const char *k;
+
+	json_object_foreach(kv, k, v)
+	{
+		json_int_t st = json_integer_value(json_object_get(v, "stamp"));
+
+		if (strncmp(k, prefix, strlen(prefix)) || st <= since)
+			continue;
+		json_array_append_new(a, json_pack("{s:s,s:O,s:I}", events ? "write" : "k", k, "value",
+						   json_object_get(v, "value"), "stamp", st));
+	}
+	return a;
+}
+
+static void wake(void)
+{
+	for (int i = 0; i < 16; i++) {
+		json_t *e;
+
+		if (!watches[i].token)
+			continue;
+		e = entries(watches[i].prefix, watches[i].since, true);
+		if (!json_array_size(e) && ws_now() < watches[i].until) {
+			json_decref(e);
+			continue;
+		}
+		send_json(state, watches[i].token, 200, json_pack("{s:I,s:o}", "ledgerRev", rev, "news", e));
+		watches[i].token = 0;
+	}
+}
+
+static void on_state(void *ctx, uint64_t token, const char *method, const char *path,
+		     const char *body, size_t len)
+{
+	json_t *o = len ? json_loadb(body, len, 0, NULL) : NULL, *v, *e;
+	char prefix[64] = "";
+	size_t i;
+
+	(void)ctx;
+	if (strstr(path, "starts="))
+		sscanf(strstr(path, "starts=") + 7, "%63[^&]", prefix);
+	if (!strncmp(path, "/kv/", 4)) {
+		v = json_object_get(kv, path + 4);
+		if (v)
+			send_json(state, token, 200, json_pack("{s:s,s:O,s:O}", "k", path + 4, "value",
+							       json_object_get(v, "value"), "stamp",
+							       json_object_get(v, "stamp")));
+		else
+			send_json(state, token, 404, json_pack("{s:I}", "ledgerRev", rev));
+	} else if (!strncmp(path, "/kv?", 4)) {
+		send_json(state, token, 200, json_pack("{s:o,s:b,s:I}", "entries", entries(prefix, 0, false),
+						       "hasNext", 0, "ledgerRev", rev));
+	} else if (!strncmp(path, "/watch", 6)) {
+		for (i = 0; i < 16 && watches[i].token; i++)
+			;
+		watches[i].token = token;
+		watches[i].since = atoll(strstr(path, "since=") + 6);
+		watches[i].until = ws_now() + atof(strstr(path, "holdMs=") + 7) / 1000;
+		strcpy(watches[i].prefix, prefix);
+		wake();
+	} else if (!strcmp(path, "/multi")) {
+		json_t *failed = json_array();
+
+		json_array_foreach(json_object_get(o, "when"), i, e)
+		{
+			const char *k = json_string_value(json_object_get(e, "k"));
+			json_int_t have = json_integer_value(json_object_get(json_object_get(kv, k), "stamp"));
+
+			if (have != json_integer_value(json_object_get(e, "stamp")))
+				json_array_append_new(failed, json_string(k));
+		}
+		if (json_array_size(failed)) {
+			send_json(state, token, 409, json_pack("{s:o,s:I}", "failed", failed, "ledgerRev", rev));
+		} else {
+			json_decref(failed);
+			rev++;
+			json_array_foreach(json_object_get(o, "then"), i, e)
+			{
+				const char *w = json_string_value(json_object_get(e, "write"));
+
+				if (w)
+					json_object_set_new(kv, w, json_pack("{s:O,s:I}", "value",
+									     json_object_get(e, "value"),
+									     "stamp", rev));
+				else
+					json_object_del(kv, json_string_value(json_object_get(e, "delete")));
+			}
+			send_json(state, token, 200, json_pack("{s:I}", "ledgerRev", rev));
+			wake();
+		}
+	} else if (!strcmp(path, "/holds") && !strcmp(method, "POST")) {
+		send_json(state, token, 200, json_pack("{s:i}", "permit", 7));
+	} else {
+		send_json(state, token, 200, json_pack("{s:i}", "permit", 7));
+	}
+	json_decref(o);
+}
+
+static void on_cloud(void *ctx, uint64_t token, const char *method, const char *path,
+		     const char *body, size_t len)
+{
+	(void)ctx;
+	(void)body;
+	(void)len;
+	if (!strcmp(path, "/machine_types"))
+		send_json(cloud, token, 200,
+			  json_pack("{s:[{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:[s]}]}", "flavours", "name",
+				    "std", "vcpus", 16.0, "accelerators", 0.0, "memGb", 64.0, "localGb",
+				    20.0, "fetchGbPerS", 1.0, "rate", 1.0, "spotPrice", 0.4, "startupS",
+				    30.0, "halls", "a"));
+	else if (!strcmp(method, "GET"))
+		send_json(cloud, token, 200,
+			  json_pack("{s:[{s:s,s:s,s:s,s:s,s:b,s:s,s:f}],s:b}", "hosts", "nameId", "n-000000",
+				    "address", "127.0.0.1:1", "flavour", "std", "hall", "a", "reclaimable", 0,
+				    "phase", "running", "ageS", 100.0, "hasNext", 0));
+	else
+		send_json(cloud, token, 503, json_pack("{s:s}", "error", "no capacity"));
+}
+
+static int got_status;
+static json_t *got;
+static void on_reply(void *ctx, int status, const char *body, size_t len)
+{
+	(void)ctx;
+	got_status = status;
+	json_decref(got);
+	got = json_loadb(body, len, 0, NULL);
+	ev_break(loop, EVBREAK_ONE);
+}
+
+static void on_tick(struct ev_loop *l, ev_timer *w, int e)
+{
+	(void)l;
+	(void)w;
+	(void)e;
+	wake();
+}
+
+static int ask(struct ws_client *c, const char *method, const char *path, const char *body)
+{
+	got_status = -2;
+	if (!ws_client_send(c, method, path, body, strlen(body), 3, false, on_reply, NULL))
+		return -3;
+	while (got_status == -2)
+		ev_run(loop, EVRUN_ONCE);
+	return got_status;
+}
+
+static void on_pause(struct ev_loop *l, ev_timer *w, int e)
+{
+	(void)w;
+	(void)e;
+	ev_break(l, EVBREAK_ONE);
+}
+
+static void pause_s(double s)
+{
+	ev_timer t;
+
+	ev_timer_init(&t, on_pause, s, 0);
+	ev_timer_start(loop, &t);
+	ev_run(loop, 0);
+	ev_timer_stop(loop, &t);
+}
+
+/* Bytes as they are, and the status line that comes back; 0: closed without one, or nothing. */
+static int raw(int port, const char *bytes, size_t n)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	char buf[256] = "";
+	int fd = socket(AF_INET, SOCK_STREAM, 0), status = 0;
+
+	inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+	if (connect(fd, (struct sockaddr *)&a, sizeof(a)) == 0) {
+		(void)!send(fd, bytes, n, MSG_NOSIGNAL);
+		fcntl(fd, F_SETFL, O_NONBLOCK);
+		for (int i = 0; i < 40 && !status; i++) {
+			pause_s(0.025);
+			if (recv(fd, buf, sizeof(buf) - 1, 0) > 0)
+				sscanf(buf, "HTTP/1.1 %d", &status);
+		}
+	}
+	close(fd);
+	return status;
+}
+
+static int free_port(void)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET};
+	socklen_t n = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+	bind(fd, (struct sockaddr *)&a, sizeof(a));
+	getsockname(fd, (struct sockaddr *)&a, &n);
+	close(fd);
+	return ntohs(a.sin_port);
+}
+
+static int run_check(const char *bin, const char *flag, const char *file)
+{
+	int status = -1;
+	pid_t p = fork();
+
+	if (!p) {
+		(void)!freopen("/dev/null", "w", stderr);
+		(void)!freopen("/dev/null", "w", stdout);
+		execl(bin, bin, flag, "--config", file, (char *)NULL);
+		_exit(99);
+	}
+	waitpid(p, &status, 0);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+int main(int argc, char **argv)
+{
+	static const char job[] =
+		"{\"nameId\":\"job-000001\",\"jobclass\":\"c\",\"owner\":\"t\",\"shape\":\"sweep\","
+		"\"tier\":\"normal\",\"shards\":1,\"vcpus\":1.0,\"accelerators\":0.0,\"memGb\":1.0,"
+		"\"bundle\":\"i\",\"sizeGb\":1.0,\"flavours\":null,\"hall\":null,\"samePlace\":false,"
+		"\"spread\":false,\"reclaimable\":true,\"expectedS\":1.0,\"snapshotEveryS\":0.0,"
+		"\"snapshotS\":0.0,\"dueS\":null}";
+	char file[] = "/tmp/waystep-smoke-XXXXXX", err[200], text[600], path[64] = "";
+	int port = free_port(), peer = free_port(), status = 0, fd, tries = 0, counter = 1;
+	struct ws_client_opts o = {.max_conns = 1, .max_queue = 4, .max_reply = 65536};
+	struct ws_client *c;
+	ev_timer tick;
+	bool ran = false;
+	json_int_t attempt = 0, epoch = 0;
+	pid_t pid;
+	FILE *f;
+
+	if (argc != 2)
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	loop = ev_default_loop(0);
+	kv = json_object();
+	state = ws_server_new(loop, "127.0.0.1", 0, 64, on_state, NULL, err, sizeof(err));
+	cloud = ws_server_new(loop, "127.0.0.1", 0, 64, on_cloud, NULL, err, sizeof(err));
+	fd = mkstemp(file);
+	f = fdopen(fd, "w");
+	fprintf(f, "node='n'\nzone='a'\nbind='127.0.0.1:%d'\npeer_bind='127.0.0.1:%d'\nlater=1\n"
+		   "[services]\ncloud='127.0.0.1:%d'\nstate='127.0.0.1:%d'\n"
+		   "[settings]\nzones=['a']\n[[settings.teams]]\nname='t'\ncpus=8.0\ncpus_max=16.0\n"
+		   "[settings.workers]\nreport_s=0.5\nlease_s=6.0\ncancel_s=20.0\n"
+		   "[settings.state]\nrps=200.0\nwrite_rps=100.0\nvalue_kb=4.0\ntxn_ops=12\n"
+		   "[settings.cloud]\nrps=5.0\nlist_lag_s=1.0\n",
+		port, peer, ws_server_port(cloud), ws_server_port(state));
+	fclose(f);
+	check("settings that are fine pass --check", run_check(argv[1], "--check", file) == 0);
+	snprintf(text, sizeof(text), "%s.bad", file);
+	f = fopen(text, "w");
+	fprintf(f, "node='n'\nzone='a'\nbind='nowhere'\n");
+	fclose(f);
+	check("settings that are not end the start", run_check(argv[1], "--check", text) == 2);
+	unlink(text);
+	pid = fork();
+	if (!pid) {
+		(void)!freopen("/dev/null", "w", stderr);
+		execl(argv[1], argv[1], "--config", file, (char *)NULL);
+		_exit(99);
+	}
+	c = ws_client_new(loop, "127.0.0.1", port, &o);
+	ev_timer_init(&tick, on_tick, 0.05, 0.05);
+	ev_timer_start(loop, &tick);
+	while (ask(c, "GET", "/healthz", "") != 200 && ++tries < 100)
+		pause_s(0.1);
+	check("healthy", got_status == 200);
+	check("a job is accepted", ask(c, "POST", "/v2/runs", job) == 201);
+	check("and known when it comes again", ask(c, "POST", "/v2/runs", job) == 200);
+	check("400", ask(c, "POST", "/v2/runs", "{}") == 400);
+	check("404 for an unknown job", ask(c, "GET", "/v2/runs/job-000002", "") == 404);
+	check("404 for an unknown path", ask(c, "GET", "/other", "") == 404);
+	check("405", ask(c, "DELETE", "/v2/runs", "") == 405);
+	check("broken HTTP", raw(port, "HELLO\r\n\r\n", 9) == 400);
+	check("a body too long", raw(port, "POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 49) == 413);
+	for (unsigned seed = 1; seed <= 20; seed++) { /* noise; the process must live on */
+		char noise[400];
+
+		srand(seed);
+		for (size_t i = 0; i < sizeof(noise); i++)
+			noise[i] = (char)(rand() & (seed & 1 ? 127 : 255));
+		if (seed % 3 == 0)
+			memcpy(noise, "POST /checkin HTTP/1.1\r\nContent-Length: 50\r\n\r\n", 46);
+		raw(port, noise, sizeof(noise));
+	}
+	check("alive after noise", ask(c, "GET", "/healthz", "") == 200);
+	for (int i = 0; i < 60 && !ran; i++) {
+		json_t *e;
+		size_t k;
+
+		snprintf(text, sizeof(text),
+			 "{\"host\":\"n-000000\",\"address\":\"127.0.0.1:1\",\"flavour\":\"std\",\"hall\":\"a\","
+			 "\"reclaimable\":false,\"tenure\":1,\"counter\":%d,\"epoch\":%lld,\"warningS\":null,"
+			 "\"shards\":[]}",
+			 counter++, (long long)epoch);
+		if (ask(c, "POST", "/checkin", text) == 200) {
+			epoch = json_integer_value(json_object_get(got, "epoch"));
+			json_array_foreach(json_object_get(got, "orders"), k, e)
+			if (!strcmp(json_string_value(json_object_get(e, "verb")), "run") &&
+			    !strcmp(json_string_value(json_object_get(e, "shard")), "job-000001/0")) {
+				ran = true;
+				attempt = json_integer_value(json_object_get(e, "tryNo"));
+			}
+		}
+		pause_s(0.1);
+	}
+	check("the worker is told to run the task", ran);
+	snprintf(text, sizeof(text),
+		 "{\"host\":\"n-000000\",\"address\":\"127.0.0.1:1\",\"flavour\":\"std\",\"hall\":\"a\","
+		 "\"reclaimable\":false,\"tenure\":1,\"counter\":%d,\"epoch\":%lld,\"warningS\":null,"
+		 "\"shards\":[{\"shard\":\"job-000001/0\",\"tryNo\":%lld,\"phase\":\"exited\",\"cause\":\"done\"}]}",
+		 counter++, (long long)epoch, (long long)attempt);
+	check("the report of its end is taken", ask(c, "POST", "/checkin", text) == 200);
+	for (int i = 0; i < 40; i++) {
+		snprintf(path, sizeof(path), "/v2/runs/job-000001");
+		if (ask(c, "GET", path, "") == 200 &&
+		    !strcmp(json_string_value(json_object_get(got, "phase")), "done"))
+			break;
+		pause_s(0.1);
+	}
+	check("and the job is done", got_status == 200 && got &&
+					     !strcmp(json_string_value(json_object_get(got, "phase")), "done"));
+	check("a done job stays done when aborted",
+	      ask(c, "POST", "/v2/runs/job-000001/abort", "") == 200 &&
+		      !strcmp(json_string_value(json_object_get(got, "phase")), "done"));
+	check("still running", waitpid(pid, &status, WNOHANG) == 0);
+	kill(pid, SIGTERM);
+	waitpid(pid, &status, 0);
+	check("stops when told to", WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	ws_client_free(c);
+	ev_timer_stop(loop, &tick);
+	ws_server_free(state);
+	ws_server_free(cloud);
+	json_decref(kv);
+	json_decref(got);
+	unlink(file);
+	printf("%d passed, %d failed\n", good, bad);
+	return bad != 0;
+}
