--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -1,6 +1,6 @@
 /*
  * Placement: first fit, owned machines first, an image already there preferred among equals.
- * Work within its team's guarantee goes first, then by tier, then by deadline and age.
+ * Production goes first, then work within its team's guarantee, then by tier, deadline and age.
  */
 #include "internal.h"
 
@@ -9,15 +9,24 @@
 	uint32_t waiting;
 };
 
+/*
+ * The order in which work is served. What may stop other work must also be served before it, or
+ * the two take the same room from each other for ever.
+ */
+static int ws_rank(const struct ws_job *j)
+{
+	if (j->spec.tier == WS_PRODUCTION)
+		return 100 + j->guaranteed;
+	return (j->guaranteed ? 50 : 0) + (int)j->spec.tier;
+}
+
 static int ws_want_cmp(const void *pa, const void *pb)
 {
 	const struct ws_job *a = ((const struct ws_want *)pa)->job,
 			    *b = ((const struct ws_want *)pb)->job;
 
-	if (a->guaranteed != b->guaranteed)
-		return a->guaranteed ? -1 : 1;
-	if (a->spec.tier != b->spec.tier)
-		return a->spec.tier > b->spec.tier ? -1 : 1;
+	if (ws_rank(a) != ws_rank(b))
+		return ws_rank(a) > ws_rank(b) ? -1 : 1;
 	double da = a->submitted_wall + (a->spec.deadline_s >= 0 ? a->spec.deadline_s : 1e9);
 	double db = b->submitted_wall + (b->spec.deadline_s >= 0 ? b->spec.deadline_s : 1e9);
 	if (da != db)
@@ -157,11 +166,11 @@
 	if (!v->job || v->stop || v->orphan || v->state == WS_SLOT_LEAVING)
 		return false;
 	const struct ws_job *o = v->job;
-	if (j->spec.tier == WS_PRODUCTION && o->spec.tier < WS_PRODUCTION)
-		return true;
-	if (j->guaranteed && !o->guaranteed)
-		return o->spec.tier < j->spec.tier || strcmp(o->spec.team, j->spec.team);
-	return false;
+
+	if (ws_rank(j) <= ws_rank(o) || !(j->guaranteed || j->spec.tier == WS_PRODUCTION))
+		return false;
+	return o->spec.tier < j->spec.tier ||
+	       (j->guaranteed && !o->guaranteed && strcmp(o->spec.team, j->spec.team));
 }
 
 /* Stops what loses least to make room on one machine; true if room will come. */
