--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -427,6 +427,7 @@
 		return;
 	}
 	if (c->role != WS_LEADER || !ws_entitled(c) ||
+	    ws_machine_buried(c, r->machine) || /* a report held back since before its return */
 	    (r->epoch > c->epoch && r->epoch >> WS_EPOCH_SHIFT != c->epoch >> WS_EPOCH_SHIFT)) {
 		a = ws_act(c, WS_ACT_ANSWER_REPORT);
 		a->token = token;
@@ -534,10 +535,40 @@
 		return;
 	ws_log(c, WS_LOG_INFO, "machine %s is gone: %s", m->name, why);
 	m->gone = true;
+	struct ws_tomb *t;
+
+	HASH_FIND_STR(c->tombs, m->name, t);
+	if (!t) {
+		t = calloc(1, sizeof(*t));
+		if (!t)
+			abort();
+		snprintf(t->name, sizeof(t->name), "%s", m->name);
+		HASH_ADD_STR(c->tombs, name, t);
+	}
+	t->until = c->now + c->set->lease_s + 4 * c->set->list_lag_s;
 	ws_machine_clear(c, m);
 	ws_machine_dirty(c, m); /* its plan is deleted, then it is forgotten */
 }
 
+bool ws_machine_buried(struct ws_core *c, const char *name)
+{
+	struct ws_tomb *t;
+
+	HASH_FIND_STR(c->tombs, name, t);
+	return t && c->now < t->until;
+}
+
+void ws_tombs_clear(struct ws_core *c, bool all)
+{
+	struct ws_tomb *t, *n;
+
+	HASH_ITER(hh, c->tombs, t, n)
+	if (all || c->now >= t->until) {
+		HASH_DEL(c->tombs, t);
+		free(t);
+	}
+}
+
 void ws_machine_forget(struct ws_core *c, struct ws_machine *m)
 {
 	ws_machine_clear(c, m);
@@ -563,6 +594,9 @@
 {
 	struct ws_machine *m = ws_machine_find(c, h->name);
 
+	/* a list as old as its lag still names what was returned: not a machine that boots */
+	if (ws_machine_buried(c, h->name))
+		return;
 	if (!m) {
 		m = ws_machine_get(c, h->name);
 		m->first_seen = c->now - h->age_s;
@@ -587,6 +621,7 @@
 {
 	struct ws_machine *m, *t;
 
+	ws_tombs_clear(c, false);
 	HASH_ITER(hh, c->machines, m, t)
 	{
 		if (m->nslots && c->now > m->alive_until && m->tenure) {
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -140,7 +140,14 @@
 
 enum ws_role { WS_FOLLOWER, WS_ASKING, WS_LOADING, WS_LEADER };
 
+struct ws_tomb { /* a machine the cloud confirmed as gone; lagging lists still name it */
+	char name[WS_NAME_MAX];
+	double until;
+	UT_hash_handle hh;
+};
+
 struct ws_core {
+	struct ws_tomb *tombs;
 	const struct ws_settings *set;
 	struct ws_policy pol;
 	ws_log_fn log;
@@ -259,6 +266,8 @@
 struct ws_machine *ws_machine_get(struct ws_core *c, const char *name);
 void ws_machine_dirty(struct ws_core *c, struct ws_machine *m);
 void ws_machine_gone(struct ws_core *c, struct ws_machine *m, const char *why);
+bool ws_machine_buried(struct ws_core *c, const char *name);
+void ws_tombs_clear(struct ws_core *c, bool all);
 void ws_machine_forget(struct ws_core *c, struct ws_machine *m);
 struct ws_slot *ws_slot_add(struct ws_core *c, struct ws_machine *m, const char *job, uint32_t task,
 			    uint64_t attempt);
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -57,6 +57,7 @@
 		free(r->hosts);
 		free(r);
 	}
+	ws_tombs_clear(c, true);
 	c->dirty_jobs = NULL;
 	c->dirty_jobs_tail = &c->dirty_jobs;
 	c->dirty_plans = NULL;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -490,6 +490,7 @@
 	}
 	if (w->take_at > 0 && s->now >= w->take_at) {
 		w->deleted = true;
+		w->deleted_at = s->now;
 		return;
 	}
 	/* a hanging machine can go on only within its lease; past it, its tasks are no more */
@@ -641,7 +642,8 @@
 			struct sim_worker *w = &s->w[i];
 			struct ws_host *h = &r->hosts[r->nhosts];
 
-			if (w->deleted || (!w->owned && s->now < w->rented + s->lag) ||
+			/* what is gone is listed for another lag */
+			if ((w->deleted && s->now > w->deleted_at + s->lag) || (!w->owned && s->now < w->rented + s->lag) ||
 			    strcmp(w->name, c->after) <= 0)
 				continue;
 			strcpy(h->name, w->name);
@@ -688,6 +690,8 @@
 					if (s->w[k].owned)
 						fail(s, "owned machine %s returned", c->names[i]);
 					s->returned += !s->w[k].deleted;
+					if (!s->w[k].deleted)
+						s->w[k].deleted_at = s->now;
 					s->w[k].deleted = true;
 				}
 		break;
@@ -1464,7 +1468,7 @@
 		else if (!strcmp(verb, "fail-tasks"))
 			w->failing = true;
 		else if (!strcmp(verb, "take"))
-			w->deleted = true;
+			w->deleted = true, w->deleted_at = s->now;
 		else {
 			w->notice_at = s->now;
 			w->take_at = s->now + span;
