--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -7,7 +7,8 @@
 struct ws_redirect { /* a worker sent to the leader a short while ago */
 	char machine[WS_NAME_MAX];
 	double at;
-	bool relaying;
+	uint64_t stamp; /* of the leader it was sent to */
+	uint32_t seen;
 	UT_hash_handle hh;
 };
 
@@ -419,12 +420,14 @@
 }
 
 /*
- * A worker reports to a node that does not lead. It is sent to the leader; one that is back within
- * a lease could not get through, so its report is passed on by us from then on.
+ * A worker reports to a node that does not lead. Its first report is passed on, so that its lease
+ * is renewed and the leader hears of it at once; with the second it is sent to the leader; one that
+ * is back after that could not get through, and its reports are passed on from then on.
  */
 void ws_follower_report(struct ws_core *c, uint64_t token, const struct ws_report *r, bool relayed)
 {
 	struct ws_redirect *d;
+	struct ws_action *a;
 
 	if (relayed || !c->leader[0] || !strcmp(c->leader, c->set->node)) {
 		ws_report_answer(c, token, 503, NULL);
@@ -437,13 +440,17 @@
 			abort();
 		snprintf(d->machine, sizeof(d->machine), "%s", r->machine);
 		HASH_ADD_STR(c->redirects, machine, d);
-		d->at = c->now;
+	}
+	if (d->stamp != c->leader_stamp) {
+		d->stamp = c->leader_stamp;
+		d->seen = 0;
+	}
+	d->at = c->now;
+	if (d->seen++ == 1) {
 		ws_report_answer(c, token, 421, c->leader);
 		return;
 	}
-	d->at = c->now;
-	struct ws_action *a = ws_act(c, WS_ACT_RELAY);
-
+	a = ws_act(c, WS_ACT_RELAY);
 	a->token = token;
 	snprintf(a->name, sizeof(a->name), "%s", c->leader);
 }
