--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -76,8 +76,23 @@
 		f->spot = r->spot;
 	}
 	f->times = refused ? f->times + 1 : 0;
-	/* what the cloud lacks may come back: ask again, at growing intervals */
-	f->until = refused ? c->now + c->set->list_lag_s * (f->times < 4 ? f->times : 4) : 0;
+	/* what the cloud lacks may come back: ask again, at growing intervals, since every request
+	 * spent on it is a second that a kind it does have comes later */
+	f->until = refused ? c->now + c->set->list_lag_s * (1 << (f->times < 4 ? f->times : 4)) : 0;
+}
+
+/* One of this kind went back: there is one to be had again. */
+static void ws_refusal_lift(struct ws_core *c, const struct ws_machine *m)
+{
+	for (int i = 0; i < c->nrefusals; i++) {
+		struct ws_refusal *f = &c->refusals[i];
+
+		if (f->spot == m->spot && !strcmp(f->type, m->type_name) &&
+		    !strcmp(f->zone, m->zone)) {
+			f->until = 0;
+			f->times = 0;
+		}
+	}
 }
 
 void ws_rentals_want(struct ws_core *c, const struct ws_job *j, uint32_t tasks, uint32_t zones)
@@ -342,8 +357,10 @@
 			continue;
 		m->return_inflight = false;
 		m->return_next = c->now + 1 + c->set->list_lag_s / 4;
-		if (r->status == 200)
+		if (r->status == 200) {
+			ws_refusal_lift(c, m);
 			ws_machine_gone(c, m, "returned");
+		}
 	}
 }
 
