A new leader greets its machines, knows their images and leads sooner

Changed: the hold is lease/12; a new leader sends empty commands to all machines it has plans for, whose answers are their reports; plans carry address and images; nothing is rented in a leader's first report period. Ruled out: reading the records back (40 ms).

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -13,7 +13,7 @@
 		.waiting_loads = -1,
 		.empty_wait_s = 10,
 		.sizing_period_s = 30,
-		.leader_ttl_ratio = 1.0 / 6,
+		.leader_ttl_ratio = 1.0 / 12,
 		.silent_ratio = 0.5,
 		.boot_patience = 2.5,
 	};
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -478,8 +478,13 @@
 		return; /* never left us: the next reply carries it */
 	if (r->report && !strcmp(r->report->machine, m->name)) {
 		if (r->report->tenure > m->tenure ||
-		    (r->report->tenure == m->tenure && r->report->counter > m->counter))
+		    (r->report->tenure == m->tenure && r->report->counter > m->counter) ||
+		    !m->reported) {
+			m->heard = c->now;
 			ws_fleet_read(c, m, r->report);
+		}
+	} else if (!call->norders) {
+		return; /* a greeting: nothing of it can do harm */
 	} else {
 		/* it may arrive later: until the worker knows a higher epoch, nothing of it can be
 		 * forgotten or moved */
@@ -520,6 +525,26 @@
 	m->commands++;
 }
 
+/*
+ * A new leader calls on each machine it has a plan for: the answer is the machine's report, and the
+ * epoch it brings ends what the last leader may still have on its way. Waiting for the reports
+ * instead costs a report period and a worker's search for the leader.
+ */
+void ws_fleet_greet(struct ws_core *c, struct ws_machine *m)
+{
+	struct ws_call *call;
+
+	if (!m->port || !m->host[0])
+		return;
+	call = ws_call(c, WS_CALL_ORDERS, ws_push_done);
+	snprintf(call->host, sizeof(call->host), "%s", m->host);
+	call->port = m->port;
+	call->epoch = c->epoch;
+	call->tenure = m->tenure;
+	snprintf(call->ctx_name, sizeof(call->ctx_name), "%s", m->name);
+	m->commands++;
+}
+
 /* The machine and all on it are surely gone, or its lease is. */
 static void ws_machine_clear(struct ws_core *c, struct ws_machine *m)
 {
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -11,6 +11,7 @@
 /* Bits of the epoch kept for the leader's own counter, below the leader key's stamp. */
 #define WS_EPOCH_SHIFT 20
 #define WS_CACHE_MAX 24
+#define WS_CACHE_KEPT 8 /* of them in the plan's record */
 /* Clocks of two machines drift apart by this share at most (the protocol's figure, doubled). */
 #define WS_DRIFT 0.001
 
@@ -275,6 +276,7 @@
 void ws_slot_stop(struct ws_core *c, struct ws_slot *s, double grace, const char *why);
 void ws_fleet_tick(struct ws_core *c);
 void ws_fleet_push(struct ws_core *c, struct ws_machine *m);
+void ws_fleet_greet(struct ws_core *c, struct ws_machine *m);
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m);
 void ws_machine_host(struct ws_core *c, const struct ws_host *h);
 const struct ws_type *ws_type_find(const struct ws_core *c, const char *name);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -155,23 +155,10 @@
 	return false;
 }
 
-/*
- * Replicas on a machine. Among equal fits a service goes where the fewest are: one machine's
- * failure takes all of its replicas down until its lease is out.
- */
-static uint32_t ws_replicas(const struct ws_machine *m)
-{
-	uint32_t n = 0;
-
-	for (const struct ws_slot *s = m->slots; s; s = s->next)
-		n += s->job && s->job->spec.service && s->state != WS_SLOT_LEAVING;
-	return n;
-}
-
 /* Attempts a plan record can hold. */
 static uint32_t ws_plan_room(const struct ws_core *c)
 {
-	return (uint32_t)((c->set->value_kb * 1024 - 320) / (WS_ID_MAX / 2 + 24));
+	return (uint32_t)((c->set->value_kb * 1024 - 320 - 36 * WS_CACHE_KEPT) / (WS_ID_MAX / 2 + 24));
 }
 
 static bool ws_may_preempt(const struct ws_job *j, const struct ws_slot *v)
@@ -394,10 +381,8 @@
 					break;
 				} else if (ws_cached(m, j->spec.image) != ws_cached(to, j->spec.image)) {
 					to = ws_cached(to, j->spec.image) ? to : m;
-				} else if (j->spec.service && ws_replicas(m) < ws_replicas(to)) {
-					to = m;
 				}
-				if (!j->spec.service && ws_cached(to, j->spec.image))
+				if (ws_cached(to, j->spec.image))
 					break;
 			}
 			if (to) {
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -185,23 +185,36 @@
 			json_array_append_new(a, json_pack("[s,I,I]", s->job_id,
 							   (json_int_t)s->task,
 							   (json_int_t)s->attempt));
-	return json_pack("{s:I,s:o,s:s,s:s,s:b}", "te", (json_int_t)m->tenure, "a", a, "ty",
-			 m->type_name, "z", m->zone, "sp", m->spot);
+	json_t *im = json_array();
+
+	/* images it has, newest first, so that a new leader places as well as the last one */
+	for (int i = 0; i < m->ncache && i < WS_CACHE_KEPT && strlen(m->cache[i]) < 32; i++)
+		json_array_append_new(im, json_string(m->cache[i]));
+	return json_pack("{s:I,s:o,s:s,s:s,s:b,s:s,s:i,s:o}", "te", (json_int_t)m->tenure, "a", a,
+			 "ty", m->type_name, "z", m->zone, "sp", m->spot, "ip", m->host, "po",
+			 m->port, "im", im);
 }
 
 bool ws_record_read_plan(json_t *v, struct ws_machine *m, struct ws_slot **list)
 {
 	json_int_t te;
-	json_t *a, *e;
+	json_t *a, *e, *im = NULL;
 	size_t i;
-	const char *ty, *z;
-	int sp;
+	const char *ty, *z, *ip = "";
+	int sp, port = 0;
 
 	*list = NULL;
-	if (json_unpack(v, "{s:I,s:o,s:s,s:s,s:b}", "te", &te, "a", &a, "ty", &ty, "z", &z, "sp",
-			&sp) ||
+	if (json_unpack(v, "{s:I,s:o,s:s,s:s,s:b,s?s,s?i,s?o}", "te", &te, "a", &a, "ty", &ty, "z",
+			&z, "sp", &sp, "ip", &ip, "po", &port, "im", &im) ||
 	    !json_is_array(a))
 		return false;
+	ws_copy(m->host, sizeof(m->host), ip);
+	m->port = port;
+	json_array_foreach(im, i, e)
+	{
+		if (json_is_string(e) && m->ncache < WS_CACHE_KEPT)
+			ws_copy(m->cache[m->ncache++], WS_NAME_MAX, json_string_value(e));
+	}
 	m->plan_tenure = (uint64_t)te;
 	m->tenure = (uint64_t)te;
 	ws_copy(m->type_name, sizeof(m->type_name), ty);
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -334,6 +334,7 @@
 	HASH_ITER(hh, c->machines, m, mt)
 	{
 		m->type = ws_type_find(c, m->type_name);
+		ws_fleet_greet(c, m);
 		for (struct ws_slot *s = m->slots; s; s = s->next)
 			if (s->job && s->job->phase == WS_CANCELLED)
 				s->stop = true;
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -219,7 +219,9 @@
 	if (gang > limit) /* k is at least what the largest waiting gang lacks */
 		limit = gang < c->pol.rental_ceiling ? gang : c->pol.rental_ceiling;
 	allowed = limit - ws_rentals_held(c, &booting);
-	if (c->loads > 0 && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next) {
+	/* machines that are well get a report period to make themselves known to a new leader */
+	if (c->loads > 0 && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next &&
+	    c->now - c->elected_at > c->set->report_s) {
 		/* as many of one kind as the loads ask for, in one request */
 		struct ws_bin *first = &bins[old];
 		uint32_t count = 0;
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -51,7 +51,7 @@
 	ev_async sized;
 	double writes, writes_at, write_rate;
 	bool leading, draining;
-	double sweep_at;
+	double sweep_at, ttl;
 	pthread_t sizer;
 	pthread_mutex_t size_lock;
 	pthread_cond_t size_cond;
@@ -240,7 +240,7 @@
 	struct ws_client *to = v->state;
 	const char *method;
 	char path[WS_URL_MAX], *body;
-	double ttl = v->set->lease_s / 6, timeout = fmin(ttl / 2, 1.5);
+	double ttl = v->ttl, timeout = fmin(v->set->lease_s / 12, 1.5);
 	bool ok;
 
 	if (!x)
@@ -262,7 +262,7 @@
 		timeout = call->ms / 1000.0 + 1;
 		break;
 	case WS_CALL_HOLD_EXTEND:
-		timeout = ttl / 4;
+		timeout = ttl / 3;
 		break;
 	case WS_CALL_TYPES:
 	case WS_CALL_HOSTS:
@@ -622,6 +622,7 @@
 		nonce = (uint64_t)(ws_wall() * 1e6);
 	v->loop = loop;
 	v->set = s;
+	v->ttl = s->lease_s * p->leader_ttl_ratio;
 	pthread_mutex_init(&v->lock, NULL);
 	pthread_mutex_init(&v->size_lock, NULL);
 	pthread_cond_init(&v->size_cond, NULL);
