--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -443,6 +443,9 @@
 			ws_give_back(c, m, "failed");
 		else if (ws_boot_late(c, m) && c->now - c->elected_at > c->set->lease_s)
 			ws_give_back(c, m, "did not come up");
+		else if (m->noticed && c->now > m->notice_until &&
+			 c->now - m->heard > 1.5 * c->set->report_s && heard * 2 >= up)
+			ws_give_back(c, m, "taken after its notice"); /* to have it confirmed */
 		else if ((m->reported || m->plan_stamp) && c->set->lease_s * c->pol.silent_ratio < c->now - base &&
 			 heard * 2 >= up && up)
 			ws_give_back(c, m, "silent");
