--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -204,7 +204,7 @@
 	double flush_next;
 	int flush_fails;
 	bool place_wanted;
-	double place_next, tick_next;
+	double place_next, tick_next, move_next;
 	uint64_t pass;
 
 	/* cloud */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -291,6 +291,59 @@
 	return fits;
 }
 
+/* The protocol counts a start only if the task is not stopped by command for this long. */
+#define WS_START_COUNTS_S 30
+
+/*
+ * With nothing waiting, a rental that holds replicas alone is emptied onto owned machines with
+ * room and image, a replica at a time: the rental would be paid for as long as the service runs.
+ */
+static void ws_consolidate(struct ws_core *c, struct ws_machine **ms, size_t n)
+{
+	if (c->now < c->move_next || c->now - c->elected_at < c->set->lease_s)
+		return;
+	c->move_next = c->now + c->set->report_s;
+	for (size_t i = n; i-- > 0;) {
+		struct ws_machine *m = ms[i];
+		struct ws_slot *first = NULL, *s;
+		bool all = m->nslots > 0;
+
+		if (m->owned)
+			break; /* owned ones come first in the order */
+		for (s = m->slots; s && all; s = s->next) {
+			struct ws_zone_use z[WS_MAX_ZONES];
+			size_t nz, k;
+
+			if (s->state == WS_SLOT_LEAVING)
+				continue;
+			all = s->job && s->job->spec.service && !s->stop && !s->orphan &&
+			      s->at == WS_TASK_RUNNING && s->running_at > 0 &&
+			      c->now - s->running_at > WS_START_COUNTS_S;
+			if (!all)
+				break;
+			nz = ws_siblings(c, s->job, z);
+			for (k = 0; k < nz; k++)
+				if (!strcmp(z[k].zone, m->zone))
+					z[k].n--; /* itself */
+			for (k = 0; k < n && ms[k]->owned; k++)
+				if (ws_kind_ok(s->job, ms[k]) && ws_room(s->job, ms[k]) &&
+				    ws_virt_room(s->job, ms[k]) &&
+				    ws_zone_ok(s->job, ms[k]->zone, z, nz) &&
+				    ws_cached(ms[k], s->job->spec.image))
+					break;
+			all = k < n && ms[k]->owned;
+			if (all)
+				ws_virt_take(s->job, ms[k]);
+			first = s;
+		}
+		if (!all || !first)
+			continue;
+		ws_slot_stop(c, first, first->job->spec.save_s, "moved so that its rental can go back");
+		ws_fleet_push(c, m);
+		return;
+	}
+}
+
 void ws_place(struct ws_core *c)
 {
 	size_t nj = HASH_COUNT(c->jobs), nm = HASH_COUNT(c->machines), n = 0, nw = 0, nu = 0;
@@ -430,6 +483,8 @@
 		}
 	}
 	ws_rentals_plan(c);
+	if (!nw)
+		ws_consolidate(c, ms, nu);
 	free(all);
 	free(wants);
 	free(ms);
