--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -331,6 +331,8 @@
 		s->seen = s->sent = true;
 		if (t->state == WS_TASK_RUNNING && s->at != WS_TASK_RUNNING) {
 			s->running_at = c->now;
+			ws_log(c, WS_LOG_DEBUG, "machine %s: %s/%u attempt %llu runs", m->name,
+			       s->job_id, s->task, (unsigned long long)s->attempt);
 			if (s->job) {
 				ws_cache_touch(m, s->job->spec.image);
 				if (!s->job->started && !ws_job_over(s->job)) {
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -43,6 +43,9 @@
 
 	if (a->owned != b->owned)
 		return a->owned ? -1 : 1;
+	/* spot rentals before ordinary ones, so that the dearer ones empty and go back */
+	if (!a->owned && a->spot != b->spot)
+		return a->spot ? -1 : 1;
 	return strcmp(a->name, b->name);
 }
 
