Production with a start aim makes room where its image is

Ruled out: lack of room; all were placed within 0.05 s. Changed: a class with a start aim goes where its image is, rented or owned; production stops lower work there when the fetch would take longer than the aim.

--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -135,8 +135,8 @@
 	if (!j) {
 		HASH_ADD_STR(c->jobs, spec.id, n);
 		if (c->role == WS_LEADER) {
-			ws_log(c, WS_LOG_DEBUG, "job %s known: %u tasks of %s", id, n->spec.tasks,
-			       n->spec.team);
+			ws_log(c, WS_LOG_DEBUG, "job %s known: %u tasks of %s %s", id, n->spec.tasks,
+			       n->spec.team, n->spec.job_class);
 			if (n->phase == WS_CANCELLED)
 				ws_job_check_end(c, n);
 			else if (!n->spec.service)
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -178,7 +178,7 @@
 
 /* Stops what loses least to make room on one machine; true if room will come. */
 static bool ws_preempt(struct ws_core *c, struct ws_job *j, struct ws_machine **ms, size_t n,
-		       const struct ws_zone_use *z, size_t nz)
+		       const struct ws_zone_use *z, size_t nz, bool cached)
 {
 	struct ws_machine *best = NULL;
 	double best_cost = 0;
@@ -190,7 +190,8 @@
 
 			if (act && m != best)
 				continue;
-			if (!ws_kind_ok(j, m) || !ws_zone_ok(j, m->zone, z, nz))
+			if (!ws_kind_ok(j, m) || !ws_zone_ok(j, m->zone, z, nz) ||
+			    (cached && !ws_cached(m, j->spec.image)))
 				continue;
 			c->pass++;
 			while (cpus + 1e-9 < j->spec.cpus || gpus + 1e-9 < j->spec.gpus ||
@@ -347,6 +348,16 @@
 	}
 }
 
+/* How soon a class should start by its aim; 0: it has none. */
+static double ws_wait_aim(const struct ws_core *c, const char *job_class)
+{
+	for (size_t i = 0; i < c->set->nobjectives; i++)
+		if (!strcmp(c->set->objectives[i].kind, "wait") &&
+		    !strcmp(c->set->objectives[i].job_class, job_class))
+			return c->set->objectives[i].within_s;
+	return 0;
+}
+
 void ws_place(struct ws_core *c)
 {
 	size_t nj = HASH_COUNT(c->jobs), nm = HASH_COUNT(c->machines), n = 0, nw = 0, nu = 0;
@@ -404,6 +415,7 @@
 		double cpus = team->used_cpus, gpus = team->used_gpus;
 		const char *zone = NULL;
 		uint32_t shared = 0;
+		double prompt = ws_wait_aim(c, j->spec.job_class);
 
 		if (j->spec.gang && !ws_gang_fits(c, j, wants[w].waiting, ms, nu, z, nz, &zone)) {
 			uint32_t zones = 0;
@@ -416,6 +428,7 @@
 		}
 		for (uint32_t t = 0; t < j->spec.tasks; t++) {
 			struct ws_machine *to = NULL;
+			bool cached = false;
 
 			if (j->tasks[t].done || j->tasks[t].slots)
 				continue;
@@ -431,16 +444,21 @@
 				if (!ws_kind_ok(j, m) || !ws_room(j, m) || !ws_virt_room(j, m) ||
 				    !ws_zone_ok(j, m->zone, z, nz) || m->nslots >= ws_plan_room(c))
 					continue;
-				if (!to) {
+				bool here = ws_cached(m, j->spec.image);
+
+				if (!to || (here && !cached && (prompt > 0 || m->owned == to->owned))) {
 					to = m;
-				} else if (m->owned != to->owned) {
-					break;
-				} else if (ws_cached(m, j->spec.image) != ws_cached(to, j->spec.image)) {
-					to = ws_cached(to, j->spec.image) ? to : m;
+					cached = here;
 				}
-				if (ws_cached(to, j->spec.image))
+				if (cached)
 					break;
 			}
+			/* a fetch would take longer than the class may wait for its start */
+			if (to && !cached && prompt > 0 && j->spec.tier == WS_PRODUCTION &&
+			    to->type->fetch_gb_s > 0 &&
+			    j->spec.image_gb / to->type->fetch_gb_s > prompt &&
+			    ws_preempt(c, j, ms, nu, z, nz, true))
+				continue;
 			if (to) {
 				struct ws_slot *s;
 
@@ -466,7 +484,7 @@
 				ws_virt_take(j, to);
 				continue;
 			}
-			if (preempt && (preempt = ws_preempt(c, j, ms, nu, z, nz)))
+			if (preempt && (preempt = ws_preempt(c, j, ms, nu, z, nz, false)))
 				continue;
 			lack++;
 		}
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -72,6 +72,8 @@
 	int nzones;
 	struct ws_team_setting teams[16];
 	int nteams;
+	struct ws_objective objectives[8];
+	int nobjectives;
 	struct sim_type types[8];
 	int ntypes;
 	int cap_limit;
@@ -1196,6 +1198,7 @@
 	memset(j, 0, sizeof(*j));
 	snprintf(p->id, sizeof(p->id), "%s", id);
 	strcpy(p->job_class, "c");
+	opt_text(text, "class", p->job_class, sizeof(p->job_class));
 	strcpy(p->team, "t");
 	opt_text(text, "team", p->team, sizeof(p->team));
 	p->service = flag(text, "service");
@@ -1281,9 +1284,16 @@
 		t->mem = atof(word(&p));
 		t->price = atof(word(&p));
 		t->spot_price = t->price / 2;
+		t->fetch_gb_s = 0.5;
 		t->boot_s = atof(word(&p));
 		while ((w = word(&p)))
 			snprintf(t->zones[t->nzones++], WS_NAME_MAX, "%s", w);
+	} else if (!strcmp(w, "objective")) {
+		struct ws_objective *o = &s->objectives[s->nobjectives++];
+
+		snprintf(o->kind, sizeof(o->kind), "%s", word(&p));
+		snprintf(o->job_class, sizeof(o->job_class), "%s", word(&p));
+		o->within_s = atof(word(&p));
 	} else if (!strcmp(w, "owned")) {
 		const char *type = word(&p), *zone = word(&p);
 		int t, k = 1;
@@ -1563,6 +1573,8 @@
 			snprintf(x->zones[x->nzones++], WS_NAME_MAX, "%s", s->zones[k]);
 		for (int k = 0; k < s->nteams; k++)
 			x->teams[x->nteams++] = s->teams[k];
+		for (int k = 0; k < s->nobjectives; k++)
+			x->objectives[x->nobjectives++] = s->objectives[k];
 		x->report_s = s->report;
 		x->lease_s = s->lease;
 		x->cancel_s = s->cancel_s;
