--- a/tests/sim.c
+++ b/tests/sim.c
@@ -476,6 +476,14 @@
 	return status;
 }
 
+/* Whether node and machine can't reach each other now. */
+static bool apart(const struct sim *s, const struct sim_worker *w, const struct sim_node *nd)
+{
+	return s->now < w->cut_until || s->now < nd->cut_workers ||
+	       (s->now < s->zone_cut && strcmp(nd->set.zone, w->zone)) ||
+	       (s->now < w->pin_until && nd != &s->nodes[w->pin - 1]);
+}
+
 static void worker_step(struct sim *s, struct sim_worker *w)
 {
 	if (w->deleted || w->dead)
@@ -553,8 +561,7 @@
 		worker_report(w, &r, s);
 		w->next_report = s->now + s->report * (0.75 + 0.5 * rnd(s));
 		w->report_id = (++s->next_token << 10) | (uint64_t)(w - s->w) | 1ULL << 62;
-		if (s->now < w->cut_until || s->now < nd->cut_workers ||
-		    (s->zone_cut > s->now && strcmp(nd->set.zone, w->zone))) {
+		if (apart(s, w, nd)) {
 			/* stays silent */
 		} else if (!nd->up) {
 			w->waiting = false;
@@ -567,12 +574,12 @@
 	}
 }
 
-static void worker_answer(struct sim *s, struct sim_node *nd, const struct ws_action *a)
+static void worker_answer(struct sim *s, const struct ws_action *a)
 {
 	struct sim_worker *w = &s->w[a->token & 1023 & (SIM_WORKERS - 1)];
 
-	if (a->token != w->report_id || !w->waiting || !worker_live(s, w) || s->now < w->cut_until ||
-	    s->now < nd->cut_workers)
+	if (a->token != w->report_id || !w->waiting || !worker_live(s, w) ||
+	    apart(s, w, &s->nodes[w->node]))
 		return;
 	w->waiting = false;
 	if (a->status == 200) {
@@ -893,8 +900,7 @@
 	} else if (c->kind == WS_CALL_ORDERS) {
 		int i = atoi(strrchr(c->host, '.') + 1) - 1;
 		struct sim_worker *w = &s->w[i];
-		bool lost = s->now < w->cut_until || !worker_live(s, w) || s->now < nd->cut_workers ||
-			    (s->zone_cut > s->now && strcmp(nd->set.zone, w->zone));
+		bool lost = !worker_live(s, w) || apart(s, w, nd);
 		double late = 0;
 
 		if (s->late_orders > 0) {
@@ -902,7 +908,7 @@
 			late = s->now + s->late_orders_by;
 		} else if (lost) {
 			late = fmax(fmax(w->cut_until, w->hang_until),
-				    fmax(nd->cut_workers, s->zone_cut)) + 0.05;
+				    fmax(fmax(nd->cut_workers, s->zone_cut), w->pin_until)) + 0.05;
 		}
 		if (late > 0) {
 			struct sim_late *l = calloc(1, sizeof(*l));
@@ -913,7 +919,8 @@
 			l->tenure = c->tenure;
 			l->n = c->norders;
 			l->orders = calloc(c->norders + 1, sizeof(*l->orders));
-			memcpy(l->orders, c->orders, c->norders * sizeof(*l->orders));
+			if (c->norders)
+				memcpy(l->orders, c->orders, c->norders * sizeof(*l->orders));
 			l->next = s->late;
 			s->late = l;
 		} else {
@@ -1075,7 +1082,7 @@
 			to = i;
 	if (to < 0) {
 		if (a->token >> 62 & 1)
-			worker_answer(s, &s->nodes[from], &no);
+			worker_answer(s, &no);
 		else
 			user_answer(s, &no);
 		return;
@@ -1120,7 +1127,7 @@
 			user_answer(s, a);
 			break;
 		case WS_ACT_ANSWER_REPORT:
-			worker_answer(s, &s->nodes[i], a);
+			worker_answer(s, a);
 			break;
 		case WS_ACT_RELAY:
 			relay(s, i, a);
@@ -1464,13 +1471,15 @@
 	} else if (!strcmp(verb, "zone-cut")) {
 		s->zone_cut = s->now + span;
 	} else if (!strcmp(verb, "hang") || !strcmp(verb, "cut-machine") || !strcmp(verb, "die") ||
-		   !strcmp(verb, "fail-tasks") || !strcmp(verb, "notice") || !strcmp(verb, "take")) {
+		   !strcmp(verb, "fail-tasks") || !strcmp(verb, "pin") || !strcmp(verb, "notice") || !strcmp(verb, "take")) {
 		if (!(w = machine_named(s, who))) {
 			fail(s, "no machine %s", who);
 			return;
 		}
 		if (!strcmp(verb, "hang"))
 			w->hang_until = s->now + span;
+		else if (!strcmp(verb, "pin"))
+			w->pin = leader(s) + 1, w->pin_until = s->now + span;
 		else if (!strcmp(verb, "cut-machine"))
 			w->cut_until = s->now + span;
 		else if (!strcmp(verb, "die"))
