--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -38,6 +38,7 @@
 	bool known_running;
 	double not_before; /* back-off after failures */
 	uint32_t errors;   /* failures on machines that otherwise work */
+	bool prompt; /* its class has a start aim */
 	double wait_logged;
 	bool guaranteed; /* fits its team's guarantee with the team's earlier jobs */
 	struct ws_job *dirty_next;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -170,7 +170,7 @@
 		return false;
 	const struct ws_job *o = v->job;
 
-	if (ws_rank(j) <= ws_rank(o) || !(j->guaranteed || j->spec.tier == WS_PRODUCTION))
+	if (ws_rank(j) <= ws_rank(o) || !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
 		return false;
 	return o->spec.tier < j->spec.tier ||
 	       (j->guaranteed && !o->guaranteed && strcmp(o->spec.team, j->spec.team));
@@ -417,6 +417,8 @@
 		uint32_t shared = 0;
 		double prompt = ws_wait_aim(c, j->spec.job_class);
 
+		j->prompt = prompt > 0;
+
 		if (j->spec.gang && !ws_gang_fits(c, j, wants[w].waiting, ms, nu, z, nz, &zone)) {
 			uint32_t zones = 0;
 
@@ -484,7 +486,7 @@
 				ws_virt_take(j, to);
 				continue;
 			}
-			if (preempt && (preempt = ws_preempt(c, j, ms, nu, z, nz, false)))
+			if (preempt && (preempt = ws_preempt(c, j, ms, nu, z, nz, j->prompt && !j->guaranteed)))
 				continue;
 			lack++;
 		}
