A node without the state service passes users on at once

Cause: after each time-out of its own such a node tried the service again for the next user; the window in which it asked a peer first was a quarter of the hold, 0.3 to 0.9 s. Ruled out: the peers; they answered within 60 ms.

--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -56,10 +56,14 @@
 	return call;
 }
 
-/* Recently refused by the state service: ask a peer straight away instead of trying once more. */
+/*
+ * Recently refused by the state service, or without an answer: ask a peer straight away, since a
+ * user waits 2 s and a time-out of our own would use that up. Reading who leads goes on meanwhile
+ * and tells when the service is back.
+ */
 static bool ws_state_refuses(const struct ws_core *c)
 {
-	return c->state_bad_at > c->state_ok_at && c->now - c->state_bad_at < c->ttl / 4;
+	return c->state_bad_at > c->state_ok_at && c->now - c->state_bad_at < c->set->lease_s / 4;
 }
 
 const struct ws_type *ws_type_find(const struct ws_core *c, const char *name)
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -9,7 +9,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/random.h>
 #include <time.h>
 
 enum ws_ask_kind { WS_ASK_USER, WS_ASK_REPORT, WS_ASK_TESTIFY };
@@ -618,8 +617,7 @@
 
 	if (!v)
 		return NULL;
-	if (getrandom(&nonce, sizeof(nonce), 0) != sizeof(nonce))
-		nonce = (uint64_t)(ws_wall() * 1e6);
+	arc4random_buf(&nonce, sizeof(nonce));
 	v->loop = loop;
 	v->set = s;
 	v->ttl = s->lease_s * p->leader_ttl_ratio;
