A leader pauses in an outage and goes on once all peers testify

Ruled out: the peers' answers; after its restart each was refused like the leader. Changed: the leader pauses for up to a lease and goes on when all testify; who leads itself never testifies; a leader that takes over its own old key reckons leases a hold longer. Found on the way: at revision 0 of a new state service nobody was elected until somebody wrote.

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -165,7 +165,7 @@
 	double types_next;
 	char leader[WS_NAME_MAX]; /* empty: none known */
 	uint64_t leader_stamp;
-	bool leader_watch;
+	bool leader_watch, leader_read;
 	double leader_next;
 	uint64_t leader_rev;
 	double state_ok_at, state_bad_at; /* last answer other than 503; last 503 or silence */
@@ -177,7 +177,8 @@
 	uint64_t hold;
 	double ttl, entitled_until, extend_next, stand_after, elected_at;
 	bool extend_inflight, drop_hold;
-	bool in_outage;
+	bool in_outage, paused;
+	double pause_until;
 	uint64_t ask_round;
 	int ask_yes, ask_out;
 	double ask_sent, ask_next;
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -74,7 +74,7 @@
 	c->lacks = NULL;
 	c->nlacks = c->lacks_cap = 0;
 	c->flushing = c->job_watch = c->hosts_inflight = c->rent_inflight = false;
-	c->extend_inflight = c->in_outage = false;
+	c->extend_inflight = c->in_outage = c->paused = false;
 	c->ask_out = 0;
 	c->hosts_after[0] = 0;
 	c->hosts_next = c->cloud_next = c->flush_next = 0;
@@ -154,7 +154,9 @@
 		return;
 	}
 	c->role = WS_LOADING;
-	c->elected_at = c->now;
+	/* a key left over from our own last life tells nothing of when another's hold ended, and a
+	 * paused leader may have answered for as long as a hold lasts */
+	c->elected_at = c->now + (call->conds[0].stamp ? c->ttl : 0);
 	c->epoch = r->rev << WS_EPOCH_SHIFT;
 	c->attempt_seq = 0;
 	c->rental_seq = 0;
@@ -182,7 +184,7 @@
 	(void)call;
 	c->leader_watch = false;
 	if (r->status != 200) {
-		c->leader_rev = 0;
+		c->leader_read = false;
 		c->leader_next = c->now + c->ttl / 4;
 		if (r->status == 410)
 			c->leader_next = c->now;
@@ -203,6 +205,7 @@
 		return;
 	}
 	bool any = false;
+	c->leader_read = true; /* the revision of a new state service may be 0 */
 	c->leader_rev = r->rev;
 	for (size_t i = 0; i < r->nkvs; i++)
 		if (!strcmp(r->kvs[i].key, "leader")) {
@@ -220,7 +223,7 @@
 	if (c->leader_watch || c->now < c->leader_next)
 		return;
 	c->leader_watch = true;
-	if (!c->leader_rev) {
+	if (!c->leader_read) {
 		call = ws_call(c, WS_CALL_LIST, ws_leader_read);
 		snprintf(call->key, sizeof(call->key), "leader");
 		return;
@@ -245,7 +248,7 @@
 			c->entitled_until = until;
 		if (c->in_outage)
 			ws_log(c, WS_LOG_INFO, "the state service is back");
-		c->in_outage = false;
+		c->in_outage = c->paused = false;
 		c->place_wanted = true;
 		c->extend_next = call->made + c->ttl / 4;
 	} else if (r->status == 404) {
@@ -262,8 +265,13 @@
 
 /*
  * While the state service is down for everybody no hold runs out, so a leader may go on answering
- * reports. Every peer must say so afresh; one that is silent or served ends it, for the service
- * may be refusing us alone while another node takes over.
+ * reports. Every peer must say so afresh; one that is silent, served or leading ends it, for the
+ * service may be refusing us alone while another node takes over.
+ *
+ * A leader whose peers did not all say so in time pauses: it answers nobody, but keeps what it
+ * knows. If all say so again before a lease has passed since its hold's end, it goes on. Had another
+ * been elected in between, that one could not yet have moved anything for want of an answer, and
+ * workers that heard from it drop what we say; had it ended since, it would say so or be silent.
  */
 static void ws_testified(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
@@ -272,11 +280,15 @@
 	c->ask_out--;
 	if (r->status == 503)
 		c->ask_yes++;
-	if (c->ask_yes == (int)c->set->npeers && c->now < c->entitled_until) {
+	if (c->ask_yes == (int)c->set->npeers && c->now < c->pause_until) {
 		double until = c->ask_sent + c->ttl * (1 - WS_DRIFT);
 
-		if (until > c->entitled_until)
+		if (c->paused)
+			ws_log(c, WS_LOG_INFO, "all peers are refused too: answering reports again");
+		if (until > c->entitled_until) {
 			c->entitled_until = until;
+			c->paused = false;
+		}
 	}
 }
 
@@ -460,7 +472,7 @@
 		/* stand when nobody leads, or when the key is left over from our own last life */
 		bool own = c->leader[0] && !strcmp(c->leader, c->set->node);
 
-		if (c->leader_rev && (!c->leader[0] || own) && c->now >= c->stand_after &&
+		if (c->leader_read && (!c->leader[0] || own) && c->now >= c->stand_after &&
 		    c->now >= c->leader_next && c->ntypes)
 			ws_stand(c);
 		return;
@@ -480,9 +492,17 @@
 		return;
 	}
 	if (c->in_outage && c->now >= c->entitled_until) {
-		ws_lead_end(c, "the state service refuses us and not surely all");
+		if (c->role == WS_LEADER && !c->paused) {
+			c->paused = true;
+			c->pause_until = c->entitled_until + c->set->lease_s * (1 - WS_DRIFT) - c->ttl;
+			ws_log(c, WS_LOG_INFO, "paused: the state service refuses us and not surely all");
+		}
+		if (c->role != WS_LEADER || c->now >= c->pause_until)
+			ws_lead_end(c, "the state service refuses us and not surely all");
 		return;
 	}
+	if (!c->paused)
+		c->pause_until = c->entitled_until;
 	if (c->role == WS_LEADER && c->relayed_report_at > c->direct_report_at &&
 	    c->now - c->direct_report_at > c->set->lease_s / 4 + 2 * c->set->report_s &&
 	    c->relayed_report_at - c->elected_at > c->set->report_s && !c->in_outage) {
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -466,7 +466,8 @@
 	struct ws_action *a = ws_act(c, WS_ACT_ANSWER_TESTIFY);
 
 	a->token = call->ctx_n;
-	a->status = r->status == 503 ? 503 : 200; /* silence is no testimony */
+	/* silence is no testimony, and neither is the word of one that leads itself */
+	a->status = r->status == 503 && c->role != WS_LEADER && c->role != WS_LOADING ? 503 : 200;
 }
 
 void ws_core_testify(struct ws_core *c, double now, uint64_t token)
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -107,6 +107,8 @@
 	struct sim_order orders[256];
 	int norders;
 	int rented, returned;
+	double after_return, returned_at;
+	char then[256];
 	uint64_t rnd;
 	char err[512];
 	int line;
@@ -699,6 +701,8 @@
 					if (s->w[k].owned)
 						fail(s, "owned machine %s returned", c->names[i]);
 					s->returned += !s->w[k].deleted;
+					if (!s->returned_at)
+						s->returned_at = s->now;
 					if (!s->w[k].deleted)
 						s->w[k].deleted_at = s->now;
 					s->w[k].deleted = true;
@@ -1435,7 +1439,10 @@
 	who = word(&p);
 	if (!who)
 		who = "";
-	if (!strcmp(verb, "submit")) {
+	if (!strcmp(verb, "once-returned")) { /* the rest of the line so long after the first return */
+		s->after_return = atof(who);
+		snprintf(s->then, sizeof(s->then), "%s", p);
+	} else if (!strcmp(verb, "submit")) {
 		add_job(s, who, full, s->now);
 	} else if (!strcmp(verb, "ask")) { /* for a job that nobody submitted */
 		add_job(s, who, full, -1);
@@ -1601,14 +1608,21 @@
 
 		while (next < s->norders && s->orders[next].at <= s->now + 1e-9)
 			act(s, &s->orders[next++]);
-		for (int i = 0; i < s->nholds; i++)
-			if (s->holds[i].live && s->now >= s->state_down &&
-			    s->now > s->holds[i].until + 0.05)
-				hold_end(s, &s->holds[i]);
 		if (s->was_down && s->now >= s->state_down)
 			for (int i = 0; i < s->nholds; i++)
 				if (s->holds[i].live)
 					s->holds[i].until = s->now + s->holds[i].ttl;
+		if (s->then[0] && s->returned_at > 0 && s->now >= s->returned_at + s->after_return) {
+			struct sim_order o = {.at = s->now};
+
+			snprintf(o.text, sizeof(o.text), "%s", s->then);
+			s->then[0] = 0;
+			act(s, &o);
+		}
+		for (int i = 0; i < s->nholds; i++)
+			if (s->holds[i].live && s->now >= s->state_down &&
+			    s->now > s->holds[i].until + 0.05)
+				hold_end(s, &s->holds[i]);
 		s->was_down = s->now < s->state_down;
 		for (struct sim_late **l = &s->late, *x; (x = *l);) {
 			if (x->at > s->now) {
