--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -194,7 +194,8 @@
 {
 	struct ws_job *j = s->job;
 
-	if (strcmp(m->strike_job, s->job_id)) {
+	/* a job that completed tasks elsewhere is sound: then its failures speak against the machine */
+	if (strcmp(m->strike_job, s->job_id) || (j && j->ndone > 0)) {
 		m->strikes++;
 		snprintf(m->strike_job, sizeof(m->strike_job), "%s", s->job_id);
 	}
@@ -202,7 +203,7 @@
 		double t = c->set->lease_s * (1 << (m->strikes < 6 ? m->strikes - 1 : 5));
 
 		m->quarantine_until = c->now + t;
-		ws_log(c, WS_LOG_INFO, "machine %s: %d jobs failed in a row, left out for %.0f s",
+		ws_log(c, WS_LOG_INFO, "machine %s: %d failures in a row, left out for %.0f s",
 		       m->name, m->strikes, t);
 	}
 	if (!j)
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -58,6 +58,7 @@
 	bool size_due, size_stop, sizer_runs;
 };
 
+#define WS_POLL_WAIT_S 2 /* the protocol: a user waits so long for the answer to a poll */
 #define WS_PEER_TOKEN (1ULL << 63)
 
 static void ws_drain(struct ws_service *v);
@@ -152,8 +153,8 @@
 	f.path = p->path;
 	f.body.data = (uint8_t *)p->body;
 	f.body.len = p->len;
-	/* within what the asker waits: 4 s for workers, 2 s for polls, 5 s for submissions */
-	if (!ws_peers_send(v->peers, node, &f, p->kind == WS_ASK_REPORT ? 3 : get ? 1 : 2.5,
+	/* within what the asker waits: 4 s for workers, 5 s for submissions */
+	if (!ws_peers_send(v->peers, node, &f, p->kind == WS_ASK_REPORT ? 3 : get ? WS_POLL_WAIT_S * 0.4 : 2.5,
 			   ws_relayed, x)) {
 		free(x);
 		ws_reply_plain(v, token, 503);
@@ -260,6 +261,9 @@
 		to = v->watch;
 		timeout = call->ms / 1000.0 + 1;
 		break;
+	case WS_CALL_GET:
+		timeout = fmin(timeout, WS_POLL_WAIT_S * 0.4); /* a peer is asked after it */
+		break;
 	case WS_CALL_HOLD_EXTEND:
 		timeout = ttl / 3;
 		break;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -106,7 +106,7 @@
 	int crash_skip;
 	struct sim_order orders[256];
 	int norders;
-	int rented, returned;
+	int rented, returned, failures;
 	double after_return, returned_at;
 	char then[256];
 	uint64_t rnd;
@@ -536,6 +536,7 @@
 			if (w->failing || j->bad) {
 				t->state = WS_TASK_EXITED;
 				t->why = WS_WHY_ERROR;
+				s->failures++;
 				worker_changed(w, s->now);
 			} else if (!j->spec.service && t->left <= 0) {
 				t->state = WS_TASK_EXITED;
@@ -1384,15 +1385,15 @@
 		if (!j || j->status != atoi(b))
 			fail(s, "%s was answered %d", a, j ? j->status : 0);
 	} else if (!strcmp(what, "running") || !strcmp(what, "rented") || !strcmp(what, "held") ||
-		   !strcmp(what, "finishes")) {
+		   !strcmp(what, "finishes") || !strcmp(what, "failures")) {
 		const char *op = a, *num = b;
 
 		if (!strcmp(what, "running") || !strcmp(what, "finishes")) {
 			op = b;
 			num = c;
 			n = !strcmp(what, "running") ? running(s, a) : j ? j->finishes : 0;
-		} else if (!strcmp(what, "rented")) {
-			n = s->rented;
+		} else if (!strcmp(what, "rented") || !strcmp(what, "failures")) {
+			n = !strcmp(what, "rented") ? s->rented : s->failures;
 		} else {
 			for (int i = 0; i < s->nw; i++)
 				n += !s->w[i].owned && !s->w[i].deleted;
