Replicas also move where the image must be fetched, if that is quick

Ruled out: spread; the replicas were single. Changed: a fetch of up to two report periods is accepted for a move.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -298,9 +298,17 @@
 /* The protocol counts a start only if the task is not stopped by command for this long. */
 #define WS_START_COUNTS_S 30
 
+/* A replica is down while its new machine fetches the image: two report periods at most. */
+static bool ws_moves_fast(const struct ws_core *c, const struct ws_machine *to,
+			  const struct ws_job *j)
+{
+	return ws_cached(to, j->spec.image) ||
+	       j->spec.image_gb <= to->type->fetch_gb_s * 2 * c->set->report_s;
+}
+
 /*
  * With nothing waiting, a rental that holds replicas alone is emptied onto owned machines with
- * room and image, a replica at a time: the rental would be paid for as long as the service runs.
+ * room, a replica at a time: the rental would be paid for as long as the service runs.
  */
 static void ws_consolidate(struct ws_core *c, struct ws_machine **ms, size_t n)
 {
@@ -333,7 +341,7 @@
 				if (ws_kind_ok(s->job, ms[k]) && ws_room(s->job, ms[k]) &&
 				    ws_virt_room(s->job, ms[k]) &&
 				    ws_zone_ok(s->job, ms[k]->zone, z, nz) &&
-				    ws_cached(ms[k], s->job->spec.image))
+				    ws_moves_fast(c, ms[k], s->job))
 					break;
 			all = k < n && ms[k]->owned;
 			if (all)
