--- a/src/config.c
+++ b/src/config.c
@@ -178,9 +178,10 @@
 {
 	struct ws_reader r = {.file = path, .err = err, .n = n, .ok = true};
 	static const char *const known[] = {
-		"delta",	 "rentals_max",	  "wait_max_s",	     "latency_bound_s",
-		"rental_ceiling", "waiting_loads", "empty_wait_s",    "sizing_period_s",
-		"leader_ttl_ratio", "silent_ratio", "boot_patience"};
+	    "delta",	       "rentals_max",	  "wait_max_s",
+	    "latency_bound_s", "rental_ceiling",  "waiting_loads",
+	    "empty_wait_s",    "sizing_period_s", "leader_ttl_ratio",
+	    "silent_ratio",    "boot_patience"};
 	const char *key;
 	double v;
 
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -5,17 +5,17 @@
 void ws_policy_defaults(struct ws_policy *p)
 {
 	*p = (struct ws_policy){
-		.delta = 1.0,
-		.rentals_max = -1,
-		.wait_max_s = -1,
-		.latency_bound_s = -1,
-		.rental_ceiling = -1,
-		.waiting_loads = -1,
-		.empty_wait_s = 10,
-		.sizing_period_s = 30,
-		.leader_ttl_ratio = 1.0 / 12,
-		.silent_ratio = 0.5,
-		.boot_patience = 2.5,
+	    .delta = 1.0,
+	    .rentals_max = -1,
+	    .wait_max_s = -1,
+	    .latency_bound_s = -1,
+	    .rental_ceiling = -1,
+	    .waiting_loads = -1,
+	    .empty_wait_s = 10,
+	    .sizing_period_s = 30,
+	    .leader_ttl_ratio = 1.0 / 12,
+	    .silent_ratio = 0.5,
+	    .boot_patience = 2.5,
 	};
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -47,8 +47,15 @@
 };
 
 enum ws_task_state { WS_TASK_FETCHING, WS_TASK_RUNNING, WS_TASK_SAVING, WS_TASK_EXITED };
-enum ws_why { WS_WHY_NONE, WS_WHY_DONE, WS_WHY_STOPPED, WS_WHY_ERROR, WS_WHY_FULL, WS_WHY_BUSY,
-	      WS_WHY_UNKNOWN };
+enum ws_why {
+	WS_WHY_NONE,
+	WS_WHY_DONE,
+	WS_WHY_STOPPED,
+	WS_WHY_ERROR,
+	WS_WHY_FULL,
+	WS_WHY_BUSY,
+	WS_WHY_UNKNOWN
+};
 
 struct ws_task_report {
 	char job[WS_ID_MAX];
@@ -148,10 +155,10 @@
 
 struct ws_call {
 	enum ws_call_kind kind;
-	char key[WS_KEY_MAX];   /* GET key; LIST and WATCH prefix; RENT booking; TESTIFY peer */
+	char key[WS_KEY_MAX];	/* GET key; LIST and WATCH prefix; RENT booking; TESTIFY peer */
 	char after[WS_KEY_MAX]; /* LIST and HOSTS: start behind this one */
-	uint64_t since;         /* WATCH */
-	uint32_t ms;            /* WATCH and holds */
+	uint64_t since;		/* WATCH */
+	uint32_t ms;		/* WATCH and holds */
 	uint64_t hold;
 	struct ws_cond *conds;
 	size_t nconds;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -146,8 +146,8 @@
 static bool ws_slot_runnable(const struct ws_core *c, const struct ws_slot *s)
 {
 	return s->state == WS_SLOT_WRITTEN && !s->stop && !s->seen && !s->orphan &&
-	       s->tenure == s->machine->tenure && !c->in_outage && s->job &&
-	       !ws_job_over(s->job) && !s->machine->returning;
+	       s->tenure == s->machine->tenure && !c->in_outage && s->job && !ws_job_over(s->job) &&
+	       !s->machine->returning;
 }
 
 void ws_slot_stop(struct ws_core *c, struct ws_slot *s, double grace, const char *why)
@@ -194,7 +194,8 @@
 {
 	struct ws_job *j = s->job;
 
-	/* a job that completed tasks elsewhere is sound: then its failures speak against the machine */
+	/* a job that completed tasks elsewhere is sound: then its failures speak against the
+	 * machine */
 	if (strcmp(m->strike_job, s->job_id) || (j && j->ndone > 0)) {
 		m->strikes++;
 		snprintf(m->strike_job, sizeof(m->strike_job), "%s", s->job_id);
@@ -246,14 +247,13 @@
 	case WS_WHY_FULL:
 	case WS_WHY_BUSY:
 	case WS_WHY_UNKNOWN:
-		ws_log(c, WS_LOG_INFO, "machine %s refused %s/%u (%d)", m->name, s->job_id,
-		       s->task, s->why);
+		ws_log(c, WS_LOG_INFO, "machine %s refused %s/%u (%d)", m->name, s->job_id, s->task,
+		       s->why);
 		m->refused_until = c->now + c->set->report_s;
 		if (j && s->why == WS_WHY_UNKNOWN)
 			j->not_before = c->now + c->set->report_s;
 		break;
-	default:
-		break;
+	default: break;
 	}
 	ws_slot_release(c, s);
 }
@@ -590,11 +590,11 @@
 {
 	struct ws_tomb *t, *n;
 
-	HASH_ITER(hh, c->tombs, t, n)
-	if (all || c->now >= t->until) {
-		HASH_DEL(c->tombs, t);
-		free(t);
-	}
+	HASH_ITER (hh, c->tombs, t, n)
+		if (all || c->now >= t->until) {
+			HASH_DEL(c->tombs, t);
+			free(t);
+		}
 }
 
 void ws_machine_forget(struct ws_core *c, struct ws_machine *m)
@@ -638,7 +638,8 @@
 		snprintf(m->zone, sizeof(m->zone), "%s", h->zone);
 		m->spot = h->spot;
 	}
-	if (h->phase == WS_HOST_FAILED && !m->failed && !m->gone && c->now > m->heard + c->set->report_s) {
+	if (h->phase == WS_HOST_FAILED && !m->failed && !m->gone &&
+	    c->now > m->heard + c->set->report_s) {
 		m->failed = true;
 		ws_log(c, WS_LOG_INFO, "machine %s failed, says the cloud", m->name);
 		ws_machine_clear(c, m);
@@ -650,8 +651,7 @@
 	struct ws_machine *m, *t;
 
 	ws_tombs_clear(c, false);
-	HASH_ITER(hh, c->machines, m, t)
-	{
+	HASH_ITER (hh, c->machines, m, t) {
 		if (m->nslots && c->now > m->alive_until && m->tenure) {
 			ws_log(c, WS_LOG_INFO, "machine %s: its lease has surely run out", m->name);
 			ws_machine_clear(c, m);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -20,25 +20,25 @@
 
 struct ws_task {
 	struct ws_slot *slot; /* its newest attempt that may be alive */
-	uint16_t slots;       /* how many attempts may be alive, orphans included */
+	uint16_t slots;	      /* how many attempts may be alive, orphans included */
 	uint8_t fails;
 	bool done, saved; /* completed; and so recorded in the state service */
-	bool writing;     /* its completion is in the record being written */
+	bool writing;	  /* its completion is in the record being written */
 };
 
 struct ws_job {
 	struct ws_spec spec;
 	enum ws_phase phase;   /* as last read or written */
-	uint64_t stamp;        /* of its key */
+	uint64_t stamp;	       /* of its key */
 	double submitted_wall; /* time of day, for deadlines and order */
 	struct ws_task *tasks;
 	uint32_t ndone, nsaved, nslots;
 	bool dirty, writing, stale; /* stale: our stamp lost a race, wait for the watch */
-	bool started;               /* recorded as running */
+	bool started;		    /* recorded as running */
 	bool known_running;
 	double not_before; /* back-off after failures */
 	uint32_t errors;   /* failures on machines that otherwise work */
-	bool prompt; /* its class has a start aim */
+	bool prompt;	   /* its class has a start aim */
 	double wait_logged;
 	bool guaranteed; /* fits its team's guarantee with the team's earlier jobs */
 	struct ws_job *dirty_next;
@@ -58,12 +58,12 @@
 	uint32_t task;
 	uint64_t attempt, tenure;
 	enum ws_slot_state state;
-	bool sent;   /* a run may have reached the worker, or may still */
-	bool direct; /* a run went out by a direct command */
-	bool orphan; /* reported but not in our plan */
-	bool seen;   /* the worker has reported it */
-	bool stop;   /* is to end */
-	bool writing;          /* is in the plan being written */
+	bool sent;	       /* a run may have reached the worker, or may still */
+	bool direct;	       /* a run went out by a direct command */
+	bool orphan;	       /* reported but not in our plan */
+	bool seen;	       /* the worker has reported it */
+	bool stop;	       /* is to end */
+	bool writing;	       /* is in the plan being written */
 	enum ws_task_state at; /* as reported */
 	enum ws_why why;
 	double grace, planned_at, running_at, stop_at;
@@ -81,19 +81,19 @@
 	bool spot, owned;
 	bool listed, reported, failed, gone;
 	uint64_t list_pass; /* the last list that named it */
-	bool returning;       /* asked for its return; never used again */
+	bool returning;	    /* asked for its return; never used again */
 	bool return_inflight;
 	double return_next;
 	uint64_t tenure, counter, epoch; /* of the newest report */
-	double heard;   /* when the newest report came in */
+	double heard;			 /* when the newest report came in */
 	double alive_until; /* its tasks may live until then, as far as answers given tell */
 	double first_seen, up_at;
 	double notice_until; /* the cloud takes it then; 0: no notice */
 	bool noticed;
 	double empty_since;
 	uint64_t fence; /* a direct command of this epoch may yet arrive; 0: none */
-	int commands;   /* direct commands on their way */
-	int strikes;    /* failures in a row, of different jobs */
+	int commands;	/* direct commands on their way */
+	int strikes;	/* failures in a row, of different jobs */
 	char strike_job[WS_ID_MAX];
 	double quarantine_until;
 	double refused_until;
@@ -109,8 +109,13 @@
 	UT_hash_handle hh;
 };
 
-enum ws_rental_state { WS_RENTAL_NEW, WS_RENTAL_RECORDED, WS_RENTAL_ASKING, WS_RENTAL_GOT,
-		       WS_RENTAL_DROP };
+enum ws_rental_state {
+	WS_RENTAL_NEW,
+	WS_RENTAL_RECORDED,
+	WS_RENTAL_ASKING,
+	WS_RENTAL_GOT,
+	WS_RENTAL_DROP
+};
 #define WS_RENT_HOSTS 50
 
 struct ws_rental {
@@ -215,7 +220,7 @@
 	char hosts_after[WS_KEY_MAX];
 	struct ws_refusal refusals[64];
 	int nrefusals;
-	int loads; /* waiting machine-loads at the last pass */
+	int loads;	       /* waiting machine-loads at the last pass */
 	struct ws_lack *lacks; /* of the pass under way */
 	size_t nlacks, lacks_cap;
 	uint64_t list_pass;
@@ -229,7 +234,7 @@
 };
 
 void ws_log(struct ws_core *c, enum ws_log_level level, const char *fmt, ...)
-	__attribute__((format(printf, 3, 4)));
+    __attribute__((format(printf, 3, 4)));
 struct ws_action *ws_act(struct ws_core *c, enum ws_action_kind kind);
 struct ws_call *ws_call(struct ws_core *c, enum ws_call_kind kind, ws_done_fn done);
 void ws_call_free(struct ws_call *call);
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -36,10 +36,10 @@
 {
 	struct ws_machine *m, *t;
 
-	HASH_ITER(hh, c->machines, m, t)
-	for (struct ws_slot *s = m->slots; s; s = s->next)
-		if (s->job == j)
-			s->job = NULL;
+	HASH_ITER (hh, c->machines, m, t)
+		for (struct ws_slot *s = m->slots; s; s = s->next)
+			if (s->job == j)
+				s->job = NULL;
 	if (j->dirty) {
 		struct ws_job **p = &c->dirty_jobs;
 
@@ -87,8 +87,7 @@
 	j->phase = WS_CANCELLED;
 	ws_log(c, WS_LOG_INFO, "job %s cancelled by its user, %u tasks to stop", j->spec.id,
 	       j->nslots);
-	HASH_ITER(hh, c->machines, m, t)
-	{
+	HASH_ITER (hh, c->machines, m, t) {
 		bool any = false;
 
 		for (struct ws_slot *s = m->slots, *n; s; s = n) {
@@ -135,8 +134,8 @@
 	if (!j) {
 		HASH_ADD_STR(c->jobs, spec.id, n);
 		if (c->role == WS_LEADER) {
-			ws_log(c, WS_LOG_DEBUG, "job %s known: %u tasks of %s %s", id, n->spec.tasks,
-			       n->spec.team, n->spec.job_class);
+			ws_log(c, WS_LOG_DEBUG, "job %s known: %u tasks of %s %s", id,
+			       n->spec.tasks, n->spec.team, n->spec.job_class);
 			if (n->phase == WS_CANCELLED)
 				ws_job_check_end(c, n);
 			else if (!n->spec.service)
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -90,22 +90,22 @@
 	size_t n = 0;
 	struct ws_machine *m, *t;
 
-	HASH_ITER(hh, c->machines, m, t)
-	for (struct ws_slot *s = m->slots; s; s = s->next) {
-		size_t i;
+	HASH_ITER (hh, c->machines, m, t)
+		for (struct ws_slot *s = m->slots; s; s = s->next) {
+			size_t i;
 
-		if (s->job != j || s->state == WS_SLOT_LEAVING)
-			continue;
-		for (i = 0; i < n && strcmp(z[i].zone, m->zone); i++)
-			;
-		if (i == n) {
-			if (n == WS_MAX_ZONES)
+			if (s->job != j || s->state == WS_SLOT_LEAVING)
 				continue;
-			snprintf(z[n].zone, WS_NAME_MAX, "%s", m->zone);
-			z[n++].n = 0;
+			for (i = 0; i < n && strcmp(z[i].zone, m->zone); i++)
+				;
+			if (i == n) {
+				if (n == WS_MAX_ZONES)
+					continue;
+				snprintf(z[n].zone, WS_NAME_MAX, "%s", m->zone);
+				z[n++].n = 0;
+			}
+			z[i].n++;
 		}
-		z[i].n++;
-	}
 	return n;
 }
 
@@ -161,7 +161,8 @@
 /* Attempts a plan record can hold. */
 static uint32_t ws_plan_room(const struct ws_core *c)
 {
-	return (uint32_t)((c->set->value_kb * 1024 - 320 - 36 * WS_CACHE_KEPT) / (WS_ID_MAX / 2 + 24));
+	return (uint32_t)((c->set->value_kb * 1024 - 320 - 36 * WS_CACHE_KEPT) /
+			  (WS_ID_MAX / 2 + 24));
 }
 
 static bool ws_may_preempt(const struct ws_job *j, const struct ws_slot *v)
@@ -170,7 +171,8 @@
 		return false;
 	const struct ws_job *o = v->job;
 
-	if (ws_rank(j) <= ws_rank(o) || !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
+	if (ws_rank(j) <= ws_rank(o) ||
+	    !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
 		return false;
 	return o->spec.tier < j->spec.tier ||
 	       (j->guaranteed && !o->guaranteed && strcmp(o->spec.team, j->spec.team));
@@ -186,7 +188,8 @@
 	for (int act = 0; act < 2; act++) {
 		for (size_t i = 0; i < n; i++) {
 			struct ws_machine *m = ms[i];
-			double cpus = m->virt_cpus, gpus = m->virt_gpus, mem = m->virt_mem, cost = 0;
+			double cpus = m->virt_cpus, gpus = m->virt_gpus, mem = m->virt_mem,
+			       cost = 0;
 
 			if (act && m != best)
 				continue;
@@ -202,7 +205,8 @@
 				for (struct ws_slot *s = m->slots; s; s = s->next) {
 					if (s->pass == c->pass || !ws_may_preempt(j, s))
 						continue;
-					double lost = (c->now - s->planned_at + 1) * s->job->spec.cpus;
+					double lost =
+					    (c->now - s->planned_at + 1) * s->job->spec.cpus;
 					lost *= s->job->guaranteed ? 4 : 1;
 					if (!v || lost < least) {
 						v = s;
@@ -265,7 +269,8 @@
 			keep[i][2] = ms[i]->virt_mem;
 		}
 		for (size_t i = 0; i < n && placed < waiting; i++) {
-			double used = ms[i]->used_cpus, gpus = ms[i]->used_gpus, mem = ms[i]->used_mem;
+			double used = ms[i]->used_cpus, gpus = ms[i]->used_gpus,
+			       mem = ms[i]->used_mem;
 
 			if (!ws_kind_ok(j, ms[i]) || !ws_zone_ok(j, ms[i]->zone, z, nz) ||
 			    (j->spec.one_zone && strcmp(ms[i]->zone, c->set->zones[r])))
@@ -350,7 +355,8 @@
 		}
 		if (!all || !first)
 			continue;
-		ws_slot_stop(c, first, first->job->spec.save_s, "moved so that its rental can go back");
+		ws_slot_stop(c, first, first->job->spec.save_s,
+			     "moved so that its rental can go back");
 		ws_fleet_push(c, m);
 		return;
 	}
@@ -377,9 +383,9 @@
 		abort();
 	c->place_wanted = false;
 	c->place_next = c->now + 1 / c->set->state_write_rps;
-	HASH_ITER(hh, c->jobs, j, jt)
-	if (!ws_job_over(j))
-		all[n++] = j;
+	HASH_ITER (hh, c->jobs, j, jt)
+		if (!ws_job_over(j))
+			all[n++] = j;
 	ws_mark_guaranteed(c, all, n);
 	for (size_t i = 0; i < n; i++) {
 		uint32_t waiting = 0;
@@ -391,8 +397,7 @@
 			wants[nw++] = (struct ws_want){j, waiting};
 	}
 	qsort(wants, nw, sizeof(*wants), ws_want_cmp);
-	HASH_ITER(hh, c->machines, m, mt)
-	{
+	HASH_ITER (hh, c->machines, m, mt) {
 		if (!m->type)
 			m->type = ws_type_find(c, m->type_name);
 		if (!ws_machine_usable(c, m))
@@ -456,7 +461,8 @@
 					continue;
 				bool here = ws_cached(m, j->spec.image);
 
-				if (!to || (here && !cached && (prompt > 0 || m->owned == to->owned))) {
+				if (!to ||
+				    (here && !cached && (prompt > 0 || m->owned == to->owned))) {
 					to = m;
 					cached = here;
 				}
@@ -477,7 +483,7 @@
 					c->attempt_seq++;
 				s = ws_slot_add(c, to, j->spec.id, t,
 						((c->epoch >> WS_EPOCH_SHIFT) << 24) +
-							c->attempt_seq);
+						    c->attempt_seq);
 				ws_virt_take(j, to);
 				ws_machine_dirty(c, to);
 				nz = ws_siblings(c, j, z);
@@ -494,7 +500,8 @@
 				ws_virt_take(j, to);
 				continue;
 			}
-			if (preempt && (preempt = ws_preempt(c, j, ms, nu, z, nz, j->prompt && !j->guaranteed)))
+			if (preempt && (preempt = ws_preempt(c, j, ms, nu, z, nz,
+							     j->prompt && !j->guaranteed)))
 				continue;
 			lack++;
 		}
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -23,19 +23,20 @@
 
 json_t *ws_record_spec(const struct ws_spec *s, enum ws_phase phase, double wall)
 {
-	json_t *v = json_pack("{s:s,s:f,s:s,s:s,s:b,s:i,s:I,s:f,s:f,s:f,s:s,s:f}", "ph",
-			      phases[phase], "at", wall, "cl", s->job_class, "tm", s->team, "sv",
-			      s->service, "ti", (int)s->tier, "n", (json_int_t)s->tasks, "c",
-			      s->cpus, "g", s->gpus, "m", s->mem, "im", s->image, "gb",
-			      s->image_gb);
+	json_t *v =
+	    json_pack("{s:s,s:f,s:s,s:s,s:b,s:i,s:I,s:f,s:f,s:f,s:s,s:f}", "ph", phases[phase],
+		      "at", wall, "cl", s->job_class, "tm", s->team, "sv", s->service, "ti",
+		      (int)s->tier, "n", (json_int_t)s->tasks, "c", s->cpus, "g", s->gpus, "m",
+		      s->mem, "im", s->image, "gb", s->image_gb);
 	json_t *types = json_array();
 
 	for (size_t i = 0; i < s->ntypes; i++)
 		json_array_append_new(types, json_string(s->types[i]));
 	json_object_set_new(v, "ty", types);
 	json_object_set_new(v, "z", json_string(s->zone));
-	json_object_set_new(v, "fl", json_integer((s->one_zone ? 1 : 0) | (s->spread ? 2 : 0) |
-						  (s->spot ? 4 : 0) | (s->gang ? 8 : 0)));
+	json_object_set_new(v, "fl",
+			    json_integer((s->one_zone ? 1 : 0) | (s->spread ? 2 : 0) |
+					 (s->spot ? 4 : 0) | (s->gang ? 8 : 0)));
 	json_object_set_new(v, "e", json_real(s->estimate_s));
 	json_object_set_new(v, "ck", json_real(s->checkpoint_s));
 	json_object_set_new(v, "sa", json_real(s->save_s));
@@ -103,12 +104,13 @@
 
 	if (!j)
 		return NULL;
-	if (json_unpack(v, "{s:s,s:F,s:s,s:s,s:b,s:i,s:I,s:F,s:F,s:F,s:s,s:F,s:o,s:s,s:i,s:F,s:F,"
-			   "s:F,s:F,s?s}",
+	if (json_unpack(v,
+			"{s:s,s:F,s:s,s:s,s:b,s:i,s:I,s:F,s:F,s:F,s:s,s:F,s:o,s:s,s:i,s:F,s:F,"
+			"s:F,s:F,s?s}",
 			"ph", &ph, "at", &j->submitted_wall, "cl", &cl, "tm", &tm, "sv", &sv, "ti",
-			&tier, "n", &n, "c", &s->cpus, "g", &s->gpus, "m", &s->mem, "im", &im,
-			"gb", &s->image_gb, "ty", &types, "z", &z, "fl", &fl, "e", &s->estimate_s,
-			"ck", &s->checkpoint_s, "sa", &s->save_s, "dl", &s->deadline_s, "d", &d) ||
+			&tier, "n", &n, "c", &s->cpus, "g", &s->gpus, "m", &s->mem, "im", &im, "gb",
+			&s->image_gb, "ty", &types, "z", &z, "fl", &fl, "e", &s->estimate_s, "ck",
+			&s->checkpoint_s, "sa", &s->save_s, "dl", &s->deadline_s, "d", &d) ||
 	    !ws_phase_read(ph, &j->phase) || n < 1 || n > WS_MAX_SHARDS || tier < 0 || tier > 3 ||
 	    !json_is_array(types) || json_array_size(types) > WS_MAX_ALLOWED ||
 	    !(j->tasks = calloc((size_t)n, sizeof(*j->tasks)))) {
@@ -182,9 +184,9 @@
 
 	for (const struct ws_slot *s = m->slots; s; s = s->next)
 		if (s->state != WS_SLOT_LEAVING && !s->orphan)
-			json_array_append_new(a, json_pack("[s,I,I]", s->job_id,
-							   (json_int_t)s->task,
-							   (json_int_t)s->attempt));
+			json_array_append_new(a,
+					      json_pack("[s,I,I]", s->job_id, (json_int_t)s->task,
+							(json_int_t)s->attempt));
 	json_t *im = json_array();
 
 	/* images it has, newest first, so that a new leader places as well as the last one */
@@ -210,8 +212,7 @@
 		return false;
 	ws_copy(m->host, sizeof(m->host), ip);
 	m->port = port;
-	json_array_foreach(im, i, e)
-	{
+	json_array_foreach (im, i, e) {
 		if (json_is_string(e) && m->ncache < WS_CACHE_KEPT)
 			ws_copy(m->cache[m->ncache++], WS_NAME_MAX, json_string_value(e));
 	}
@@ -220,8 +221,7 @@
 	ws_copy(m->type_name, sizeof(m->type_name), ty);
 	ws_copy(m->zone, sizeof(m->zone), z);
 	m->spot = sp;
-	json_array_foreach(a, i, e)
-	{
+	json_array_foreach (a, i, e) {
 		const char *id;
 		json_int_t task, attempt;
 		struct ws_slot *s;
@@ -299,10 +299,10 @@
 		json_t *z = json_array();
 		for (size_t k = 0; k < t[i].nzones; k++)
 			json_array_append_new(z, json_string(t[i].zones[k]));
-		json_array_append_new(a, json_pack("[s,f,f,f,f,f,f,f,f,o]", t[i].name, t[i].cpus,
-						   t[i].gpus, t[i].mem, t[i].local_gb,
-						   t[i].fetch_gb_s, t[i].price, t[i].spot_price,
-						   t[i].boot_s, z));
+		json_array_append_new(a,
+				      json_pack("[s,f,f,f,f,f,f,f,f,o]", t[i].name, t[i].cpus,
+						t[i].gpus, t[i].mem, t[i].local_gb, t[i].fetch_gb_s,
+						t[i].price, t[i].spot_price, t[i].boot_s, z));
 	}
 	return a;
 }
@@ -312,8 +312,7 @@
 	size_t n = 0, i;
 	json_t *e;
 
-	json_array_foreach(v, i, e)
-	{
+	json_array_foreach (v, i, e) {
 		const char *name;
 		json_t *z;
 		struct ws_type *x = &t[n];
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -35,8 +35,7 @@
 	if (why && c->role != WS_FOLLOWER)
 		ws_log(c, WS_LOG_INFO, "no longer leading: %s", why);
 	c->generation++;
-	HASH_ITER(hh, c->machines, m, mt)
-	{
+	HASH_ITER (hh, c->machines, m, mt) {
 		m->nslots = 0;
 		for (struct ws_slot *s; (s = m->slots);) {
 			m->slots = s->next;
@@ -45,14 +44,12 @@
 		HASH_DEL(c->machines, m);
 		free(m);
 	}
-	HASH_ITER(hh, c->jobs, j, jt)
-	{
+	HASH_ITER (hh, c->jobs, j, jt) {
 		HASH_DEL(c->jobs, j);
 		free(j->tasks);
 		free(j);
 	}
-	HASH_ITER(hh, c->rentals, r, rt)
-	{
+	HASH_ITER (hh, c->rentals, r, rt) {
 		HASH_DEL(c->rentals, r);
 		free(r->hosts);
 		free(r);
@@ -148,7 +145,8 @@
 	if (call->generation != c->generation || c->role != WS_ASKING)
 		return;
 	if (r->status != 200) {
-		/* lost, or unknown: the hold is given up, so that a late write of ours ends with it */
+		/* lost, or unknown: the hold is given up, so that a late write of ours ends with it
+		 */
 		ws_lead_end(c, "the election was lost");
 		ws_follow(c, r->status == 409 ? 0 : c->ttl / 4);
 		return;
@@ -269,9 +267,10 @@
  * service may be refusing us alone while another node takes over.
  *
  * A leader whose peers did not all say so in time pauses: it answers nobody, but keeps what it
- * knows. If all say so again before a lease has passed since its hold's end, it goes on. Had another
- * been elected in between, that one could not yet have moved anything for want of an answer, and
- * workers that heard from it drop what we say; had it ended since, it would say so or be silent.
+ * knows. If all say so again before a lease has passed since its hold's end, it goes on. Had
+ * another been elected in between, that one could not yet have moved anything for want of an
+ * answer, and workers that heard from it drop what we say; had it ended since, it would say so or
+ * be silent.
  */
 static void ws_testified(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
@@ -284,7 +283,8 @@
 		double until = c->ask_sent + c->ttl * (1 - WS_DRIFT);
 
 		if (c->paused)
-			ws_log(c, WS_LOG_INFO, "all peers are refused too: answering reports again");
+			ws_log(c, WS_LOG_INFO,
+			       "all peers are refused too: answering reports again");
 		if (until > c->entitled_until) {
 			c->entitled_until = until;
 			c->paused = false;
@@ -343,8 +343,7 @@
 	c->watch_rev = c->load_rev;
 	c->place_wanted = true;
 	c->watch_next = c->now;
-	HASH_ITER(hh, c->machines, m, mt)
-	{
+	HASH_ITER (hh, c->machines, m, mt) {
 		m->type = ws_type_find(c, m->type_name);
 		ws_fleet_greet(c, m);
 		for (struct ws_slot *s = m->slots; s; s = s->next)
@@ -354,8 +353,8 @@
 				 s->job->tasks[s->task].slot != s)
 				s->stop = true; /* an older attempt of a task placed anew */
 	}
-	HASH_ITER(hh, c->jobs, j, jt)
-	ws_job_check_end(c, j);
+	HASH_ITER (hh, c->jobs, j, jt)
+		ws_job_check_end(c, j);
 	ws_log(c, WS_LOG_INFO, "leading: %u jobs, %u machines with plans, %u rentals on record",
 	       HASH_COUNT(c->jobs), HASH_COUNT(c->machines), HASH_COUNT(c->rentals));
 }
@@ -494,8 +493,10 @@
 	if (c->in_outage && c->now >= c->entitled_until) {
 		if (c->role == WS_LEADER && !c->paused) {
 			c->paused = true;
-			c->pause_until = c->entitled_until + c->set->lease_s * (1 - WS_DRIFT) - c->ttl;
-			ws_log(c, WS_LOG_INFO, "paused: the state service refuses us and not surely all");
+			c->pause_until =
+			    c->entitled_until + c->set->lease_s * (1 - WS_DRIFT) - c->ttl;
+			ws_log(c, WS_LOG_INFO,
+			       "paused: the state service refuses us and not surely all");
 		}
 		if (c->role != WS_LEADER || c->now >= c->pause_until)
 			ws_lead_end(c, "the state service refuses us and not surely all");
@@ -781,8 +782,9 @@
 			c->dirty_jobs_tail = &c->dirty_jobs;
 		j->dirty = false;
 		if (j->phase == WS_CANCELLED && !over)
-			continue; /* the record says so already; due again when the last task is gone */
-		if (j->stale) { /* wait for the watch to bring its stamp */
+			continue; /* the record says so already; due again when the last task is
+				     gone */
+		if (j->stale) {	  /* wait for the watch to bring its stamp */
 			j->dirty = true;
 			j->dirty_next = NULL;
 			*again_tail = j;
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -29,19 +29,18 @@
 	struct ws_rental *r, *rt;
 	int n = 0, b = 0;
 
-	HASH_ITER(hh, c->machines, m, mt)
-	{
+	HASH_ITER (hh, c->machines, m, mt) {
 		if (m->owned || m->gone || m->failed || m->returning || ws_boot_late(c, m))
 			continue;
 		n++;
 		b += !m->reported;
 	}
-	HASH_ITER(hh, c->rentals, r, rt)
-	if (r->state == WS_RENTAL_NEW || r->state == WS_RENTAL_RECORDED ||
-	    r->state == WS_RENTAL_ASKING) {
-		n += (int)r->count;
-		b += (int)r->count;
-	}
+	HASH_ITER (hh, c->rentals, r, rt)
+		if (r->state == WS_RENTAL_NEW || r->state == WS_RENTAL_RECORDED ||
+		    r->state == WS_RENTAL_ASKING) {
+			n += (int)r->count;
+			b += (int)r->count;
+		}
 	if (booting)
 		*booting = b;
 	return n;
@@ -157,13 +156,15 @@
 				    ws_refused(c, t->name, t->zones[z], spot))
 					continue;
 				for (int k = 0; k < nbins; k++)
-					same += bins[k].type == t && !strcmp(bins[k].zone, t->zones[z]);
+					same +=
+					    bins[k].type == t && !strcmp(bins[k].zone, t->zones[z]);
 				cost *= 1 + same * 1e-4; /* even zones, among equals */
 				if (found && cost >= best)
 					continue;
 				found = true;
 				best = cost;
-				*kind = (struct ws_bin){t, t->zones[z], spot, t->cpus, t->gpus, t->mem};
+				*kind =
+				    (struct ws_bin){t, t->zones[z], spot, t->cpus, t->gpus, t->mem};
 			}
 	}
 	return found;
@@ -179,19 +180,20 @@
 
 	if (!bins)
 		abort();
-	HASH_ITER(hh, c->machines, m, mt)
-	if (!m->owned && !m->gone && !m->failed && !m->returning && !m->reported && m->type &&
-	    !ws_boot_late(c, m) && n < WS_BINS)
-		bins[n++] = (struct ws_bin){m->type,	   m->zone,	  m->spot,
-					    m->type->cpus, m->type->gpus, m->type->mem};
-	HASH_ITER(hh, c->rentals, r, rt)
-	if (r->state < WS_RENTAL_GOT)
-		for (uint32_t i = 0; i < r->count && n < WS_BINS; i++) {
-			const struct ws_type *t = ws_type_find(c, r->type);
-
-			if (t)
-				bins[n++] = (struct ws_bin){t, r->zone, r->spot, t->cpus, t->gpus, t->mem};
-		}
+	HASH_ITER (hh, c->machines, m, mt)
+		if (!m->owned && !m->gone && !m->failed && !m->returning && !m->reported &&
+		    m->type && !ws_boot_late(c, m) && n < WS_BINS)
+			bins[n++] = (struct ws_bin){m->type,	   m->zone,	  m->spot,
+						    m->type->cpus, m->type->gpus, m->type->mem};
+	HASH_ITER (hh, c->rentals, r, rt)
+		if (r->state < WS_RENTAL_GOT)
+			for (uint32_t i = 0; i < r->count && n < WS_BINS; i++) {
+				const struct ws_type *t = ws_type_find(c, r->type);
+
+				if (t)
+					bins[n++] = (struct ws_bin){t,	     r->zone, r->spot,
+								    t->cpus, t->gpus, t->mem};
+			}
 	old = n;
 	for (size_t i = 0; i < c->nlacks; i++) {
 		struct ws_lack *l = &c->lacks[i];
@@ -249,10 +251,11 @@
 		ws_rental_dirty(c, x);
 		c->rent_inflight = true;
 		c->cloud_next = c->now + 1;
-		ws_log(c, WS_LOG_INFO,
-		       "rent %u x %s in %s%s (%s): %d loads wait, %d rentals held, %d booting, k %d",
-		       count, x->type, x->zone, x->spot ? ", spot" : "", x->booking, c->loads,
-		       ws_rentals_held(c, NULL) - (int)count, booting, c->k);
+		ws_log(
+		    c, WS_LOG_INFO,
+		    "rent %u x %s in %s%s (%s): %d loads wait, %d rentals held, %d booting, k %d",
+		    count, x->type, x->zone, x->spot ? ", spot" : "", x->booking, c->loads,
+		    ws_rentals_held(c, NULL) - (int)count, booting, c->k);
 	}
 	free(bins);
 }
@@ -319,8 +322,8 @@
 		ws_rental_dirty(c, r);
 	} else if (res->status == 503 && res->no_capacity) {
 		/* "no capacity": a plain no; the booking is done with */
-		ws_log(c, WS_LOG_INFO, "booking %s: no capacity for %s in %s%s", r->booking, r->type,
-		       r->zone, r->spot ? ", spot" : "");
+		ws_log(c, WS_LOG_INFO, "booking %s: no capacity for %s in %s%s", r->booking,
+		       r->type, r->zone, r->spot ? ", spot" : "");
 		ws_refuse(c, r, true);
 		r->state = WS_RENTAL_DROP;
 		ws_rental_dirty(c, r);
@@ -400,19 +403,21 @@
 			m->list_pass = c->list_pass;
 	}
 	if (r->more && r->nhosts) {
-		snprintf(c->hosts_after, sizeof(c->hosts_after), "%s", r->hosts[r->nhosts - 1].name);
+		snprintf(c->hosts_after, sizeof(c->hosts_after), "%s",
+			 r->hosts[r->nhosts - 1].name);
 		c->hosts_next = c->now;
 		return;
 	}
 	c->hosts_after[0] = 0;
-	HASH_ITER(hh, c->machines, m, mt)
-	if (!m->owned && m->listed && m->list_pass != c->list_pass && !m->returning &&
-	    c->now - m->heard > 2 * c->set->report_s &&
-	    c->now - c->elected_at > 2 * c->set->report_s && c->owned_known) {
-		/* listed once, listed no more, and silent: have the cloud confirm that it is gone */
-		ws_log(c, WS_LOG_INFO, "machine %s is no longer listed", m->name);
-		m->returning = true;
-	}
+	HASH_ITER (hh, c->machines, m, mt)
+		if (!m->owned && m->listed && m->list_pass != c->list_pass && !m->returning &&
+		    c->now - m->heard > 2 * c->set->report_s &&
+		    c->now - c->elected_at > 2 * c->set->report_s && c->owned_known) {
+			/* listed once, listed no more, and silent: have the cloud confirm that it
+			 * is gone */
+			ws_log(c, WS_LOG_INFO, "machine %s is no longer listed", m->name);
+			m->returning = true;
+		}
 }
 
 static void ws_give_back(struct ws_core *c, struct ws_machine *m, const char *why)
@@ -428,13 +433,12 @@
 	size_t up = 0, heard = 0;
 	struct ws_call *call = NULL;
 
-	HASH_ITER(hh, c->machines, m, mt)
-	if (m->reported && !m->gone && !m->failed) {
-		up++;
-		heard += c->now - m->heard < 3 * c->set->report_s;
-	}
-	HASH_ITER(hh, c->machines, m, mt)
-	{
+	HASH_ITER (hh, c->machines, m, mt)
+		if (m->reported && !m->gone && !m->failed) {
+			up++;
+			heard += c->now - m->heard < 3 * c->set->report_s;
+		}
+	HASH_ITER (hh, c->machines, m, mt) {
 		double base = fmax(m->heard, c->elected_at);
 
 		if (m->owned || m->gone || m->returning)
@@ -446,8 +450,9 @@
 		else if (m->noticed && c->now > m->notice_until &&
 			 c->now - m->heard > 1.5 * c->set->report_s && heard * 2 >= up)
 			ws_give_back(c, m, "taken after its notice"); /* to have it confirmed */
-		else if ((m->reported || m->plan_stamp) && c->set->lease_s * c->pol.silent_ratio < c->now - base &&
-			 heard * 2 >= up && up)
+		else if ((m->reported || m->plan_stamp) &&
+			 c->set->lease_s * c->pol.silent_ratio < c->now - base && heard * 2 >= up &&
+			 up)
 			ws_give_back(c, m, "silent");
 		else if (m->reported && !m->nslots && !m->noticed &&
 			 c->now - m->empty_since > c->pol.empty_wait_s &&
@@ -458,8 +463,7 @@
 	}
 	if (c->now < c->cloud_next)
 		return;
-	HASH_ITER(hh, c->machines, m, mt)
-	{
+	HASH_ITER (hh, c->machines, m, mt) {
 		if (!m->returning || m->gone || m->return_inflight || m->owned ||
 		    c->now < m->return_next || m->dirty || m->writing)
 			continue;
@@ -495,8 +499,7 @@
 	if (!ws_entitled(c) || c->in_outage)
 		return;
 	if (c->owned_known) { /* else rentals could not be told from what was here before */
-		HASH_ITER(hh, c->rentals, r, rt)
-		{
+		HASH_ITER (hh, c->rentals, r, rt) {
 			if (r->state == WS_RENTAL_RECORDED && !r->dirty && !r->writing &&
 			    c->now >= r->next_try && c->now >= c->cloud_next - 1) {
 				struct ws_call *call = ws_call(c, WS_CALL_RENT, ws_rent_done);
@@ -559,8 +562,7 @@
 		size += c->types[i].cpus / (double)c->ntypes;
 		boot += c->types[i].boot_s / (double)c->ntypes;
 	}
-	HASH_ITER(hh, c->machines, x, xt)
-	{
+	HASH_ITER (hh, c->machines, x, xt) {
 		if (x->owned && x->reported && c->now - x->heard < 3 * c->set->report_s)
 			owned++;
 		for (struct ws_slot *s = x->slots; s; s = s->next)
@@ -581,8 +583,8 @@
 			bound = (int)i;
 	m->bound_s = c->pol.latency_bound_s > 0 ? c->pol.latency_bound_s
 		     : bound >= 0 && c->set->objectives[bound].within_s > 0
-			     ? c->set->objectives[bound].within_s
-			     : c->set->lease_s / 4;
+			 ? c->set->objectives[bound].within_s
+			 : c->set->lease_s / 4;
 	m->wait_max_s = c->pol.wait_max_s > 0 ? c->pol.wait_max_s : 2 * m->bound_s;
 	c->work_arrived = c->work_done = c->busy_time = 0;
 	c->measured_at = now;
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -308,11 +308,11 @@
 	    !ws_record_read_phase(r->kvs[0].value, &phase, &done, &running)) {
 		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed,
 			  r->status == 200 ? 500 : r->status);
-			return;
+		return;
 	}
 	if (phase == WS_DONE || phase == WS_CANCELLED) {
 		ws_answer(c, call->ctx_n, 200, call->ctx_name, phase);
-			return;
+		return;
 	}
 	w = ws_call(c, WS_CALL_TXN, ws_abort_written);
 	w->ctx = ask;
@@ -391,24 +391,22 @@
 {
 	struct ws_redirect *d, *t;
 
-	if (!c->types_asked && c->now >= c->types_next &&
-	    (!c->ntypes || c->role == WS_LEADER)) {
+	if (!c->types_asked && c->now >= c->types_next && (!c->ntypes || c->role == WS_LEADER)) {
 		c->types_asked = true;
 		ws_call(c, WS_CALL_TYPES, ws_types_cloud);
 	}
-	HASH_ITER(hh, c->redirects, d, t)
-	if (c->now - d->at > c->set->lease_s) {
-		HASH_DEL(c->redirects, d);
-		free(d);
-	}
+	HASH_ITER (hh, c->redirects, d, t)
+		if (c->now - d->at > c->set->lease_s) {
+			HASH_DEL(c->redirects, d);
+			free(d);
+		}
 }
 
 void ws_redirects_free(struct ws_core *c)
 {
 	struct ws_redirect *d, *t;
 
-	HASH_ITER(hh, c->redirects, d, t)
-	{
+	HASH_ITER (hh, c->redirects, d, t) {
 		HASH_DEL(c->redirects, d);
 		free(d);
 	}
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -51,17 +51,17 @@
 
 /* Operators' own settings. A value below 0 means "derive it from the platform's settings". */
 struct ws_policy {
-	double delta;               /* Algorithm 1 stops at S'/W'q >= delta */
-	double rentals_max;         /* the paper's S over bar */
-	double wait_max_s;          /* the paper's Wq over bar */
-	double latency_bound_s;     /* the paper's W'q: k rises on while Wq is above it */
-	int rental_ceiling;         /* never more rentals than this */
-	int waiting_loads;          /* machine-loads allowed to wait: the last term of K */
-	double empty_wait_s;        /* an empty rental is returned after this */
-	double sizing_period_s;     /* Algorithm 1 is run this often */
-	double leader_ttl_ratio;    /* of lease_s */
-	double silent_ratio;        /* of lease_s: a rental silent for longer is returned */
-	double boot_patience;       /* times the type's boot time before a boot counts as failed */
+	double delta;		 /* Algorithm 1 stops at S'/W'q >= delta */
+	double rentals_max;	 /* the paper's S over bar */
+	double wait_max_s;	 /* the paper's Wq over bar */
+	double latency_bound_s;	 /* the paper's W'q: k rises on while Wq is above it */
+	int rental_ceiling;	 /* never more rentals than this */
+	int waiting_loads;	 /* machine-loads allowed to wait: the last term of K */
+	double empty_wait_s;	 /* an empty rental is returned after this */
+	double sizing_period_s;	 /* Algorithm 1 is run this often */
+	double leader_ttl_ratio; /* of lease_s */
+	double silent_ratio;	 /* of lease_s: a rental silent for longer is returned */
+	double boot_patience;	 /* times the type's boot time before a boot counts as failed */
 };
 
 void ws_policy_defaults(struct ws_policy *p);
--- a/src/io/codec.c
+++ b/src/io/codec.c
@@ -107,11 +107,9 @@
 		size_t k;
 		json_t *e;
 
-		if (!json_is_array(v) || !json_array_size(v) ||
-		    json_array_size(v) > WS_MAX_ALLOWED)
+		if (!json_is_array(v) || !json_array_size(v) || json_array_size(v) > WS_MAX_ALLOWED)
 			return false;
-		json_array_foreach(v, k, e)
-		{
+		json_array_foreach (v, k, e) {
 			const char *t = json_string_value(e);
 
 			if (!t || strlen(t) >= WS_NAME_MAX)
@@ -166,7 +164,8 @@
 static bool ws_decode_task(json_t *o, struct ws_task_report *t)
 {
 	static const char *const states[] = {"pulling", "running", "flushing", "exited"};
-	static const char *const whys[] = {"", "done", "stopped", "error", "full", "busy", "no_such"};
+	static const char *const whys[] = {"",	   "done", "stopped", "error",
+					   "full", "busy", "no_such"};
 	char text[WS_NAME_MAX], *slash, *end;
 	unsigned long n;
 	int i;
@@ -225,8 +224,7 @@
 	r->tasks = calloc(json_array_size(v) + 1, sizeof(*r->tasks));
 	if (!r->tasks)
 		return false;
-	json_array_foreach(v, i, e)
-	{
+	json_array_foreach (v, i, e) {
 		if (!ws_decode_task(e, &r->tasks[r->ntasks])) {
 			ws_report_free(r);
 			return false;
@@ -316,9 +314,7 @@
 
 	*method = "GET";
 	switch (call->kind) {
-	case WS_CALL_GET:
-		snprintf(path, WS_URL_MAX, "/kv/%s", call->key);
-		return NULL;
+	case WS_CALL_GET: snprintf(path, WS_URL_MAX, "/kv/%s", call->key); return NULL;
 	case WS_CALL_LIST:
 		if (call->after[0])
 			snprintf(path, WS_URL_MAX, "/kv?starts=%s&since=%s&most=200", call->key,
@@ -335,9 +331,9 @@
 		snprintf(path, WS_URL_MAX, "/multi");
 		a = json_array();
 		for (size_t i = 0; i < call->nconds; i++)
-			json_array_append_new(a, json_pack("{s:s,s:I}", "k", call->conds[i].key,
-							   "stamp",
-							   (json_int_t)call->conds[i].stamp));
+			json_array_append_new(a,
+					      json_pack("{s:s,s:I}", "k", call->conds[i].key,
+							"stamp", (json_int_t)call->conds[i].stamp));
 		o = json_pack("{s:o}", "when", a);
 		a = json_array();
 		for (size_t i = 0; i < call->nops; i++) {
@@ -368,9 +364,7 @@
 		*method = "DELETE";
 		snprintf(path, WS_URL_MAX, "/holds/%llu", (unsigned long long)call->hold);
 		return NULL;
-	case WS_CALL_TYPES:
-		snprintf(path, WS_URL_MAX, "/machine_types");
-		return NULL;
+	case WS_CALL_TYPES: snprintf(path, WS_URL_MAX, "/machine_types"); return NULL;
 	case WS_CALL_HOSTS:
 		if (call->after[0])
 			snprintf(path, WS_URL_MAX, "/hosts?since=%s&most=500", call->after);
@@ -394,8 +388,7 @@
 		*method = "POST";
 		snprintf(path, WS_URL_MAX, "/commands");
 		return ws_encode_orders(call->epoch, call->tenure, call->orders, call->norders);
-	case WS_CALL_TESTIFY:
-		break;
+	case WS_CALL_TESTIFY: break;
 	}
 	path[0] = 0;
 	return NULL;
@@ -426,12 +419,14 @@
 	r->kvs = calloc(json_array_size(a) + 1, sizeof(*r->kvs));
 	if (!r->kvs)
 		return false;
-	json_array_foreach(a, i, e)
-	{
+	json_array_foreach (a, i, e) {
 		bool del = events && json_object_get(e, "delete");
 
-		if (!ws_decode_kv(e, del ? "delete" : events ? "write" : "k", &r->kvs[r->nkvs],
-				  !del))
+		if (!ws_decode_kv(e,
+				  del	   ? "delete"
+				  : events ? "write"
+					   : "k",
+				  &r->kvs[r->nkvs], !del))
 			return false;
 		if (del) {
 			json_decref(r->kvs[r->nkvs].value);
@@ -452,8 +447,7 @@
 	r->types = calloc(json_array_size(a), sizeof(*r->types));
 	if (!r->types)
 		return false;
-	json_array_foreach(a, i, e)
-	{
+	json_array_foreach (a, i, e) {
 		struct ws_type *t = &r->types[r->ntypes];
 
 		if (!ws_str(e, "name", t->name, sizeof(t->name), false) ||
@@ -472,8 +466,7 @@
 		z = json_object_get(e, "halls");
 		if (!json_is_array(z))
 			return false;
-		json_array_foreach(z, k, n)
-		{
+		json_array_foreach (z, k, n) {
 			const char *s = json_string_value(n);
 
 			if (!s || strlen(s) >= WS_NAME_MAX)
@@ -496,8 +489,7 @@
 	r->hosts = calloc(json_array_size(a) + 1, sizeof(*r->hosts));
 	if (!r->hosts)
 		return false;
-	json_array_foreach(a, i, e)
-	{
+	json_array_foreach (a, i, e) {
 		struct ws_host *h = &r->hosts[r->nhosts];
 		char phase[WS_NAME_MAX];
 
@@ -543,22 +535,17 @@
 	case WS_CALL_WATCH:
 		return ws_uint(o, "ledgerRev", &r->rev) &&
 		       ws_decode_kvs(json_object_get(o, "news"), r, true);
-	case WS_CALL_TXN:
-		return ws_uint(o, "ledgerRev", &r->rev);
-	case WS_CALL_HOLD_NEW:
-		return ws_uint(o, "permit", &r->hold);
+	case WS_CALL_TXN: return ws_uint(o, "ledgerRev", &r->rev);
+	case WS_CALL_HOLD_NEW: return ws_uint(o, "permit", &r->hold);
 	case WS_CALL_HOLD_EXTEND:
 	case WS_CALL_HOLD_DROP:
 	case WS_CALL_RETURN:
-	case WS_CALL_TESTIFY:
-		return true;
-	case WS_CALL_TYPES:
-		return ws_decode_types(o, r);
+	case WS_CALL_TESTIFY: return true;
+	case WS_CALL_TYPES: return ws_decode_types(o, r);
 	case WS_CALL_HOSTS:
 		r->more = json_is_true(json_object_get(o, "hasNext"));
 		return ws_decode_hosts(o, r, false);
-	case WS_CALL_RENT:
-		return ws_decode_hosts(o, r, true);
+	case WS_CALL_RENT: return ws_decode_hosts(o, r, true);
 	case WS_CALL_ORDERS:
 		r->report = calloc(1, sizeof(*r->report));
 		if (r->report && ws_decode_report_json(o, r->report))
@@ -593,8 +580,7 @@
 	} else if (status == 409 && call->kind == WS_CALL_TXN) {
 		a = json_object_get(o, "failed");
 		r->failed = calloc(json_array_size(a) + 1, sizeof(*r->failed));
-		json_array_foreach(a, i, e)
-		{
+		json_array_foreach (a, i, e) {
 			if (r->failed && json_is_string(e))
 				snprintf(r->failed[r->nfailed++], WS_KEY_MAX, "%s",
 					 json_string_value(e));
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -189,10 +189,10 @@
 
 	if (retry_after > 0)
 		snprintf(retry, sizeof(retry), "Retry-After: %d\r\n", retry_after);
-	n = snprintf(head, sizeof(head),
-		     "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n%s%s\r\n",
-		     status, ws_reason(status), len, retry,
-		     c->close_after ? "Connection: close\r\n" : "");
+	n = snprintf(
+	    head, sizeof(head),
+	    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n%s%s\r\n",
+	    status, ws_reason(status), len, retry, c->close_after ? "Connection: close\r\n" : "");
 	c->busy = false;
 	ws_conn_untoken(c);
 	if (!ws_buf_add(&c->out, head, (size_t)n) || !ws_buf_add(&c->out, body, len)) {
@@ -263,11 +263,11 @@
 }
 
 static const http_parser_settings ws_server_parser = {
-	.on_message_begin = ws_on_begin,
-	.on_url = ws_on_url,
-	.on_headers_complete = ws_on_headers,
-	.on_body = ws_on_body,
-	.on_message_complete = ws_on_complete,
+    .on_message_begin = ws_on_begin,
+    .on_url = ws_on_url,
+    .on_headers_complete = ws_on_headers,
+    .on_body = ws_on_body,
+    .on_message_complete = ws_on_complete,
 };
 
 static void ws_conn_readable(struct ev_loop *loop, ev_io *w, int revents)
@@ -338,8 +338,8 @@
 			return;
 		if (s->n >= s->max || !(c = calloc(1, sizeof(*c)))) {
 			static const char full[] =
-				"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-				"Content-Length: 0\r\nConnection: close\r\n\r\n";
+			    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+			    "Content-Length: 0\r\nConnection: close\r\n\r\n";
 
 			(void)!send(fd, full, sizeof(full) - 1, MSG_NOSIGNAL);
 			close(fd);
@@ -548,8 +548,8 @@
 }
 
 static const http_parser_settings ws_client_parser = {
-	.on_body = ws_reply_body,
-	.on_message_complete = ws_reply_complete,
+    .on_body = ws_reply_body,
+    .on_message_complete = ws_reply_complete,
 };
 
 static void ws_link_send(struct ws_link *l)
@@ -663,8 +663,8 @@
 	if (!l)
 		return NULL;
 	l->fd = ws_socket();
-	if (l->fd < 0 || (connect(l->fd, (struct sockaddr *)&c->to, sizeof(c->to)) &&
-			  errno != EINPROGRESS)) {
+	if (l->fd < 0 ||
+	    (connect(l->fd, (struct sockaddr *)&c->to, sizeof(c->to)) && errno != EINPROGRESS)) {
 		if (l->fd >= 0)
 			close(l->fd);
 		free(l);
@@ -840,7 +840,8 @@
 	inet_ntop(AF_INET, &c->to.sin_addr, ip, sizeof(ip));
 	n = snprintf(head, sizeof(head),
 		     "%s %s HTTP/1.1\r\nHost: %s:%d\r\n%sContent-Length: %zu\r\n\r\n", method, path,
-		     ip, ntohs(c->to.sin_port), len ? "Content-Type: application/json\r\n" : "", len);
+		     ip, ntohs(c->to.sin_port), len ? "Content-Type: application/json\r\n" : "",
+		     len);
 	if (n < 0 || (size_t)n >= sizeof(head) || !(r->text = malloc((size_t)n + len))) {
 		free(r);
 		return false;
--- a/src/io/peer.c
+++ b/src/io/peer.c
@@ -365,7 +365,8 @@
 	for (size_t i = 0; i < p->set->npeers; i++) {
 		struct ws_pipe *x = &p->to[(i + p->turn) % p->set->npeers];
 
-		if (node[0] ? strcmp(x->to->node, node) : to && to->heard - to->failed >= x->heard - x->failed)
+		if (node[0] ? strcmp(x->to->node, node)
+			    : to && to->heard - to->failed >= x->heard - x->failed)
 			continue;
 		to = x;
 	}
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -146,15 +146,18 @@
 	x->service = v;
 	x->call = (struct ws_call *)(uintptr_t)token;
 	get = !strcmp(p->method, "GET");
-	f.kind = p->kind == WS_ASK_REPORT ? WS__PEER_FRAME__KIND__REPORT
-					  : WS__PEER_FRAME__KIND__USER;
+	f.kind =
+	    p->kind == WS_ASK_REPORT ? WS__PEER_FRAME__KIND__REPORT : WS__PEER_FRAME__KIND__USER;
 	f.node = (char *)v->set->node;
 	f.method = p->method;
 	f.path = p->path;
 	f.body.data = (uint8_t *)p->body;
 	f.body.len = p->len;
 	/* within what the asker waits: 4 s for workers, 5 s for submissions */
-	if (!ws_peers_send(v->peers, node, &f, p->kind == WS_ASK_REPORT ? 3 : get ? WS_POLL_WAIT_S * 0.4 : 2.5,
+	if (!ws_peers_send(v->peers, node, &f,
+			   p->kind == WS_ASK_REPORT ? 3
+			   : get		    ? WS_POLL_WAIT_S * 0.4
+						    : 2.5,
 			   ws_relayed, x)) {
 		free(x);
 		ws_reply_plain(v, token, 503);
@@ -202,10 +205,8 @@
 	HASH_FIND_STR(v->workers, name, w);
 	if (w)
 		return w->client;
-	struct ws_client_opts o = {.max_conns = 1,
-				   .max_queue = 4,
-				   .max_reply = 256 * 1024,
-				   .idle_s = v->set->lease_s};
+	struct ws_client_opts o = {
+	    .max_conns = 1, .max_queue = 4, .max_reply = 256 * 1024, .idle_s = v->set->lease_s};
 	w = calloc(1, sizeof(*w));
 	if (!w)
 		return NULL;
@@ -264,9 +265,7 @@
 	case WS_CALL_GET:
 		timeout = fmin(timeout, WS_POLL_WAIT_S * 0.4); /* a peer is asked after it */
 		break;
-	case WS_CALL_HOLD_EXTEND:
-		timeout = ttl / 3;
-		break;
+	case WS_CALL_HOLD_EXTEND: timeout = ttl / 3; break;
 	case WS_CALL_TYPES:
 	case WS_CALL_HOSTS:
 	case WS_CALL_RENT:
@@ -284,8 +283,7 @@
 			return;
 		}
 		break;
-	default:
-		break;
+	default: break;
 	}
 	body = ws_encode_call(call, &method, path);
 	ok = to && ws_client_send(to, method, path, body ? body : "", body ? strlen(body) : 0,
@@ -313,9 +311,7 @@
 	char *body;
 
 	switch (a->kind) {
-	case WS_ACT_CALL:
-		ws_call_start(v, a->call);
-		break;
+	case WS_ACT_CALL: ws_call_start(v, a->call); break;
 	case WS_ACT_ANSWER_USER:
 		body = ws_encode_user(a);
 		ws_reply(v, a->token, body ? a->status : 503, body ? body : "{}",
@@ -328,12 +324,8 @@
 			 body ? strlen(body) : 2, 0);
 		free(body);
 		break;
-	case WS_ACT_RELAY:
-		ws_relay(v, a->token, a->name);
-		break;
-	case WS_ACT_ANSWER_TESTIFY:
-		ws_reply(v, a->token, a->status, "{}", 2, 0);
-		break;
+	case WS_ACT_RELAY: ws_relay(v, a->token, a->name); break;
+	case WS_ACT_ANSWER_TESTIFY: ws_reply(v, a->token, a->status, "{}", 2, 0); break;
 	}
 }
 
@@ -362,7 +354,8 @@
 /* ---- requests ---- */
 
 static struct ws_pending *ws_pend(struct ws_service *v, uint64_t token, enum ws_ask_kind kind,
-				  const char *method, const char *path, const char *body, size_t len)
+				  const char *method, const char *path, const char *body,
+				  size_t len)
 {
 	struct ws_pending *p = calloc(1, sizeof(*p));
 
@@ -594,12 +587,12 @@
 		struct ws_worker *x, *t;
 
 		v->sweep_at = now + v->set->lease_s;
-		HASH_ITER(hh, v->workers, x, t)
-		if (ws_client_idle(x->client, now, 4 * v->set->lease_s)) {
-			HASH_DEL(v->workers, x);
-			ws_client_free(x->client);
-			free(x);
-		}
+		HASH_ITER (hh, v->workers, x, t)
+			if (ws_client_idle(x->client, now, 4 * v->set->lease_s)) {
+				HASH_DEL(v->workers, x);
+				ws_client_free(x->client);
+				free(x);
+			}
 	}
 }
 
@@ -609,10 +602,10 @@
 	struct ws_service *v = calloc(1, sizeof(*v));
 	uint64_t nonce = 0;
 	double tick = s->report_s / 40;
-	struct ws_client_opts state = {.max_conns = 8,
-				       .max_queue = (int)(s->state_rps / 2),
-				       .max_reply = 4 * 1024 * 1024};
-	struct ws_client_opts watch = {.max_conns = 4, .max_queue = 8, .max_reply = 16 * 1024 * 1024};
+	struct ws_client_opts state = {
+	    .max_conns = 8, .max_queue = (int)(s->state_rps / 2), .max_reply = 4 * 1024 * 1024};
+	struct ws_client_opts watch = {
+	    .max_conns = 4, .max_queue = 8, .max_reply = 16 * 1024 * 1024};
 	struct ws_client_opts cloud = {.max_conns = 2,
 				       .max_queue = 8,
 				       .max_reply = 4 * 1024 * 1024,
@@ -678,15 +671,14 @@
 	ws_client_free(v->state);
 	ws_client_free(v->watch);
 	ws_client_free(v->cloud);
-	HASH_ITER(hh, v->workers, w, t)
-	{
+	HASH_ITER (hh, v->workers, w, t) {
 		HASH_DEL(v->workers, w);
 		ws_client_free(w->client);
 		free(w);
 	}
 	ws_peers_free(v->peers);
-	HASH_ITER(hh, v->pending, p, q)
-	ws_pending_free(p);
+	HASH_ITER (hh, v->pending, p, q)
+		ws_pending_free(p);
 	ws_server_free(v->server);
 	ws_core_free(v->core);
 	free(v);
--- a/src/main.c
+++ b/src/main.c
@@ -20,10 +20,10 @@
 };
 
 static const struct argp_option ws_options[] = {
-	{"config", 'c', "FILE", 0, "The platform's settings (TOML); required", 0},
-	{"policy", 'p', "FILE", 0, "The operators' own settings (TOML)", 0},
-	{"check", 'k', NULL, 0, "Check the settings and exit", 0},
-	{0},
+    {"config", 'c', "FILE", 0, "The platform's settings (TOML); required", 0},
+    {"policy", 'p', "FILE", 0, "The operators' own settings (TOML)", 0},
+    {"check", 'k', NULL, 0, "Check the settings and exit", 0},
+    {0},
 };
 
 static error_t ws_arg(int key, char *arg, struct argp_state *state)
@@ -31,24 +31,15 @@
 	struct ws_args *a = state->input;
 
 	switch (key) {
-	case 'c':
-		a->config = arg;
-		return 0;
-	case 'p':
-		a->policy = arg;
-		return 0;
-	case 'k':
-		a->check = true;
-		return 0;
-	case ARGP_KEY_ARG:
-		argp_error(state, "unexpected argument: %s", arg);
-		return 0;
+	case 'c': a->config = arg; return 0;
+	case 'p': a->policy = arg; return 0;
+	case 'k': a->check = true; return 0;
+	case ARGP_KEY_ARG: argp_error(state, "unexpected argument: %s", arg); return 0;
 	case ARGP_KEY_END:
 		if (!a->config)
 			argp_error(state, "--config FILE is required");
 		return 0;
-	default:
-		return ARGP_ERR_UNKNOWN;
+	default: return ARGP_ERR_UNKNOWN;
 	}
 }
 
@@ -62,10 +53,14 @@
 int main(int argc, char **argv)
 {
 	static const struct argp argp = {
-		ws_options, ws_arg, NULL,
-		"waystep -- one controller of a cluster: takes jobs, rents machines, places tasks\v"
-		"LOG_LEVEL (error, info, debug) sets the amount of log on standard error.",
-		NULL, NULL, NULL};
+	    ws_options,
+	    ws_arg,
+	    NULL,
+	    "waystep -- one controller of a cluster: takes jobs, rents machines, places tasks\v"
+	    "LOG_LEVEL (error, info, debug) sets the amount of log on standard error.",
+	    NULL,
+	    NULL,
+	    NULL};
 	static struct ws_settings settings;
 	static struct ws_policy policy;
 	struct ws_args args = {0};
--- a/tests/codec_test.c
+++ b/tests/codec_test.c
@@ -17,16 +17,16 @@
 }
 
 static const char base[] =
-	"{\"nameId\":\"job-000412\",\"jobclass\":\"train\",\"owner\":\"vision\",\"shape\":\"sweep\","
-	"\"tier\":\"urgent\",\"shards\":16,\"vcpus\":8.0,\"accelerators\":1.0,\"memGb\":64.0,"
-	"\"bundle\":\"img-07\",\"sizeGb\":6.2,\"flavours\":[\"g8\"],\"hall\":null,\"samePlace\":true,"
-	"\"spread\":false,\"reclaimable\":true,\"expectedS\":240.0,\"snapshotEveryS\":30.0,"
-	"\"snapshotS\":4.0,\"dueS\":900.0}";
+    "{\"nameId\":\"job-000412\",\"jobclass\":\"train\",\"owner\":\"vision\",\"shape\":\"sweep\","
+    "\"tier\":\"urgent\",\"shards\":16,\"vcpus\":8.0,\"accelerators\":1.0,\"memGb\":64.0,"
+    "\"bundle\":\"img-07\",\"sizeGb\":6.2,\"flavours\":[\"g8\"],\"hall\":null,\"samePlace\":true,"
+    "\"spread\":false,\"reclaimable\":true,\"expectedS\":240.0,\"snapshotEveryS\":30.0,"
+    "\"snapshotS\":4.0,\"dueS\":900.0}";
 static const char report[] =
-	"{\"host\":\"n-000231\",\"address\":\"10.1.0.232:9000\",\"flavour\":\"g8\",\"hall\":\"a\","
-	"\"reclaimable\":true,\"tenure\":1,\"counter\":88,\"epoch\":41,\"warningS\":null,\"shards\":["
-	"{\"shard\":\"job-000412/3\",\"tryNo\":2,\"phase\":\"running\"},"
-	"{\"shard\":\"job-000398/0\",\"tryNo\":1,\"phase\":\"exited\",\"cause\":\"done\"}]}";
+    "{\"host\":\"n-000231\",\"address\":\"10.1.0.232:9000\",\"flavour\":\"g8\",\"hall\":\"a\","
+    "\"reclaimable\":true,\"tenure\":1,\"counter\":88,\"epoch\":41,\"warningS\":null,\"shards\":["
+    "{\"shard\":\"job-000412/3\",\"tryNo\":2,\"phase\":\"running\"},"
+    "{\"shard\":\"job-000398/0\",\"tryNo\":1,\"phase\":\"exited\",\"cause\":\"done\"}]}";
 
 /* The base with one field's value replaced; an empty value takes the field out. */
 static int with(const char *field, const char *value)
@@ -59,27 +59,45 @@
 
 int main(void)
 {
-	static const char *const need[] = {"nameId", "jobclass", "owner", "shape", "tier", "shards",
-					   "vcpus", "accelerators", "memGb", "bundle", "sizeGb",
-					   "samePlace", "spread", "reclaimable", "expectedS",
-					   "snapshotEveryS", "snapshotS"};
-	static const char *const wrong[][2] = {
-		{"nameId", "\"job-\""}, {"nameId", "\"task-1\""}, {"nameId", "7"},
-		{"nameId", "\"job-12x\""}, {"nameId", "\"job-1/2\""}, {"shape", "\"swarm\""},
-		{"tier", "\"high\""}, {"shards", "0"}, {"shards", "-1"}, {"shards", "100001"},
-		{"shards", "1.5"}, {"shards", "\"1\""}, {"vcpus", "-1"}, {"vcpus", "\"8\""},
-		{"vcpus", "null"}, {"memGb", "-0.5"}, {"flavours", "[]"}, {"flavours", "[1]"},
-		{"flavours", "\"g8\""}, {"hall", "3"}, {"samePlace", "1"}, {"spread", "null"},
-		{"dueS", "-1"}, {"dueS", "\"x\""}, {"expectedS", "-1"}, {"vcpus", "1e300"}};
+	static const char *const need[] = {
+	    "nameId", "jobclass",     "owner",	   "shape",	     "tier",	 "shards",
+	    "vcpus",  "accelerators", "memGb",	   "bundle",	     "sizeGb",	 "samePlace",
+	    "spread", "reclaimable",  "expectedS", "snapshotEveryS", "snapshotS"};
+	static const char *const wrong[][2] = {{"nameId", "\"job-\""},
+					       {"nameId", "\"task-1\""},
+					       {"nameId", "7"},
+					       {"nameId", "\"job-12x\""},
+					       {"nameId", "\"job-1/2\""},
+					       {"shape", "\"swarm\""},
+					       {"tier", "\"high\""},
+					       {"shards", "0"},
+					       {"shards", "-1"},
+					       {"shards", "100001"},
+					       {"shards", "1.5"},
+					       {"shards", "\"1\""},
+					       {"vcpus", "-1"},
+					       {"vcpus", "\"8\""},
+					       {"vcpus", "null"},
+					       {"memGb", "-0.5"},
+					       {"flavours", "[]"},
+					       {"flavours", "[1]"},
+					       {"flavours", "\"g8\""},
+					       {"hall", "3"},
+					       {"samePlace", "1"},
+					       {"spread", "null"},
+					       {"dueS", "-1"},
+					       {"dueS", "\"x\""},
+					       {"expectedS", "-1"},
+					       {"vcpus", "1e300"}};
 	struct ws_spec s;
 	struct ws_report r;
 	struct ws_result res;
 	struct ws_call call = {.kind = WS_CALL_GET};
 
 	check("the protocol's example", ws_decode_job(base, strlen(base), &s) == 0);
-	check("its fields", !strcmp(s.id, "job-000412") && s.tasks == 16 && s.cpus == 8 && s.one_zone &&
-				    s.spot && !s.spread && s.tier == WS_URGENT && s.ntypes == 1 &&
-				    s.deadline_s == 900);
+	check("its fields", !strcmp(s.id, "job-000412") && s.tasks == 16 && s.cpus == 8 &&
+				s.one_zone && s.spot && !s.spread && s.tier == WS_URGENT &&
+				s.ntypes == 1 && s.deadline_s == 900);
 	check("unknown fields", with("colour", "\"red\"") == 0);
 	check("no deadline", with("dueS", "") == 0 && with("dueS", "null") == 0);
 	check("no types", with("flavours", "") == 0 && with("flavours", "null") == 0);
@@ -93,7 +111,7 @@
 
 	check("a report", ws_decode_report(report, strlen(report), &r));
 	check("its tasks", r.ntasks == 2 && r.tasks[0].task == 3 && r.tasks[1].why == WS_WHY_DONE &&
-				   r.notice_s < 0 && r.port == 9000);
+			       r.notice_s < 0 && r.port == 9000);
 	ws_report_free(&r);
 	check("no report", !ws_decode_report("{}", 2, &r));
 
@@ -124,22 +142,18 @@
 			unsigned at = rnd((unsigned)n);
 
 			switch (rnd(3)) {
-			case 0:
-				text[at] = chars[rnd(sizeof(chars) - 1)];
-				break;
+			case 0: text[at] = chars[rnd(sizeof(chars) - 1)]; break;
 			case 1:
 				memmove(text + at, text + at + 1, n - at);
 				n--;
 				break;
-			default:
-				n = at + 1;
-				break;
+			default: n = at + 1; break;
 			}
 			if (n < 2)
 				break;
 		}
-		if (!ws_decode_job(text, n, &s) &&
-		    (s.tasks < 1 || s.tasks > WS_MAX_SHARDS || !(s.cpus >= 0) || !ws_job_id_ok(s.id)))
+		if (!ws_decode_job(text, n, &s) && (s.tasks < 1 || s.tasks > WS_MAX_SHARDS ||
+						    !(s.cpus >= 0) || !ws_job_id_ok(s.id)))
 			check("a mangled job out of bounds is accepted", false);
 		if (ws_decode_report(text, n, &r)) {
 			if (r.tenure < 1 || !r.machine[0])
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -92,10 +92,17 @@
 	struct sim_flight *flights;
 	struct sim_late *late;
 	uint64_t next_token;
-	struct { uint64_t token; int from; uint64_t orig; } relays[4096];
+	struct {
+		uint64_t token;
+		int from;
+		uint64_t orig;
+	} relays[4096];
 	int nrelays;
 	char (*bookings)[2][WS_NAME_MAX];
-	struct { char name[WS_NAME_MAX]; int first, n; } booked[512];
+	struct {
+		char name[WS_NAME_MAX];
+		int first, n;
+	} booked[512];
 	int nbooked;
 	int lose_rent, lose_txn, lose_orders, late_txn, no_boot, instant_boot;
 	double late_by;
@@ -194,11 +201,11 @@
 	struct sim_kv *k, *t;
 
 	h->live = false;
-	HASH_ITER(hh, s->kv, k, t)
-	if (k->hold == h->id) {
-		s->rev++;
-		kv_put(s, k->key, NULL, 0);
-	}
+	HASH_ITER (hh, s->kv, k, t)
+		if (k->hold == h->id) {
+			s->rev++;
+			kv_put(s, k->key, NULL, 0);
+		}
 }
 
 static struct sim_hold *hold_find(struct sim *s, uint64_t id)
@@ -237,9 +244,9 @@
 	case WS_CALL_LIST:
 		HASH_SORT(s->kv, by_key);
 		r->rev = s->rev;
-		HASH_ITER(hh, s->kv, k, t)
-		{
-			if (strncmp(k->key, c->key, strlen(c->key)) || strcmp(k->key, c->after) <= 0)
+		HASH_ITER (hh, s->kv, k, t) {
+			if (strncmp(k->key, c->key, strlen(c->key)) ||
+			    strcmp(k->key, c->after) <= 0)
 				continue;
 			if (r->nkvs == 7) { /* small pages, so that paging is at work */
 				r->more = true;
@@ -273,7 +280,8 @@
 		if (c->nops)
 			s->rev++;
 		for (size_t i = 0; i < c->nops; i++) {
-			char *text = c->ops[i].value ? json_dumps(c->ops[i].value, JSON_COMPACT) : NULL;
+			char *text =
+			    c->ops[i].value ? json_dumps(c->ops[i].value, JSON_COMPACT) : NULL;
 
 			if (text && strlen(text) > 4096)
 				fail(s, "%s: a value of %zu bytes", c->ops[i].key, strlen(text));
@@ -288,7 +296,8 @@
 			break;
 		}
 		h = &s->holds[s->nholds++];
-		*h = (struct sim_hold){(uint64_t)s->nholds, c->ms / 1000.0, s->now + c->ms / 1000.0, true};
+		*h = (struct sim_hold){(uint64_t)s->nholds, c->ms / 1000.0, s->now + c->ms / 1000.0,
+				       true};
 		r->hold = h->id;
 		break;
 	case WS_CALL_HOLD_EXTEND:
@@ -303,8 +312,7 @@
 		else
 			r->status = 404;
 		break;
-	default:
-		break;
+	default: break;
 	}
 }
 
@@ -336,8 +344,8 @@
 			    strcmp(o->job, t->job))
 				continue;
 			if (o->task == t->task)
-				fail(s, "ran_twice: %s/%u starts on %s while on %s", t->job, t->task,
-				     w->name, s->w[i].name);
+				fail(s, "ran_twice: %s/%u starts on %s while on %s", t->job,
+				     t->task, w->name, s->w[i].name);
 			if (strcmp(s->w[i].zone, w->zone))
 				other_zone++;
 			else
@@ -348,7 +356,8 @@
 	if (j->spec.one_zone && other_zone)
 		fail(s, "wrong_place: %s/%u in zone %s", t->job, t->task, w->zone);
 	if (j->spec.spread && in_zone + 1 > (j->spec.tasks + 1) / 2)
-		fail(s, "wrong_place: %s/%u makes %u in zone %s", t->job, t->task, in_zone + 1, w->zone);
+		fail(s, "wrong_place: %s/%u makes %u in zone %s", t->job, t->task, in_zone + 1,
+		     w->zone);
 	if (j->spec.zone[0] && strcmp(j->spec.zone, w->zone))
 		fail(s, "wrong_place: %s/%u in zone %s", t->job, t->task, w->zone);
 	if (w->spot && !j->spec.spot)
@@ -625,7 +634,9 @@
 	w->spot = spot;
 	w->owned = owned;
 	w->rented = s->now;
-	w->boots = owned || s->instant_boot ? s->now : s->now + s->types[type].t.boot_s * (0.8 + 0.4 * rnd(s));
+	w->boots = owned || s->instant_boot
+		       ? s->now
+		       : s->now + s->types[type].t.boot_s * (0.8 + 0.4 * rnd(s));
 	if (!owned && s->no_boot > 0) {
 		s->no_boot--;
 		w->never = true;
@@ -655,7 +666,8 @@
 			struct ws_host *h = &r->hosts[r->nhosts];
 
 			/* what is gone is listed for another lag */
-			if ((w->deleted && s->now > w->deleted_at + s->lag) || (!w->owned && s->now < w->rented + s->lag) ||
+			if ((w->deleted && s->now > w->deleted_at + s->lag) ||
+			    (!w->owned && s->now < w->rented + s->lag) ||
 			    strcmp(w->name, c->after) <= 0)
 				continue;
 			strcpy(h->name, w->name);
@@ -663,7 +675,9 @@
 			strcpy(h->zone, w->zone);
 			h->spot = w->spot;
 			h->age_s = s->now - w->rented;
-			h->phase = w->dead ? WS_HOST_FAILED : w->up ? WS_HOST_RUNNING : WS_HOST_STARTING;
+			h->phase = w->dead ? WS_HOST_FAILED
+				   : w->up ? WS_HOST_RUNNING
+					   : WS_HOST_STARTING;
 			r->nhosts++;
 		}
 		break;
@@ -709,8 +723,7 @@
 					s->w[k].deleted = true;
 				}
 		break;
-	default:
-		break;
+	default: break;
 	}
 }
 
@@ -768,8 +781,7 @@
 {
 	r->rev = s->rev;
 	for (size_t i = 0; i < s->nhist; i++)
-		if (s->hist[i].stamp > c->since &&
-		    !strncmp(s->hist[i].key, c->key, strlen(c->key)))
+		if (s->hist[i].stamp > c->since && !strncmp(s->hist[i].key, c->key, strlen(c->key)))
 			copy_kv(r, s->hist[i].key, s->hist[i].value, s->hist[i].stamp);
 	r->status = 200;
 	return r->nkvs > 0;
@@ -869,7 +881,8 @@
 		return;
 	}
 	if (c->kind == WS_CALL_WATCH) {
-		bool blind = s->now < s->state_down || s->now < nd->refused || s->now < nd->cut_state;
+		bool blind =
+		    s->now < s->state_down || s->now < nd->refused || s->now < nd->cut_state;
 
 		if ((blind || !watch_ready(s, c, &f->res)) &&
 		    s->now < c->made / (1 + nd->skew) + c->ms / 1000.0 && nd->life == f->life) {
@@ -913,7 +926,8 @@
 			late = s->now + s->late_orders_by;
 		} else if (lost) {
 			late = fmax(fmax(w->cut_until, w->hang_until),
-				    fmax(fmax(nd->cut_workers, s->zone_cut), w->pin_until)) + 0.05;
+				    fmax(fmax(nd->cut_workers, s->zone_cut), w->pin_until)) +
+			       0.05;
 		}
 		if (late > 0) {
 			struct sim_late *l = calloc(1, sizeof(*l));
@@ -990,7 +1004,8 @@
 	j->pending_at = s->now;
 	if (kind == ASK_SUBMIT) {
 		j->submitted = true;
-		ws_core_submit(nd->core, s->now * (1 + nd->skew), s->now + 1e9, j->pending, &j->spec, false);
+		ws_core_submit(nd->core, s->now * (1 + nd->skew), s->now + 1e9, j->pending,
+			       &j->spec, false);
 	} else if (kind == ASK_POLL) {
 		ws_core_poll(nd->core, s->now * (1 + nd->skew), j->pending, j->spec.id, false);
 	} else {
@@ -1050,7 +1065,8 @@
 			j->pending = 0;
 		if (j->pending || s->now < j->next_try)
 			continue;
-		if (j->submit_at >= 0 && s->now >= j->submit_at && !j->accepted && j->status != 422) {
+		if (j->submit_at >= 0 && s->now >= j->submit_at && !j->accepted &&
+		    j->status != 422) {
 			user_send(s, j, ASK_SUBMIT);
 			j->next_try = s->now + 1;
 		} else if (j->abort_at > 0 && s->now >= j->abort_at && !j->cancelled && !j->done) {
@@ -1125,18 +1141,10 @@
 
 	while (s->nodes[i].up && (a = ws_core_pop(s->nodes[i].core))) {
 		switch (a->kind) {
-		case WS_ACT_CALL:
-			call_start(s, i, a->call);
-			break;
-		case WS_ACT_ANSWER_USER:
-			user_answer(s, a);
-			break;
-		case WS_ACT_ANSWER_REPORT:
-			worker_answer(s, a);
-			break;
-		case WS_ACT_RELAY:
-			relay(s, i, a);
-			break;
+		case WS_ACT_CALL: call_start(s, i, a->call); break;
+		case WS_ACT_ANSWER_USER: user_answer(s, a); break;
+		case WS_ACT_ANSWER_REPORT: worker_answer(s, a); break;
+		case WS_ACT_RELAY: relay(s, i, a); break;
 		case WS_ACT_ANSWER_TESTIFY:
 			for (struct sim_flight *f = s->flights; f; f = f->next)
 				if (f->call && f->call->kind == WS_CALL_TESTIFY &&
@@ -1400,7 +1408,9 @@
 		}
 		m = num ? atoi(num) : 0;
 		if (!op || !num ||
-		    !(!strcmp(op, "=") ? n == m : !strcmp(op, ">=") ? n >= m : n <= m))
+		    !(!strcmp(op, "=")	  ? n == m
+		      : !strcmp(op, ">=") ? n >= m
+					  : n <= m))
 			fail(s, "%s %s: %d, not %s %d", what, a, n, op, m);
 	} else if (!strcmp(what, "leader")) {
 		if (leader(s) < 0)
@@ -1440,7 +1450,8 @@
 	who = word(&p);
 	if (!who)
 		who = "";
-	if (!strcmp(verb, "once-returned")) { /* the rest of the line so long after the first return */
+	if (!strcmp(verb,
+		    "once-returned")) { /* the rest of the line so long after the first return */
 		s->after_return = atof(who);
 		snprintf(s->then, sizeof(s->then), "%s", p);
 	} else if (!strcmp(verb, "submit")) {
@@ -1479,7 +1490,8 @@
 	} else if (!strcmp(verb, "zone-cut")) {
 		s->zone_cut = s->now + span;
 	} else if (!strcmp(verb, "hang") || !strcmp(verb, "cut-machine") || !strcmp(verb, "die") ||
-		   !strcmp(verb, "fail-tasks") || !strcmp(verb, "pin") || !strcmp(verb, "notice") || !strcmp(verb, "take")) {
+		   !strcmp(verb, "fail-tasks") || !strcmp(verb, "pin") || !strcmp(verb, "notice") ||
+		   !strcmp(verb, "take")) {
 		if (!(w = machine_named(s, who))) {
 			fail(s, "no machine %s", who);
 			return;
@@ -1613,7 +1625,8 @@
 			for (int i = 0; i < s->nholds; i++)
 				if (s->holds[i].live)
 					s->holds[i].until = s->now + s->holds[i].ttl;
-		if (s->then[0] && s->returned_at > 0 && s->now >= s->returned_at + s->after_return) {
+		if (s->then[0] && s->returned_at > 0 &&
+		    s->now >= s->returned_at + s->after_return) {
 			struct sim_order o = {.at = s->now};
 
 			snprintf(o.text, sizeof(o.text), "%s", s->then);
@@ -1688,8 +1701,7 @@
 	for (int i = 0; i < s->nnodes; i++)
 		if (s->nodes[i].core)
 			ws_core_free(s->nodes[i].core);
-	HASH_ITER(hh, s->kv, k, t)
-	{
+	HASH_ITER (hh, s->kv, k, t) {
 		HASH_DEL(s->kv, k);
 		json_decref(k->value);
 		free(k);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -30,7 +30,7 @@
 	uint64_t tenure, counter, epoch;
 	double answered_sent; /* when the last answered report was sent */
 	double next_report, sent_at;
-	int pin;         /* reaches this node alone, if above 0: node + 1 */
+	int pin; /* reaches this node alone, if above 0: node + 1 */
 	double pin_until;
 	bool waiting; /* a report is out */
 	uint64_t report_id;
--- a/tests/sizing_test.c
+++ b/tests/sizing_test.c
@@ -20,11 +20,13 @@
 #define G(r, c) g[(size_t)(r) * (size_t)(n + 1) + (size_t)(c)]
 	for (int s = 0; s < n; s++) {
 		int i = st[s][0], j = st[s][1], ni = n0 + i;
-		struct { int i, j; double rate; } to[3] = {
-			{i, j + 1, j < kmax ? l : 0},
-			/* a departure; a rental without a job is off at once */
-			{i && j == ni ? i - 1 : i, j - 1, j ? fmin(j, ni) * m : 0},
-			{i + 1, j, i < k && j > ni ? fmin(j - ni, k - i) * a : 0}};
+		struct {
+			int i, j;
+			double rate;
+		} to[3] = {{i, j + 1, j < kmax ? l : 0},
+			   /* a departure; a rental without a job is off at once */
+			   {i && j == ni ? i - 1 : i, j - 1, j ? fmin(j, ni) * m : 0},
+			   {i + 1, j, i < k && j > ni ? fmin(j - ni, k - i) * a : 0}};
 
 		for (int x = 0; x < 3; x++) {
 			if (to[x].rate <= 0)
@@ -109,8 +111,10 @@
 		for (int k = 0; k <= 100; k += 5) {
 			struct ws_queue a = {0};
 
-			if (!ws_queue_solve(0.02 * (n0 + 40), 1 / 60.0, 1 / 35.0, n0, k, n0 + 200, &a) ||
-			    a.wq > last * (1 + 1e-9) + 1e-9 || a.s > k + 1e-9 || a.pb < 0 || a.pb > 1) {
+			if (!ws_queue_solve(0.02 * (n0 + 40), 1 / 60.0, 1 / 35.0, n0, k, n0 + 200,
+					    &a) ||
+			    a.wq > last * (1 + 1e-9) + 1e-9 || a.s > k + 1e-9 || a.pb < 0 ||
+			    a.pb > 1) {
 				printf("FAIL n0 %d k %d: Wq %g S %g\n", n0, k, a.wq, a.s);
 				bad++;
 			}
@@ -119,9 +123,16 @@
 		good++;
 	}
 	struct ws_queue q;
-	struct ws_measure m = {.lambda = 0.2, .mu = 1 / 60.0, .alpha = 1 / 35.0, .owned = 6,
-			       .ceiling = 20, .waiting_loads = 10, .delta = 1, .rentals_max = 20,
-			       .wait_max_s = 10, .bound_s = 5};
+	struct ws_measure m = {.lambda = 0.2,
+			       .mu = 1 / 60.0,
+			       .alpha = 1 / 35.0,
+			       .owned = 6,
+			       .ceiling = 20,
+			       .waiting_loads = 10,
+			       .delta = 1,
+			       .rentals_max = 20,
+			       .wait_max_s = 10,
+			       .bound_s = 5};
 	int k = ws_sizing_run(&m, &q), tight;
 
 	/* over the bound k rises on, and the ceiling ends it */
--- a/tests/smoke_test.c
+++ b/tests/smoke_test.c
@@ -20,7 +20,12 @@
 static struct ws_server *state, *cloud;
 static json_t *kv;
 static json_int_t rev = 1;
-static struct { uint64_t token; json_int_t since; char prefix[64]; double until; } watches[16];
+static struct {
+	uint64_t token;
+	json_int_t since;
+	char prefix[64];
+	double until;
+} watches[16];
 static int good, bad;
 
 static void check(const char *what, bool ok)
@@ -43,14 +48,14 @@
 	json_t *a = json_array(), *v;
 	const char *k;
 
-	json_object_foreach(kv, k, v)
-	{
+	json_object_foreach (kv, k, v) {
 		json_int_t st = json_integer_value(json_object_get(v, "stamp"));
 
 		if (strncmp(k, prefix, strlen(prefix)) || st <= since)
 			continue;
-		json_array_append_new(a, json_pack("{s:s,s:O,s:I}", events ? "write" : "k", k, "value",
-						   json_object_get(v, "value"), "stamp", st));
+		json_array_append_new(a,
+				      json_pack("{s:s,s:O,s:I}", events ? "write" : "k", k, "value",
+						json_object_get(v, "value"), "stamp", st));
 	}
 	return a;
 }
@@ -67,7 +72,8 @@
 			json_decref(e);
 			continue;
 		}
-		send_json(state, watches[i].token, 200, json_pack("{s:I,s:o}", "ledgerRev", rev, "news", e));
+		send_json(state, watches[i].token, 200,
+			  json_pack("{s:I,s:o}", "ledgerRev", rev, "news", e));
 		watches[i].token = 0;
 	}
 }
@@ -85,14 +91,16 @@
 	if (!strncmp(path, "/kv/", 4)) {
 		v = json_object_get(kv, path + 4);
 		if (v)
-			send_json(state, token, 200, json_pack("{s:s,s:O,s:O}", "k", path + 4, "value",
-							       json_object_get(v, "value"), "stamp",
-							       json_object_get(v, "stamp")));
+			send_json(state, token, 200,
+				  json_pack("{s:s,s:O,s:O}", "k", path + 4, "value",
+					    json_object_get(v, "value"), "stamp",
+					    json_object_get(v, "stamp")));
 		else
 			send_json(state, token, 404, json_pack("{s:I}", "ledgerRev", rev));
 	} else if (!strncmp(path, "/kv?", 4)) {
-		send_json(state, token, 200, json_pack("{s:o,s:b,s:I}", "entries", entries(prefix, 0, false),
-						       "hasNext", 0, "ledgerRev", rev));
+		send_json(state, token, 200,
+			  json_pack("{s:o,s:b,s:I}", "entries", entries(prefix, 0, false),
+				    "hasNext", 0, "ledgerRev", rev));
 	} else if (!strncmp(path, "/watch", 6)) {
 		for (i = 0; i < 16 && watches[i].token; i++)
 			;
@@ -104,29 +112,31 @@
 	} else if (!strcmp(path, "/multi")) {
 		json_t *failed = json_array();
 
-		json_array_foreach(json_object_get(o, "when"), i, e)
-		{
+		json_array_foreach (json_object_get(o, "when"), i, e) {
 			const char *k = json_string_value(json_object_get(e, "k"));
-			json_int_t have = json_integer_value(json_object_get(json_object_get(kv, k), "stamp"));
+			json_int_t have =
+			    json_integer_value(json_object_get(json_object_get(kv, k), "stamp"));
 
 			if (have != json_integer_value(json_object_get(e, "stamp")))
 				json_array_append_new(failed, json_string(k));
 		}
 		if (json_array_size(failed)) {
-			send_json(state, token, 409, json_pack("{s:o,s:I}", "failed", failed, "ledgerRev", rev));
+			send_json(state, token, 409,
+				  json_pack("{s:o,s:I}", "failed", failed, "ledgerRev", rev));
 		} else {
 			json_decref(failed);
 			rev++;
-			json_array_foreach(json_object_get(o, "then"), i, e)
-			{
+			json_array_foreach (json_object_get(o, "then"), i, e) {
 				const char *w = json_string_value(json_object_get(e, "write"));
 
 				if (w)
-					json_object_set_new(kv, w, json_pack("{s:O,s:I}", "value",
-									     json_object_get(e, "value"),
-									     "stamp", rev));
+					json_object_set_new(kv, w,
+							    json_pack("{s:O,s:I}", "value",
+								      json_object_get(e, "value"),
+								      "stamp", rev));
 				else
-					json_object_del(kv, json_string_value(json_object_get(e, "delete")));
+					json_object_del(
+					    kv, json_string_value(json_object_get(e, "delete")));
 			}
 			send_json(state, token, 200, json_pack("{s:I}", "ledgerRev", rev));
 			wake();
@@ -147,15 +157,16 @@
 	(void)len;
 	if (!strcmp(path, "/machine_types"))
 		send_json(cloud, token, 200,
-			  json_pack("{s:[{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:[s]}]}", "flavours", "name",
-				    "std", "vcpus", 16.0, "accelerators", 0.0, "memGb", 64.0, "localGb",
-				    20.0, "fetchGbPerS", 1.0, "rate", 1.0, "spotPrice", 0.4, "startupS",
-				    30.0, "halls", "a"));
+			  json_pack("{s:[{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:[s]}]}", "flavours",
+				    "name", "std", "vcpus", 16.0, "accelerators", 0.0, "memGb",
+				    64.0, "localGb", 20.0, "fetchGbPerS", 1.0, "rate", 1.0,
+				    "spotPrice", 0.4, "startupS", 30.0, "halls", "a"));
 	else if (!strcmp(method, "GET"))
 		send_json(cloud, token, 200,
-			  json_pack("{s:[{s:s,s:s,s:s,s:s,s:b,s:s,s:f}],s:b}", "hosts", "nameId", "n-000000",
-				    "address", "127.0.0.1:1", "flavour", "std", "hall", "a", "reclaimable", 0,
-				    "phase", "running", "ageS", 100.0, "hasNext", 0));
+			  json_pack("{s:[{s:s,s:s,s:s,s:s,s:b,s:s,s:f}],s:b}", "hosts", "nameId",
+				    "n-000000", "address", "127.0.0.1:1", "flavour", "std", "hall",
+				    "a", "reclaimable", 0, "phase", "running", "ageS", 100.0,
+				    "hasNext", 0));
 	else
 		send_json(cloud, token, 503, json_pack("{s:s}", "error", "no capacity"));
 }
@@ -258,11 +269,11 @@
 int main(int argc, char **argv)
 {
 	static const char job[] =
-		"{\"nameId\":\"job-000001\",\"jobclass\":\"c\",\"owner\":\"t\",\"shape\":\"sweep\","
-		"\"tier\":\"normal\",\"shards\":1,\"vcpus\":1.0,\"accelerators\":0.0,\"memGb\":1.0,"
-		"\"bundle\":\"i\",\"sizeGb\":1.0,\"flavours\":null,\"hall\":null,\"samePlace\":false,"
-		"\"spread\":false,\"reclaimable\":true,\"expectedS\":1.0,\"snapshotEveryS\":0.0,"
-		"\"snapshotS\":0.0,\"dueS\":null}";
+	    "{\"nameId\":\"job-000001\",\"jobclass\":\"c\",\"owner\":\"t\",\"shape\":\"sweep\","
+	    "\"tier\":\"normal\",\"shards\":1,\"vcpus\":1.0,\"accelerators\":0.0,\"memGb\":1.0,"
+	    "\"bundle\":\"i\",\"sizeGb\":1.0,\"flavours\":null,\"hall\":null,\"samePlace\":false,"
+	    "\"spread\":false,\"reclaimable\":true,\"expectedS\":1.0,\"snapshotEveryS\":0.0,"
+	    "\"snapshotS\":0.0,\"dueS\":null}";
 	char file[] = "/tmp/waystep-smoke-XXXXXX", err[200], text[600], path[64] = "";
 	int port = free_port(), peer = free_port(), status = 0, fd, tries = 0, counter = 1;
 	struct ws_client_opts o = {.max_conns = 1, .max_queue = 4, .max_reply = 65536};
@@ -282,12 +293,13 @@
 	cloud = ws_server_new(loop, "127.0.0.1", 0, 64, on_cloud, NULL, err, sizeof(err));
 	fd = mkstemp(file);
 	f = fdopen(fd, "w");
-	fprintf(f, "node='n'\nzone='a'\nbind='127.0.0.1:%d'\npeer_bind='127.0.0.1:%d'\nlater=1\n"
-		   "[services]\ncloud='127.0.0.1:%d'\nstate='127.0.0.1:%d'\n"
-		   "[settings]\nzones=['a']\n[[settings.teams]]\nname='t'\ncpus=8.0\ncpus_max=16.0\n"
-		   "[settings.workers]\nreport_s=0.5\nlease_s=6.0\ncancel_s=20.0\n"
-		   "[settings.state]\nrps=200.0\nwrite_rps=100.0\nvalue_kb=4.0\ntxn_ops=12\n"
-		   "[settings.cloud]\nrps=5.0\nlist_lag_s=1.0\n",
+	fprintf(f,
+		"node='n'\nzone='a'\nbind='127.0.0.1:%d'\npeer_bind='127.0.0.1:%d'\nlater=1\n"
+		"[services]\ncloud='127.0.0.1:%d'\nstate='127.0.0.1:%d'\n"
+		"[settings]\nzones=['a']\n[[settings.teams]]\nname='t'\ncpus=8.0\ncpus_max=16.0\n"
+		"[settings.workers]\nreport_s=0.5\nlease_s=6.0\ncancel_s=20.0\n"
+		"[settings.state]\nrps=200.0\nwrite_rps=100.0\nvalue_kb=4.0\ntxn_ops=12\n"
+		"[settings.cloud]\nrps=5.0\nlist_lag_s=1.0\n",
 		port, peer, ws_server_port(cloud), ws_server_port(state));
 	fclose(f);
 	check("settings that are fine pass --check", run_check(argv[1], "--check", file) == 0);
@@ -316,7 +328,8 @@
 	check("404 for an unknown path", ask(c, "GET", "/other", "") == 404);
 	check("405", ask(c, "DELETE", "/v2/runs", "") == 405);
 	check("broken HTTP", raw(port, "HELLO\r\n\r\n", 9) == 400);
-	check("a body too long", raw(port, "POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 49) == 413);
+	check("a body too long",
+	      raw(port, "POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 49) == 413);
 	for (unsigned seed = 1; seed <= 20; seed++) { /* noise; the process must live on */
 		char noise[400];
 
@@ -333,27 +346,32 @@
 		size_t k;
 
 		snprintf(text, sizeof(text),
-			 "{\"host\":\"n-000000\",\"address\":\"127.0.0.1:1\",\"flavour\":\"std\",\"hall\":\"a\","
-			 "\"reclaimable\":false,\"tenure\":1,\"counter\":%d,\"epoch\":%lld,\"warningS\":null,"
+			 "{\"host\":\"n-000000\",\"address\":\"127.0.0.1:1\",\"flavour\":\"std\","
+			 "\"hall\":\"a\","
+			 "\"reclaimable\":false,\"tenure\":1,\"counter\":%d,\"epoch\":%lld,"
+			 "\"warningS\":null,"
 			 "\"shards\":[]}",
 			 counter++, (long long)epoch);
 		if (ask(c, "POST", "/checkin", text) == 200) {
 			epoch = json_integer_value(json_object_get(got, "epoch"));
-			json_array_foreach(json_object_get(got, "orders"), k, e)
-			if (!strcmp(json_string_value(json_object_get(e, "verb")), "run") &&
-			    !strcmp(json_string_value(json_object_get(e, "shard")), "job-000001/0")) {
-				ran = true;
-				attempt = json_integer_value(json_object_get(e, "tryNo"));
-			}
+			json_array_foreach (json_object_get(got, "orders"), k, e)
+				if (!strcmp(json_string_value(json_object_get(e, "verb")), "run") &&
+				    !strcmp(json_string_value(json_object_get(e, "shard")),
+					    "job-000001/0")) {
+					ran = true;
+					attempt = json_integer_value(json_object_get(e, "tryNo"));
+				}
 		}
 		pause_s(0.1);
 	}
 	check("the worker is told to run the task", ran);
-	snprintf(text, sizeof(text),
-		 "{\"host\":\"n-000000\",\"address\":\"127.0.0.1:1\",\"flavour\":\"std\",\"hall\":\"a\","
-		 "\"reclaimable\":false,\"tenure\":1,\"counter\":%d,\"epoch\":%lld,\"warningS\":null,"
-		 "\"shards\":[{\"shard\":\"job-000001/0\",\"tryNo\":%lld,\"phase\":\"exited\",\"cause\":\"done\"}]}",
-		 counter++, (long long)epoch, (long long)attempt);
+	snprintf(
+	    text, sizeof(text),
+	    "{\"host\":\"n-000000\",\"address\":\"127.0.0.1:1\",\"flavour\":\"std\",\"hall\":\"a\","
+	    "\"reclaimable\":false,\"tenure\":1,\"counter\":%d,\"epoch\":%lld,\"warningS\":null,"
+	    "\"shards\":[{\"shard\":\"job-000001/"
+	    "0\",\"tryNo\":%lld,\"phase\":\"exited\",\"cause\":\"done\"}]}",
+	    counter++, (long long)epoch, (long long)attempt);
 	check("the report of its end is taken", ask(c, "POST", "/checkin", text) == 200);
 	for (int i = 0; i < 40; i++) {
 		snprintf(path, sizeof(path), "/v2/runs/job-000001");
@@ -362,11 +380,12 @@
 			break;
 		pause_s(0.1);
 	}
-	check("and the job is done", got_status == 200 && got &&
-					     !strcmp(json_string_value(json_object_get(got, "phase")), "done"));
+	check("and the job is done",
+	      got_status == 200 && got &&
+		  !strcmp(json_string_value(json_object_get(got, "phase")), "done"));
 	check("a done job stays done when aborted",
 	      ask(c, "POST", "/v2/runs/job-000001/abort", "") == 200 &&
-		      !strcmp(json_string_value(json_object_get(got, "phase")), "done"));
+		  !strcmp(json_string_value(json_object_get(got, "phase")), "done"));
 	check("still running", waitpid(pid, &status, WNOHANG) == 0);
 	kill(pid, SIGTERM);
 	waitpid(pid, &status, 0);
