--- a/src/core/core.h
+++ b/src/core/core.h
@@ -227,6 +227,7 @@
 void ws_core_complete(struct ws_core *c, double now, struct ws_call *call,
 		      const struct ws_result *r);
 
+void ws_core_resign(struct ws_core *c, double now);
 bool ws_core_ready(const struct ws_core *c);
 bool ws_core_leading(const struct ws_core *c);
 void ws_core_submit(struct ws_core *c, double now, double wall, uint64_t token,
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -372,6 +372,16 @@
 	return 0;
 }
 
+/* Once a lease for each job, so that operators can see what it waits for. */
+static bool ws_why_waits(struct ws_core *c, struct ws_job *j, const char *why)
+{
+	if (c->now - j->wait_logged <= c->set->lease_s)
+		return false;
+	j->wait_logged = c->now;
+	ws_log(c, WS_LOG_INFO, "job %s waits: %s", j->spec.id, why);
+	return true;
+}
+
 void ws_place(struct ws_core *c)
 {
 	size_t nj = HASH_COUNT(c->jobs), nm = HASH_COUNT(c->machines), n = 0, nw = 0, nu = 0;
@@ -422,8 +432,10 @@
 		team = ws_team_of(c, j->spec.team);
 		if (!team)
 			continue;
-		if (j->not_before > c->now)
+		if (j->not_before > c->now) {
+			ws_why_waits(c, j, "held back after failures");
 			continue;
+		}
 		nz = ws_siblings(c, j, z);
 		double cpus = team->used_cpus, gpus = team->used_gpus;
 		const char *zone = NULL;
@@ -449,7 +461,11 @@
 				continue;
 			if (cpus + j->spec.cpus > team->set->cpus_max + 1e-9 ||
 			    gpus + j->spec.gpus > team->set->gpus_max + 1e-9)
-				break; /* its limit: more machines would not help */
+				{
+				/* more machines would not help */
+				ws_why_waits(c, j, "its team is at its limit");
+				break;
+			}
 			cpus += j->spec.cpus;
 			gpus += j->spec.gpus;
 			for (size_t i = 0; i < nu; i++) {
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -91,6 +91,16 @@
 	ws_follow(c, 0);
 }
 
+/* The node is about to stop: whoever comes next need not wait for the hold to end. */
+void ws_core_resign(struct ws_core *c, double now)
+{
+	if (now > c->now)
+		c->now = now;
+	c->stand_after = 1e18;
+	if (c->role != WS_FOLLOWER)
+		ws_lead_end(c, "stopping");
+}
+
 /* ---- who leads ---- */
 
 static void ws_leader_is(struct ws_core *c, json_t *value, uint64_t stamp)
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -651,6 +651,14 @@
 	return v;
 }
 
+void ws_service_resign(struct ws_service *v)
+{
+	pthread_mutex_lock(&v->lock);
+	ws_core_resign(v->core, ws_now());
+	pthread_mutex_unlock(&v->lock);
+	ws_drain(v);
+}
+
 void ws_service_free(struct ws_service *v)
 {
 	struct ws_worker *w, *t;
--- a/src/io/service.h
+++ b/src/io/service.h
@@ -7,5 +7,7 @@
 struct ws_service;
 struct ws_service *ws_service_new(struct ev_loop *loop, const struct ws_settings *s,
 				  const struct ws_policy *p, char *err, size_t n);
+/* Gives up the lead, if it is held; what is to be sent for it goes out with the loop. */
+void ws_service_resign(struct ws_service *v);
 void ws_service_free(struct ws_service *v);
 #endif
--- a/src/main.c
+++ b/src/main.c
@@ -43,13 +43,29 @@
 	}
 }
 
-static void ws_stop(struct ev_loop *loop, ev_signal *w, int revents)
+static void ws_stopped(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	(void)w;
 	(void)revents;
 	ev_break(loop, EVBREAK_ALL);
 }
 
+/* Gives up the lead and leaves a moment for that to reach the state service. */
+static void ws_stop(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	static ev_timer timer;
+	struct ws_service *service = w->data;
+
+	(void)revents;
+	if (ev_is_active(&timer)) {
+		ev_break(loop, EVBREAK_ALL); /* told twice */
+		return;
+	}
+	ws_service_resign(service);
+	ev_timer_init(&timer, ws_stopped, 0.2, 0);
+	ev_timer_start(loop, &timer);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct argp argp = {
@@ -97,8 +113,10 @@
 	ws_logf(WS_LOG_INFO, "waystep %s on %s:%d, %zu peers", WS_VERSION, settings.bind.host,
 		settings.bind.port, settings.npeers);
 	ev_signal_init(&term, ws_stop, SIGTERM);
+	term.data = service;
 	ev_signal_start(loop, &term);
 	ev_signal_init(&intr, ws_stop, SIGINT);
+	intr.data = service;
 	ev_signal_start(loop, &intr);
 	ev_run(loop, 0);
 	ws_logf(WS_LOG_INFO, "stopping");
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1467,6 +1467,9 @@
 		for (i = 0; i < s->nnodes; i++)
 			if (!strcmp(who, "all") || i == node_named(s, who))
 				node_crash(s, i, span);
+	} else if (!strcmp(verb, "resign")) {
+		if ((i = node_named(s, who)) >= 0)
+			ws_core_resign(s->nodes[i].core, s->now * (1 + s->nodes[i].skew));
 	} else if (!strcmp(verb, "cut") || !strcmp(verb, "refuse")) {
 		i = node_named(s, who);
 		if (i < 0) {
