--- a/src/io/service.c
+++ b/src/io/service.c
@@ -172,6 +172,11 @@
 	struct ws_result r;
 
 	ws_decode_reply(call, status, body, len, &r);
+	if (status > 0 && r.status == 0)
+		ws_logf(WS_LOG_ERROR,
+			"an answer (%d, %zu bytes) to a call of kind %d for %s can't be read: "
+			"taken for none",
+			status, len, call->kind, call->key[0] ? call->key : call->host);
 	if (r.status < 0 && call->kind != WS_CALL_ORDERS)
 		r.status = 0;
 	pthread_mutex_lock(&v->lock);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1379,7 +1379,7 @@
 {
 	const char *what = word(&p), *a = word(&p), *b = word(&p), *c = word(&p);
 	struct sim_job *j = a ? job_of(s, a) : NULL;
-	int n = 0, m = 0;
+	int n = 0, m = 0, i;
 
 	if (!what)
 		return;
@@ -1412,6 +1412,14 @@
 		      : !strcmp(op, ">=") ? n >= m
 					  : n <= m))
 			fail(s, "%s %s: %d, not %s %d", what, a, n, op, m);
+	} else if (!strcmp(what, "all-done")) {
+		for (i = 0; i < s->njobs; i++)
+			if (!s->jobs[i].done)
+				fail(s, "%s is not done", s->jobs[i].spec.id);
+	} else if (!strcmp(what, "live-jobs")) { /* that the leader keeps in memory */
+		n = leader(s) < 0 ? -1 : (int)HASH_COUNT(s->nodes[leader(s)].core->jobs);
+		if (n < 0 || n > atoi(a))
+			fail(s, "the leader keeps %d jobs", n);
 	} else if (!strcmp(what, "leader")) {
 		if (leader(s) < 0)
 			fail(s, "nobody leads");
@@ -1456,6 +1464,15 @@
 		snprintf(s->then, sizeof(s->then), "%s", p);
 	} else if (!strcmp(verb, "submit")) {
 		add_job(s, who, full, s->now);
+	} else if (!strcmp(verb, "submit-many")) { /* so many, one each step from now on */
+		int first = atoi(opt_text(full, "first", text, sizeof(text)) ? text : "1");
+
+		for (i = 0; i < atoi(who) && s->njobs < SIM_JOBS; i++) {
+			char id[WS_ID_MAX];
+
+			snprintf(id, sizeof(id), "job-%06d", first + i);
+			add_job(s, id, full, s->now + i * STEP);
+		}
 	} else if (!strcmp(verb, "ask")) { /* for a job that nobody submitted */
 		add_job(s, who, full, -1);
 	} else if (!strcmp(verb, "abort")) {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -10,7 +10,7 @@
 #define SIM_NODES 5
 #define SIM_WORKERS 256
 #define SIM_TASKS 64
-#define SIM_JOBS 512
+#define SIM_JOBS 1020
 
 struct sim_task {
 	char job[WS_ID_MAX];
--- a/tests/smoke_test.c
+++ b/tests/smoke_test.c
@@ -330,15 +330,24 @@
 	check("broken HTTP", raw(port, "HELLO\r\n\r\n", 9) == 400);
 	check("a body too long",
 	      raw(port, "POST /v2/runs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 49) == 413);
-	for (unsigned seed = 1; seed <= 20; seed++) { /* noise; the process must live on */
-		char noise[400];
+	for (unsigned seed = 1; seed <= 60; seed++) { /* noise; the process must live on */
+		char noise[1600];
+		size_t len = 400;
 
 		srand(seed);
-		for (size_t i = 0; i < sizeof(noise); i++)
+		for (size_t i = 0; i < len; i++)
 			noise[i] = (char)(rand() & (seed & 1 ? 127 : 255));
-		if (seed % 3 == 0)
-			memcpy(noise, "POST /checkin HTTP/1.1\r\nContent-Length: 50\r\n\r\n", 46);
-		raw(port, noise, sizeof(noise));
+		if (seed % 3) { /* a proper request, mangled in a few places */
+			int n =
+			    snprintf(noise, sizeof(noise),
+				     "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n%s",
+				     seed % 3 == 1 ? "/v2/runs" : "/checkin", strlen(job), job);
+
+			len = (size_t)n;
+			for (int k = 0; k < 1 + (int)(seed % 7); k++)
+				noise[(size_t)rand() % len] = (char)rand();
+		}
+		raw(port, noise, len);
 	}
 	check("alive after noise", ask(c, "GET", "/healthz", "") == 200);
 	for (int i = 0; i < 60 && !ran; i++) {
