Word of a tenure whose lease surely ran out is refused

Ruled out: a lease still running; the next message was of tenure 2. The stand-ins now hold back reports during cuts.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -444,6 +444,13 @@
 	else
 		c->direct_report_at = c->now;
 	m = ws_machine_get(c, r->machine);
+	if (r->tenure < m->least_tenure) {
+		/* held back since before: a 200 would count as an answer, its tasks as alive */
+		a = ws_act(c, WS_ACT_ANSWER_REPORT);
+		a->token = token;
+		a->status = 503;
+		return;
+	}
 	newer = r->tenure > m->tenure || (r->tenure == m->tenure && r->counter > m->counter) ||
 		!m->reported;
 	if (newer && r->tenure >= m->tenure) {
@@ -654,6 +661,7 @@
 	HASH_ITER (hh, c->machines, m, t) {
 		if (m->nslots && c->now > m->alive_until && m->tenure) {
 			ws_log(c, WS_LOG_INFO, "machine %s: its lease has surely run out", m->name);
+			m->least_tenure = m->tenure + 1;
 			ws_machine_clear(c, m);
 		}
 		if (m->noticed && c->now < m->notice_until + c->set->lease_s) {
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -84,6 +84,7 @@
 	bool returning;	    /* asked for its return; never used again */
 	bool return_inflight;
 	double return_next;
+	uint64_t least_tenure; /* its lease surely ran out: word of an earlier tenure is stale */
 	uint64_t tenure, counter, epoch; /* of the newest report */
 	double heard;			 /* when the newest report came in */
 	double alive_until; /* its tasks may live until then, as far as answers given tell */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -460,8 +460,7 @@
 			if (j->tasks[t].done || j->tasks[t].slots)
 				continue;
 			if (cpus + j->spec.cpus > team->set->cpus_max + 1e-9 ||
-			    gpus + j->spec.gpus > team->set->gpus_max + 1e-9)
-				{
+			    gpus + j->spec.gpus > team->set->gpus_max + 1e-9) {
 				/* more machines would not help */
 				ws_why_waits(c, j, "its team is at its limit");
 				break;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -43,6 +43,13 @@
 	struct sim_late *next;
 };
 
+struct sim_held { /* reports that a cut holds back */
+	double at;
+	int node;
+	struct ws_report r;
+	struct sim_held *next;
+};
+
 struct sim_relay {
 	uint64_t token; /* at the node that was asked */
 	int from, to;
@@ -91,6 +98,7 @@
 	bool was_down;
 	struct sim_flight *flights;
 	struct sim_late *late;
+	struct sim_held *held;
 	uint64_t next_token;
 	struct {
 		uint64_t token;
@@ -574,7 +582,17 @@
 		w->next_report = s->now + s->report * (0.75 + 0.5 * rnd(s));
 		w->report_id = (++s->next_token << 10) | (uint64_t)(w - s->w) | 1ULL << 62;
 		if (apart(s, w, nd)) {
-			/* stays silent */
+			double until = fmax(fmax(w->cut_until, w->pin_until),
+					    fmax(nd->cut_workers, s->zone_cut));
+			struct sim_held *h = calloc(1, sizeof(*h)), **p = &s->held;
+
+			h->at = until + STEP;
+			h->node = w->node;
+			h->r = r;
+			r.tasks = NULL;
+			while (*p) /* delivered in order */
+				p = &(*p)->next;
+			*p = h;
 		} else if (!nd->up) {
 			w->waiting = false;
 			w->node = (w->node + 1) % s->nnodes;
@@ -590,7 +608,7 @@
 {
 	struct sim_worker *w = &s->w[a->token & 1023 & (SIM_WORKERS - 1)];
 
-	if (a->token != w->report_id || !w->waiting || !worker_live(s, w) ||
+	if (a->token >> 60 == 1 || a->token != w->report_id || !w->waiting || !worker_live(s, w) ||
 	    apart(s, w, &s->nodes[w->node]))
 		return;
 	w->waiting = false;
@@ -1658,6 +1676,20 @@
 			    s->now > s->holds[i].until + 0.05)
 				hold_end(s, &s->holds[i]);
 		s->was_down = s->now < s->state_down;
+		for (struct sim_held **p = &s->held, *h; (h = *p);) {
+			struct sim_node *nd = &s->nodes[h->node];
+
+			if (h->at > s->now) {
+				p = &h->next;
+				continue;
+			}
+			*p = h->next;
+			if (nd->up) /* its sender gave up long ago: nobody hears the answer */
+				ws_core_report(nd->core, s->now * (1 + nd->skew), 1ULL << 60, &h->r,
+					       false);
+			free(h->r.tasks);
+			free(h);
+		}
 		for (struct sim_late **l = &s->late, *x; (x = *l);) {
 			if (x->at > s->now) {
 				l = &x->next;
@@ -1711,6 +1743,13 @@
 		result_clear(&f->res);
 		free(f);
 	}
+	while (s->held) {
+		struct sim_held *h = s->held;
+
+		s->held = h->next;
+		free(h->r.tasks);
+		free(h);
+	}
 	while (s->late) {
 		struct sim_late *l = s->late;
 
