--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -487,6 +487,7 @@
 	if (r->status < 0)
 		return; /* never left us: the next reply carries it */
 	if (r->report && !strcmp(r->report->machine, m->name)) {
+		c->direct_report_at = c->now; /* it can be reached from here */
 		if (r->report->tenure > m->tenure ||
 		    (r->report->tenure == m->tenure && r->report->counter > m->counter) ||
 		    !m->reported) {
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -515,7 +515,7 @@
 	if (!c->paused)
 		c->pause_until = c->entitled_until;
 	if (c->role == WS_LEADER && c->relayed_report_at > c->direct_report_at &&
-	    c->now - c->direct_report_at > c->set->lease_s / 4 + 2 * c->set->report_s &&
+	    c->now - c->direct_report_at > 4 * c->set->report_s &&
 	    c->relayed_report_at - c->elected_at > c->set->report_s && !c->in_outage) {
 		/* workers reach the others but not us: let one of them lead */
 		c->stand_after = c->now + c->set->lease_s;
