Stepping down is counted from the first report passed on; unlisted machines go back

Cause 1: a leader counted from its last direct report, so that in a fleet without a machine the first report, passed on by a follower, made it step down at once (seen in a scenario). Ruled out: a real cut; the second report came directly. Scenario: no-machine-yet. Ruled out: the list; it was read every lag. Scenario: taken-unseen.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -439,10 +439,10 @@
 	}
 	if (r->epoch > c->epoch)
 		c->epoch = r->epoch;
-	if (relayed)
-		c->relayed_report_at = c->now;
-	else
-		c->direct_report_at = c->now;
+	if (!relayed)
+		c->relay_since = 0;
+	else if (!c->relay_since)
+		c->relay_since = c->now;
 	m = ws_machine_get(c, r->machine);
 	if (r->tenure < m->least_tenure) {
 		/* held back since before: a 200 would count as an answer, its tasks as alive */
@@ -487,7 +487,7 @@
 	if (r->status < 0)
 		return; /* never left us: the next reply carries it */
 	if (r->report && !strcmp(r->report->machine, m->name)) {
-		c->direct_report_at = c->now; /* it can be reached from here */
+		c->relay_since = 0; /* it can be reached from here */
 		if (r->report->tenure > m->tenure ||
 		    (r->report->tenure == m->tenure && r->report->counter > m->counter) ||
 		    !m->reported) {
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -84,6 +84,7 @@
 	bool returning;	    /* asked for its return; never used again */
 	bool return_inflight;
 	double return_next;
+	bool on_record;	       /* known from the records at this leader's election */
 	uint64_t least_tenure; /* its lease surely ran out: word of an earlier tenure is stale */
 	uint64_t tenure, counter, epoch; /* of the newest report */
 	double heard;			 /* when the newest report came in */
@@ -199,7 +200,7 @@
 	bool owned_seen, owned_known, owned_writing;
 	char (*owned)[WS_NAME_MAX];
 	size_t nowned;
-	double direct_report_at, relayed_report_at;
+	double relay_since; /* reports have come by other nodes alone since then; 0: not so */
 
 	struct ws_job *jobs;
 	struct ws_machine *machines;
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -171,7 +171,7 @@
 	c->leader_stamp = r->rev;
 	snprintf(c->leader, sizeof(c->leader), "%s", c->set->node);
 	c->extend_next = call->made + c->ttl / 4;
-	c->direct_report_at = c->relayed_report_at = c->now;
+	c->relay_since = 0;
 	ws_log(c, WS_LOG_INFO, "elected, epoch %llu", (unsigned long long)c->epoch);
 	ws_load(c);
 }
@@ -400,6 +400,7 @@
 		for (uint32_t i = 0; i < r->nhosts; i++) {
 			struct ws_machine *m = ws_machine_get(c, r->hosts[i]);
 
+			m->on_record = true;
 			snprintf(m->type_name, sizeof(m->type_name), "%s", r->type);
 			snprintf(m->zone, sizeof(m->zone), "%s", r->zone);
 			m->spot = r->spot;
@@ -411,6 +412,7 @@
 		struct ws_slot *list, *s;
 
 		m->plan_stamp = kv->stamp;
+		m->on_record = true;
 		if (!ws_record_read_plan(kv->value, m, &list))
 			ws_log(c, WS_LOG_ERROR, "%s can't be read in full", kv->key);
 		while ((s = list)) {
@@ -514,10 +516,10 @@
 	}
 	if (!c->paused)
 		c->pause_until = c->entitled_until;
-	if (c->role == WS_LEADER && c->relayed_report_at > c->direct_report_at &&
-	    c->now - c->direct_report_at > 4 * c->set->report_s &&
-	    c->relayed_report_at - c->elected_at > c->set->report_s && !c->in_outage) {
-		/* workers reach the others but not us: let one of them lead */
+	if (c->role == WS_LEADER && c->relay_since > 0 &&
+	    c->now - c->relay_since > 2.5 * c->set->report_s && !c->in_outage) {
+		/* workers reach the others but not us: let one of them lead. Counted from the first
+		 * report passed on, since before it there may have been no worker at all */
 		c->stand_after = c->now + c->set->lease_s;
 		ws_lead_end(c, "no worker reaches this node, but others do");
 		return;
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -369,6 +369,12 @@
 	}
 }
 
+/* On record before this leader's election, so that lists as old as twice the lag should name it. */
+static bool ws_listed_by_now(const struct ws_core *c, const struct ws_machine *m)
+{
+	return m->on_record && c->now - c->elected_at > 2 * c->set->list_lag_s;
+}
+
 static void ws_hosts_done(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
 	struct ws_machine *m, *mt;
@@ -410,7 +416,8 @@
 	}
 	c->hosts_after[0] = 0;
 	HASH_ITER (hh, c->machines, m, mt)
-		if (!m->owned && m->listed && m->list_pass != c->list_pass && !m->returning &&
+		if (!m->owned && (m->listed || ws_listed_by_now(c, m)) &&
+		    m->list_pass != c->list_pass && !m->returning &&
 		    c->now - m->heard > 2 * c->set->report_s &&
 		    c->now - c->elected_at > 2 * c->set->report_s && c->owned_known) {
 			/* listed once, listed no more, and silent: have the cloud confirm that it
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1434,6 +1434,11 @@
 		for (i = 0; i < s->njobs; i++)
 			if (!s->jobs[i].done)
 				fail(s, "%s is not done", s->jobs[i].spec.id);
+	} else if (!strcmp(what, "elections")) { /* how often the leader's key was written */
+		for (size_t h = 0; h < s->nhist; h++)
+			n += !strcmp(s->hist[h].key, "leader") && s->hist[h].value;
+		if (n != atoi(a))
+			fail(s, "%d elections", n);
 	} else if (!strcmp(what, "live-jobs")) { /* that the leader keeps in memory */
 		n = leader(s) < 0 ? -1 : (int)HASH_COUNT(s->nodes[leader(s)].core->jobs);
 		if (n < 0 || n > atoi(a))
