--- a/src/core/core.c
+++ b/src/core/core.c
@@ -167,11 +167,6 @@
 	return c->role == WS_LEADER;
 }
 
-double ws_core_next_tick(const struct ws_core *c)
-{
-	return c->tick_next;
-}
-
 /* Everything that is due; called after each event and by the shell's timer. */
 void ws_core_tick(struct ws_core *c, double now)
 {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -221,7 +221,6 @@
 			    double now, uint64_t nonce);
 void ws_core_free(struct ws_core *c);
 void ws_core_tick(struct ws_core *c, double now);
-double ws_core_next_tick(const struct ws_core *c);
 struct ws_action *ws_core_pop(struct ws_core *c);
 void ws_action_free(struct ws_action *a);
 void ws_core_complete(struct ws_core *c, double now, struct ws_call *call,
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -159,7 +159,6 @@
 		       s->task, why);
 	s->stop = true;
 	s->grace = grace;
-	s->stop_at = c->now;
 	if (!s->sent && !s->seen)
 		ws_slot_release(c, s);
 }
@@ -396,7 +395,6 @@
 		o[n].grace_s = s->grace;
 		if (!stop) {
 			s->sent = true;
-			s->direct |= direct;
 		}
 		n++;
 	}
@@ -414,8 +412,6 @@
 	return n;
 }
 
-void ws_follower_report(struct ws_core *c, uint64_t token, const struct ws_report *r, bool relayed);
-
 void ws_core_report(struct ws_core *c, double now, uint64_t token, const struct ws_report *r,
 		    bool relayed)
 {
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -32,13 +32,12 @@
 	uint64_t stamp;	       /* of its key */
 	double submitted_wall; /* time of day, for deadlines and order */
 	struct ws_task *tasks;
-	uint32_t ndone, nsaved, nslots;
+	uint32_t ndone, nslots;
 	bool dirty, writing, stale; /* stale: our stamp lost a race, wait for the watch */
 	bool started;		    /* recorded as running */
-	bool known_running;
-	double not_before; /* back-off after failures */
-	uint32_t errors;   /* failures on machines that otherwise work */
-	bool prompt;	   /* its class has a start aim */
+	double not_before;	    /* back-off after failures */
+	uint32_t errors;	    /* failures on machines that otherwise work */
+	bool prompt;		    /* its class has a start aim */
 	double wait_logged;
 	bool guaranteed; /* fits its team's guarantee with the team's earlier jobs */
 	struct ws_job *dirty_next;
@@ -59,14 +58,13 @@
 	uint64_t attempt, tenure;
 	enum ws_slot_state state;
 	bool sent;	       /* a run may have reached the worker, or may still */
-	bool direct;	       /* a run went out by a direct command */
 	bool orphan;	       /* reported but not in our plan */
 	bool seen;	       /* the worker has reported it */
 	bool stop;	       /* is to end */
 	bool writing;	       /* is in the plan being written */
 	enum ws_task_state at; /* as reported */
 	enum ws_why why;
-	double grace, planned_at, running_at, stop_at;
+	double grace, planned_at, running_at;
 	uint64_t pass; /* mark of the report being read */
 	struct ws_slot *next;
 };
@@ -160,7 +158,7 @@
 	const struct ws_settings *set;
 	struct ws_policy pol;
 	ws_log_fn log;
-	double now, wall_offset;
+	double now;
 	uint64_t nonce;
 	struct ws_action *head, *tail;
 	uint64_t generation; /* rises whenever leadership ends: late completions are told apart */
@@ -183,7 +181,7 @@
 	enum ws_role role;
 	uint64_t hold;
 	double ttl, entitled_until, extend_next, stand_after, elected_at;
-	bool extend_inflight, drop_hold;
+	bool extend_inflight;
 	bool in_outage, paused;
 	double pause_until;
 	uint64_t ask_round;
@@ -213,7 +211,7 @@
 	double flush_next;
 	int flush_fails;
 	bool place_wanted;
-	double place_next, tick_next, move_next;
+	double place_next, move_next;
 	uint64_t pass;
 
 	/* cloud */
@@ -230,9 +228,9 @@
 	/* sizing */
 	int k;
 	double size_next;
-	double work_arrived, work_done, busy_time, waits; /* machine-loads since the last run */
+	double work_arrived, work_done, busy_time; /* machine-loads since the last run */
 	double boot_sum, boot_n;
-	double measured_at, last_count;
+	double measured_at;
 };
 
 void ws_log(struct ws_core *c, enum ws_log_level level, const char *fmt, ...)
@@ -318,5 +316,6 @@
 
 /* requests.c */
 void ws_requests_tick(struct ws_core *c);
+void ws_follower_report(struct ws_core *c, uint64_t token, const struct ws_report *r, bool relayed);
 void ws_redirects_free(struct ws_core *c);
 #endif
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -149,7 +149,6 @@
 			break;
 		p = end + 1;
 	}
-	j->nsaved = j->ndone;
 	j->started = j->phase == WS_RUNNING;
 	return j;
 }
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -421,7 +421,7 @@
 			list = s->next;
 			n = ws_slot_add(c, m, s->job_id, s->task, s->attempt);
 			n->state = WS_SLOT_WRITTEN;
-			n->sent = n->direct = true; /* for all we know */
+			n->sent = true; /* for all we know */
 			if (n->job && n->task < n->job->spec.tasks && n->job->tasks[n->task].done)
 				n->stop = true;
 			if (!n->job)
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -13,10 +13,8 @@
 };
 
 struct ws_ask { /* a user's request under way */
-	struct ws_spec spec;
-	bool relayed, abort;
+	bool relayed;
 	int tries;
-	double wall;
 };
 
 static void ws_answer(struct ws_core *c, uint64_t token, int status, const char *id,
@@ -272,11 +270,6 @@
 
 static void ws_abort_got(struct ws_core *c, struct ws_call *call, const struct ws_result *r);
 
-static void ws_abort_old(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
-{
-	ws_poll_old(c, call, r);
-}
-
 static void ws_abort_written(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
 	struct ws_ask *ask = call->ctx;
@@ -301,7 +294,7 @@
 
 	if (r->status == 404) {
 		call->ctx = NULL;
-		ws_get(c, "old", call->ctx_name, call->ctx_n, ask, ws_abort_old);
+		ws_get(c, "old", call->ctx_name, call->ctx_n, ask, ws_poll_old);
 		return;
 	}
 	if (r->status != 200 || r->nkvs != 1 ||
@@ -343,7 +336,6 @@
 		return;
 	}
 	ask->relayed = relayed;
-	ask->abort = true;
 	ws_get(c, "job", id, token, ask, ws_abort_got);
 	ws_core_tick(c, now);
 }
