--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -428,9 +428,7 @@
 	if (c->role != WS_LEADER || !ws_entitled(c) ||
 	    ws_machine_buried(c, r->machine) || /* a report held back since before its return */
 	    (r->epoch > c->epoch && r->epoch >> WS_EPOCH_SHIFT != c->epoch >> WS_EPOCH_SHIFT)) {
-		a = ws_act(c, WS_ACT_ANSWER_REPORT);
-		a->token = token;
-		a->status = 503;
+		ws_report_answer(c, token, 503, NULL);
 		return;
 	}
 	if (r->epoch > c->epoch)
@@ -442,9 +440,7 @@
 	m = ws_machine_get(c, r->machine);
 	if (r->tenure < m->least_tenure) {
 		/* held back since before: a 200 would count as an answer, its tasks as alive */
-		a = ws_act(c, WS_ACT_ANSWER_REPORT);
-		a->token = token;
-		a->status = 503;
+		ws_report_answer(c, token, 503, NULL);
 		return;
 	}
 	newer = r->tenure > m->tenure || (r->tenure == m->tenure && r->counter > m->counter) ||
@@ -510,6 +506,20 @@
 		}
 }
 
+/* A direct command to a machine, without orders as yet. */
+static struct ws_call *ws_orders_call(struct ws_core *c, struct ws_machine *m)
+{
+	struct ws_call *call = ws_call(c, WS_CALL_ORDERS, ws_push_done);
+
+	snprintf(call->host, sizeof(call->host), "%s", m->host);
+	call->port = m->port;
+	call->epoch = c->epoch;
+	call->tenure = m->tenure;
+	snprintf(call->ctx_name, sizeof(call->ctx_name), "%s", m->name);
+	m->commands++;
+	return call;
+}
+
 /* Commands straight to a worker that is known to listen, for speed; replies carry them again. */
 void ws_fleet_push(struct ws_core *c, struct ws_machine *m)
 {
@@ -519,17 +529,11 @@
 	if (!m->reported || !m->port || m->commands || m->fence || m->gone || m->returning ||
 	    !ws_entitled(c) || c->in_outage || c->now - m->heard > 1.5 * c->set->report_s)
 		return;
-	call = ws_call(c, WS_CALL_ORDERS, ws_push_done);
-	snprintf(call->host, sizeof(call->host), "%s", m->host);
-	call->port = m->port;
-	call->epoch = c->epoch;
-	call->tenure = m->tenure;
-	snprintf(call->ctx_name, sizeof(call->ctx_name), "%s", m->name);
+	call = ws_orders_call(c, m);
 	call->orders = calloc(max, sizeof(*call->orders));
 	if (!call->orders)
 		abort();
 	call->norders = ws_orders(c, m, NULL, call->orders, max, true);
-	m->commands++;
 }
 
 /*
@@ -539,17 +543,8 @@
  */
 void ws_fleet_greet(struct ws_core *c, struct ws_machine *m)
 {
-	struct ws_call *call;
-
-	if (!m->port || !m->host[0])
-		return;
-	call = ws_call(c, WS_CALL_ORDERS, ws_push_done);
-	snprintf(call->host, sizeof(call->host), "%s", m->host);
-	call->port = m->port;
-	call->epoch = c->epoch;
-	call->tenure = m->tenure;
-	snprintf(call->ctx_name, sizeof(call->ctx_name), "%s", m->name);
-	m->commands++;
+	if (m->port && m->host[0])
+		ws_orders_call(c, m);
 }
 
 /* The machine and all on it are surely gone, or its lease is. */
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -316,6 +316,7 @@
 
 /* requests.c */
 void ws_requests_tick(struct ws_core *c);
+void ws_report_answer(struct ws_core *c, uint64_t token, int status, const char *leader);
 void ws_follower_report(struct ws_core *c, uint64_t token, const struct ws_report *r, bool relayed);
 void ws_redirects_free(struct ws_core *c);
 #endif
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -404,7 +404,7 @@
 	}
 }
 
-static void ws_report_answer(struct ws_core *c, uint64_t token, int status, const char *leader)
+void ws_report_answer(struct ws_core *c, uint64_t token, int status, const char *leader)
 {
 	struct ws_action *a = ws_act(c, WS_ACT_ANSWER_REPORT);
 
