--- a/src/core/core.c
+++ b/src/core/core.c
@@ -133,9 +133,8 @@
 		c->ttl = 0.2;
 	if (c->pol.rental_ceiling < 0)
 		c->pol.rental_ceiling = -1; /* derived once the machine types are known */
-	c->dirty_jobs_tail = &c->dirty_jobs;
-	c->dirty_plans_tail = &c->dirty_plans;
-	c->dirty_rentals_tail = &c->dirty_rentals;
+	for (size_t i = 0; i < s->nzones; i++)
+		ws_zone_id(c, s->zones[i]);
 	c->k = -1;
 	for (size_t i = 0; i < s->nteams; i++)
 		c->teams[i].set = &s->teams[i];
@@ -153,7 +152,7 @@
 		ws_call_free(a->call);
 		ws_action_free(a);
 	}
-	ws_redirects_free(c);
+	ws_requests_free(c);
 	free(c);
 }
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -33,52 +33,132 @@
 	/* an earlier leader may have answered it, and sent it commands, until we were elected */
 	m->alive_until = ws_lease_out(c, c->elected_at);
 	m->fence = c->epoch ? c->epoch - 1 : 0;
-	for (size_t i = 0; i < c->nowned; i++)
-		m->owned |= !strcmp(c->owned[i], name);
+	m->owned = c->owned_seen && strcmp(name, c->owned_upto) <= 0;
+	m->zi = m->chunk = -1;
 	HASH_ADD_STR(c->machines, name, m);
+	c->order_stale = true;
 	return m;
 }
 
+/* What a machine is and where. Its attempts are counted for their jobs where it is. */
+void ws_machine_place(struct ws_core *c, struct ws_machine *m, const char *type, const char *zone,
+		      bool spot)
+{
+	int zi = ws_zone_id(c, zone);
+
+	if (strcmp(m->type_name, type) || !m->type) {
+		snprintf(m->type_name, sizeof(m->type_name), "%s", type);
+		m->type = ws_type_find(c, type);
+		m->ti = m->type ? (int)(m->type - c->types) : 0;
+	}
+	if (zi != m->zi || strcmp(m->zone, zone)) {
+		for (struct ws_slot *s = m->slots; s; s = s->next) {
+			if (!s->job || s->state == WS_SLOT_LEAVING)
+				continue;
+			if (m->zi >= 0)
+				s->job->zone_n[m->zi]--;
+			if (zi >= 0)
+				s->job->zone_n[zi]++;
+		}
+		m->zi = zi;
+		snprintf(m->zone, sizeof(m->zone), "%s", zone);
+	}
+	if (m->spot != spot)
+		c->order_stale = true;
+	m->spot = spot;
+}
+
 /* The time by which a lease renewed at 'from' has run out on any clock. */
 double ws_lease_out(const struct ws_core *c, double from)
 {
 	return from + c->set->lease_s * (1 + WS_DRIFT) + c->set->lease_s / 32;
 }
 
+/* Machines a record holds: an entry with its images takes less than this many bytes. */
+int ws_chunk_size(const struct ws_core *c)
+{
+	int n = (int)(c->set->value_kb * 1024 / 160);
+
+	return n < 1 ? 1 : n;
+}
+
+struct ws_chunk *ws_chunk_at(struct ws_core *c, int i)
+{
+	if (i >= c->nchunks) {
+		c->chunks = realloc(c->chunks, (size_t)(i + 1) * sizeof(*c->chunks));
+		if (!c->chunks)
+			abort();
+		memset(c->chunks + c->nchunks, 0,
+		       (size_t)(i + 1 - c->nchunks) * sizeof(*c->chunks));
+		c->nchunks = i + 1;
+	}
+	return &c->chunks[i];
+}
+
+void ws_chunk_dirty(struct ws_core *c, int i)
+{
+	struct ws_chunk *k = ws_chunk_at(c, i);
+
+	if (!k->dirty)
+		k->dirty_at = c->now;
+	k->dirty = true;
+}
+
+/* The record of where machines are is to be written: it serves the next leader for greeting. */
 void ws_machine_dirty(struct ws_core *c, struct ws_machine *m)
 {
-	if (m->dirty)
-		return;
-	m->dirty = true;
-	m->dirty_next = NULL;
-	*c->dirty_plans_tail = m;
-	c->dirty_plans_tail = &m->dirty_next;
+	int i;
+
+	if (m->chunk < 0) {
+		for (i = 0; i < c->nchunks && c->chunks[i].n >= ws_chunk_size(c); i++)
+			;
+		m->chunk = i;
+		ws_chunk_at(c, i)->n++;
+	}
+	ws_chunk_dirty(c, m->chunk);
 }
 
-static void ws_slot_count(struct ws_core *c, struct ws_slot *s, int sign)
+/* An attempt begins or ceases to count against machine, team, job and task. */
+void ws_slot_count(struct ws_core *c, struct ws_slot *s, int sign)
 {
 	struct ws_machine *m = s->machine;
 	struct ws_team *t;
 
+	(void)c;
+	m->nslots += (uint32_t)sign;
 	if (!s->job)
 		return;
 	const struct ws_spec *p = &s->job->spec;
 	m->used_cpus += sign * p->cpus;
 	m->used_gpus += sign * p->gpus;
 	m->used_mem += sign * p->mem;
-	t = ws_team_of(c, p->team);
+	if (s->stop) {
+		m->stop_cpus += sign * p->cpus;
+		m->stop_gpus += sign * p->gpus;
+		m->stop_mem += sign * p->mem;
+	}
+	if (!m->nslots) /* no rounding is left behind */
+		m->used_cpus = m->used_gpus = m->used_mem = m->stop_cpus = m->stop_gpus =
+		    m->stop_mem = 0;
+	t = s->job->team;
 	if (t) {
 		t->used_cpus += sign * p->cpus;
 		t->used_gpus += sign * p->gpus;
 	}
-	if (sign > 0)
-		s->job->nslots++;
-	else
-		s->job->nslots--;
+	s->job->nslots += (uint32_t)sign;
+	if (m->zi >= 0)
+		s->job->zone_n[m->zi] += (uint32_t)sign;
 	if (s->task < p->tasks) {
 		struct ws_task *k = &s->job->tasks[s->task];
+		bool waited = !k->done && !k->slots;
 
 		k->slots = (uint16_t)(k->slots + sign);
+		if (waited)
+			s->job->waiting--;
+		else if (!k->done && !k->slots)
+			s->job->waiting++;
+		if (!k->slots && s->task < s->job->scan)
+			s->job->scan = s->task;
 		if (sign > 0 && (!k->slot || k->slot->attempt < s->attempt))
 			k->slot = s;
 		else if (sign < 0 && k->slot == s)
@@ -102,23 +182,28 @@
 	s->planned_at = c->now;
 	s->next = m->slots;
 	m->slots = s;
-	m->nslots++;
+	if (s->job)
+		DL_APPEND2(s->job->slots, s, jprev, jnext);
 	ws_slot_count(c, s, 1);
 	return s;
 }
 
-static void ws_slot_drop(struct ws_machine *m, struct ws_slot *s)
+/* Off its machine's list and its job's; it counts no more. */
+void ws_slot_free(struct ws_core *c, struct ws_slot *s)
 {
-	struct ws_slot **p = &m->slots;
+	struct ws_slot **p = &s->machine->slots;
 
+	(void)c;
 	while (*p && *p != s)
 		p = &(*p)->next;
 	if (*p)
 		*p = s->next;
+	if (s->job)
+		DL_DELETE2(s->job->slots, s, jprev, jnext);
 	free(s);
 }
 
-/* The attempt is surely gone. Its task may be placed again once the plan no longer names it. */
+/* The attempt is surely gone. Its task may be placed again; the record will name the new one. */
 void ws_slot_release(struct ws_core *c, struct ws_slot *s)
 {
 	struct ws_machine *m = s->machine;
@@ -127,16 +212,14 @@
 	if (s->state == WS_SLOT_LEAVING)
 		return;
 	ws_slot_count(c, s, -1);
-	m->nslots--;
 	if (!m->nslots)
 		m->empty_since = c->now;
 	c->place_wanted = true;
-	if (s->orphan) {
-		ws_slot_drop(m, s);
+	if (s->orphan || !j) {
+		ws_slot_free(c, s);
 	} else {
 		s->state = WS_SLOT_LEAVING;
-		s->job = NULL;
-		ws_machine_dirty(c, m);
+		ws_job_dirty(c, j, false);
 	}
 	if (j)
 		ws_job_check_end(c, j);
@@ -150,14 +233,27 @@
 	       !s->machine->returning;
 }
 
+/* It is to end: its room will come free. */
+void ws_slot_ends(struct ws_slot *s)
+{
+	if (!s->stop && s->job) {
+		s->machine->stop_cpus += s->job->spec.cpus;
+		s->machine->stop_gpus += s->job->spec.gpus;
+		s->machine->stop_mem += s->job->spec.mem;
+	}
+	s->stop = true;
+}
+
 void ws_slot_stop(struct ws_core *c, struct ws_slot *s, double grace, const char *why)
 {
 	if (s->state == WS_SLOT_LEAVING)
 		return;
-	if (!s->stop)
-		ws_log(c, WS_LOG_INFO, "machine %s: stop %s/%u: %s", s->machine->name, s->job_id,
-		       s->task, why);
-	s->stop = true;
+	if (!s->stop) {
+		if (why)
+			ws_log(c, WS_LOG_INFO, "machine %s: stop %s/%u: %s", s->machine->name,
+			       s->job_id, s->task, why);
+	}
+	ws_slot_ends(s);
 	s->grace = grace;
 	if (!s->sent && !s->seen)
 		ws_slot_release(c, s);
@@ -170,18 +266,25 @@
 	       c->now >= m->quarantine_until && c->now >= m->refused_until && !m->noticed;
 }
 
-static void ws_cache_touch(struct ws_machine *m, const char *image)
+static void ws_cache_touch(struct ws_core *c, struct ws_machine *m, int image)
 {
 	int i;
 
-	for (i = 0; i < m->ncache && strcmp(m->cache[i], image); i++)
+	for (i = 0; i < m->ncache && m->cache[i] != image; i++)
 		;
+	if (i < m->ncache && i < WS_CACHE_KEPT) {
+		memmove(m->cache + 1, m->cache, (size_t)i * sizeof(m->cache[0]));
+		m->cache[0] = image;
+		return;
+	}
 	if (i == m->ncache && m->ncache < WS_CACHE_MAX)
 		m->ncache++;
 	if (i == WS_CACHE_MAX)
 		i--;
 	memmove(m->cache + 1, m->cache, (size_t)i * sizeof(m->cache[0]));
-	snprintf(m->cache[0], WS_NAME_MAX, "%s", image);
+	m->cache[0] = image;
+	if (m->chunk >= 0)
+		ws_chunk_at(c, m->chunk)->images = true;
 }
 
 /*
@@ -262,12 +365,7 @@
 {
 	struct ws_slot *s, *n;
 
-	if (!m->reported || strcmp(m->type_name, r->type)) {
-		snprintf(m->type_name, sizeof(m->type_name), "%s", r->type);
-		m->type = ws_type_find(c, r->type);
-	}
-	snprintf(m->zone, sizeof(m->zone), "%s", r->zone);
-	m->spot = r->spot;
+	ws_machine_place(c, m, r->type, r->zone, r->spot);
 	if (!m->reported) {
 		m->reported = true;
 		m->up_at = c->now;
@@ -281,8 +379,11 @@
 	}
 	if (m->failed)
 		m->failed = false;
-	snprintf(m->host, sizeof(m->host), "%s", r->host);
-	m->port = r->port;
+	if (m->port != r->port || strcmp(m->host, r->host)) {
+		snprintf(m->host, sizeof(m->host), "%s", r->host);
+		m->port = r->port;
+		ws_machine_dirty(c, m);
+	}
 	if (r->tenure > m->tenure) {
 		if (m->tenure && m->nslots)
 			ws_log(c, WS_LOG_INFO, "machine %s began tenure %llu, %u tasks lost",
@@ -334,11 +435,11 @@
 			ws_log(c, WS_LOG_DEBUG, "machine %s: %s/%u attempt %llu runs", m->name,
 			       s->job_id, s->task, (unsigned long long)s->attempt);
 			if (s->job) {
-				ws_cache_touch(m, s->job->spec.image);
+				ws_cache_touch(c, m, s->job->image);
 				if (!s->job->started && !ws_job_over(s->job)) {
 					s->job->started = true;
 					s->job->phase = WS_RUNNING;
-					ws_job_dirty(c, s->job);
+					ws_job_dirty(c, s->job, false);
 				}
 			}
 		}
@@ -369,7 +470,7 @@
 		return false;
 	for (struct ws_slot *s = m->slots; s; s = s->next)
 		if (s->attempt == t->attempt && s->task == t->task && !strcmp(s->job_id, t->job))
-			return false; /* the written plan still names it */
+			return false; /* its job's record still names it */
 	j = ws_job_find(c, t->job);
 	if (j && t->why == WS_WHY_DONE && !j->spec.service && j->phase != WS_CANCELLED &&
 	    t->task < j->spec.tasks && !j->tasks[t->task].saved)
@@ -426,7 +527,7 @@
 		return;
 	}
 	if (c->role != WS_LEADER || !ws_entitled(c) ||
-	    ws_machine_buried(c, r->machine) || /* a report held back since before its return */
+	    ws_buried(c, &c->tombs, r->machine) || /* a report held back since before its return */
 	    (r->epoch > c->epoch && r->epoch >> WS_EPOCH_SHIFT != c->epoch >> WS_EPOCH_SHIFT)) {
 		ws_report_answer(c, token, 503, NULL);
 		return;
@@ -562,57 +663,55 @@
 		return;
 	ws_log(c, WS_LOG_INFO, "machine %s is gone: %s", m->name, why);
 	m->gone = true;
+	ws_bury(c, &c->tombs, m->name, c->now + c->set->lease_s + 4 * c->set->list_lag_s);
+	ws_machine_clear(c, m);
+	c->rentals_stale = true;
+	if (m->chunk >= 0)
+		ws_chunk_dirty(c, m->chunk);
+}
+
+void ws_bury(struct ws_core *c, struct ws_tomb **tombs, const char *name, double until)
+{
 	struct ws_tomb *t;
 
-	HASH_FIND_STR(c->tombs, m->name, t);
+	(void)c;
+	HASH_FIND_STR(*tombs, name, t);
 	if (!t) {
 		t = calloc(1, sizeof(*t));
 		if (!t)
 			abort();
-		snprintf(t->name, sizeof(t->name), "%s", m->name);
-		HASH_ADD_STR(c->tombs, name, t);
+		snprintf(t->name, sizeof(t->name), "%s", name);
+		HASH_ADD_STR(*tombs, name, t);
 	}
-	t->until = c->now + c->set->lease_s + 4 * c->set->list_lag_s;
-	ws_machine_clear(c, m);
-	ws_machine_dirty(c, m); /* its plan is deleted, then it is forgotten */
+	t->until = until;
 }
 
-bool ws_machine_buried(struct ws_core *c, const char *name)
+bool ws_buried(struct ws_core *c, struct ws_tomb *const *tombs, const char *name)
 {
 	struct ws_tomb *t;
 
-	HASH_FIND_STR(c->tombs, name, t);
+	HASH_FIND_STR(*tombs, name, t);
 	return t && c->now < t->until;
 }
 
 void ws_tombs_clear(struct ws_core *c, bool all)
 {
-	struct ws_tomb *t, *n;
+	struct ws_tomb **lists[] = {&c->tombs, &c->ended}, *t, *n;
 
-	HASH_ITER (hh, c->tombs, t, n)
-		if (all || c->now >= t->until) {
-			HASH_DEL(c->tombs, t);
-			free(t);
-		}
+	for (size_t i = 0; i < 2; i++)
+		HASH_ITER (hh, *lists[i], t, n)
+			if (all || c->now >= t->until) {
+				HASH_DEL(*lists[i], t);
+				free(t);
+			}
 }
 
 void ws_machine_forget(struct ws_core *c, struct ws_machine *m)
 {
-	ws_machine_clear(c, m);
-	while (m->slots)
-		ws_slot_drop(m, m->slots);
-	if (m->dirty) {
-		struct ws_machine **p = &c->dirty_plans;
-
-		while (*p && *p != m)
-			p = &(*p)->dirty_next;
-		if (*p)
-			*p = m->dirty_next;
-		for (p = &c->dirty_plans; *p; p = &(*p)->dirty_next)
-			;
-		c->dirty_plans_tail = p;
-	}
+	if (m->chunk >= 0)
+		c->chunks[m->chunk].n--;
 	HASH_DEL(c->machines, m);
+	c->order_stale = true;
 	free(m);
 }
 
@@ -622,7 +721,7 @@
 	struct ws_machine *m = ws_machine_find(c, h->name);
 
 	/* a list as old as its lag still names what was returned: not a machine that boots */
-	if (ws_machine_buried(c, h->name))
+	if (ws_buried(c, &c->tombs, h->name))
 		return;
 	if (!m) {
 		m = ws_machine_get(c, h->name);
@@ -632,10 +731,11 @@
 	}
 	m->listed = true;
 	if (!m->reported) {
-		snprintf(m->type_name, sizeof(m->type_name), "%s", h->type);
-		m->type = ws_type_find(c, h->type);
-		snprintf(m->zone, sizeof(m->zone), "%s", h->zone);
-		m->spot = h->spot;
+		ws_machine_place(c, m, h->type, h->zone, h->spot);
+		if (!m->port && h->port) {
+			snprintf(m->host, sizeof(m->host), "%s", h->host);
+			m->port = h->port;
+		}
 	}
 	if (h->phase == WS_HOST_FAILED && !m->failed && !m->gone &&
 	    c->now > m->heard + c->set->report_s) {
@@ -645,12 +745,26 @@
 	}
 }
 
+/* All machines are looked at so often: a fraction of what they are given time for. */
+double ws_sweep_every(const struct ws_core *c)
+{
+	return fmin(c->set->report_s / 20, c->set->lease_s / 160);
+}
+
 void ws_fleet_tick(struct ws_core *c)
 {
 	struct ws_machine *m, *t;
 
+	if (c->now < c->sweep_next)
+		return;
+	c->sweep_next = c->now + ws_sweep_every(c);
 	ws_tombs_clear(c, false);
 	HASH_ITER (hh, c->machines, m, t) {
+		if (m->gone) {
+			if (!m->slots)
+				ws_machine_forget(c, m);
+			continue;
+		}
 		if (m->nslots && c->now > m->alive_until && m->tenure) {
 			ws_log(c, WS_LOG_INFO, "machine %s: its lease has surely run out", m->name);
 			m->least_tenure = m->tenure + 1;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -7,16 +7,27 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 /* Bits of the epoch kept for the leader's own counter, below the leader key's stamp. */
 #define WS_EPOCH_SHIFT 20
+/* An attempt's number: the leader key's stamp, shifted by this, plus a counter. */
+#define WS_ATTEMPT_SHIFT 24
 #define WS_CACHE_MAX 24
-#define WS_CACHE_KEPT 8 /* of them in the plan's record */
+#define WS_MAX_CHUNKS 100000
+#define WS_CACHE_KEPT 4 /* of them in the fleet's record */
 /* Clocks of two machines drift apart by this share at most (the protocol's figure, doubled). */
 #define WS_DRIFT 0.001
 
 struct ws_slot;
 struct ws_job;
+struct ws_team;
+
+struct ws_image { /* images are compared by number */
+	char name[WS_NAME_MAX];
+	int id;
+	UT_hash_handle hh;
+};
 
 struct ws_task {
 	struct ws_slot *slot; /* its newest attempt that may be alive */
@@ -33,21 +44,32 @@
 	double submitted_wall; /* time of day, for deadlines and order */
 	struct ws_task *tasks;
 	uint32_t ndone, nslots;
-	bool dirty, writing, stale; /* stale: our stamp lost a race, wait for the watch */
-	bool started;		    /* recorded as running */
-	double not_before;	    /* back-off after failures */
-	uint32_t errors;	    /* failures on machines that otherwise work */
-	bool prompt;		    /* its class has a start aim */
+	uint32_t waiting;	       /* tasks neither completed nor maybe alive */
+	uint32_t scan;		       /* none of them is below this one */
+	uint32_t waiting_before;       /* at the start of the pass */
+	uint32_t zone_n[WS_MAX_ZONES]; /* attempts that may be alive, by zone */
+	int zone, image;	       /* the only zone allowed, or -1; number of its image */
+	uint32_t fits;		       /* machine types allowed, a bit each */
+	int fits_of;		       /* for this edition of the types */
+	struct ws_team *team;	       /* NULL: unknown here */
+	struct ws_slot *slots;	       /* its attempts, those the record still names included */
+	bool dirty, writing, stale;    /* stale: our stamp lost a race, wait for the watch */
+	bool urgent;		       /* holds starts or an end, which users wait for */
+	double dirty_at;
+	bool started;	   /* recorded as running */
+	double not_before; /* back-off after failures */
+	uint32_t errors;   /* failures on machines that otherwise work */
+	bool prompt;	   /* its class has a start aim */
 	double wait_logged;
 	bool guaranteed; /* fits its team's guarantee with the team's earlier jobs */
-	struct ws_job *dirty_next;
+	struct ws_job *dprev, *dnext;
 	UT_hash_handle hh;
 };
 
 enum ws_slot_state {
-	WS_SLOT_PLANNED, /* in memory only: the plan is not yet written */
+	WS_SLOT_PLANNED, /* in memory only: its job's record does not name it yet */
 	WS_SLOT_WRITTEN, /* may be told to run */
-	WS_SLOT_LEAVING, /* surely gone; the plan that says so is not yet written */
+	WS_SLOT_LEAVING, /* surely gone; its job's record may still name it */
 };
 
 struct ws_slot {
@@ -58,15 +80,16 @@
 	uint64_t attempt, tenure;
 	enum ws_slot_state state;
 	bool sent;	       /* a run may have reached the worker, or may still */
-	bool orphan;	       /* reported but not in our plan */
+	bool orphan;	       /* reported but on no record */
 	bool seen;	       /* the worker has reported it */
 	bool stop;	       /* is to end */
-	bool writing;	       /* is in the plan being written */
+	bool writing;	       /* is in the record being written */
 	enum ws_task_state at; /* as reported */
 	enum ws_why why;
 	double grace, planned_at, running_at;
-	uint64_t pass; /* mark of the report being read */
-	struct ws_slot *next;
+	uint64_t pass;		       /* mark of the report being read */
+	struct ws_slot *next;	       /* of its machine */
+	struct ws_slot *jprev, *jnext; /* of its job */
 };
 
 struct ws_machine {
@@ -75,7 +98,9 @@
 	int port;
 	char type_name[WS_NAME_MAX];
 	const struct ws_type *type;
+	int ti; /* its place among the types */
 	char zone[WS_NAME_MAX];
+	int zi; /* its number; -1: unknown */
 	bool spot, owned;
 	bool listed, reported, failed, gone;
 	uint64_t list_pass; /* the last list that named it */
@@ -99,13 +124,14 @@
 	double refused_until;
 	struct ws_slot *slots;
 	double used_cpus, used_gpus, used_mem;
+	double stop_cpus, stop_gpus, stop_mem; /* of that, what was told to stop */
 	uint32_t nslots;
-	char cache[WS_CACHE_MAX][WS_NAME_MAX];
+	int cache[WS_CACHE_MAX];
 	int ncache;
-	uint64_t plan_stamp, plan_tenure;
-	bool dirty, writing;
-	struct ws_machine *dirty_next;
+	int chunk; /* its record in the state service; -1: none yet */
+	bool push; /* has starts to be sent when the write's outcome is taken in */
 	double virt_cpus, virt_gpus, virt_mem; /* scratch of one placement pass */
+	int rank;
 	UT_hash_handle hh;
 };
 
@@ -129,10 +155,18 @@
 	double made, next_try;
 	uint64_t stamp;
 	bool dirty, writing;
-	struct ws_rental *dirty_next;
+	struct ws_rental *dprev, *dnext;
 	UT_hash_handle hh;
 };
 
+struct ws_chunk { /* a record of some of the machines: fleet/<number> */
+	uint64_t stamp;
+	int n;
+	bool dirty, writing;
+	bool images; /* those it tells of are no longer the newest */
+	double dirty_at, written_at;
+};
+
 struct ws_team {
 	const struct ws_team_setting *set;
 	double used_cpus, used_gpus;
@@ -155,6 +189,7 @@
 
 struct ws_core {
 	struct ws_tomb *tombs;
+	struct ws_tomb *ended; /* jobs just archived: word of the watch may be older */
 	const struct ws_settings *set;
 	struct ws_policy pol;
 	ws_log_fn log;
@@ -166,6 +201,12 @@
 	/* what every node knows */
 	struct ws_type types[WS_MAX_TYPES];
 	size_t ntypes;
+	int types_edition;
+	char zones[WS_MAX_ZONES][WS_NAME_MAX]; /* those of the settings first */
+	int nzones;
+	struct ws_image *images;
+	char (*image_names)[WS_NAME_MAX];
+	int nimages;
 	bool types_asked;
 	double types_next;
 	char leader[WS_NAME_MAX]; /* empty: none known */
@@ -175,7 +216,13 @@
 	uint64_t leader_rev;
 	double state_ok_at, state_bad_at; /* last answer other than 503; last 503 or silence */
 	bool types_saved;
+	struct ws_seen *seen; /* all live jobs as of seen_rev, for polls */
+	bool seen_ready, seen_inflight;
+	uint64_t seen_rev;
+	double seen_next, seen_at;
+	struct ws_poll *polls; /* waiting for the copy to be found current */
 	struct ws_redirect *redirects;
+	double redirects_next;
 
 	/* leadership */
 	enum ws_role role;
@@ -196,17 +243,23 @@
 	uint64_t watch_rev;
 	double watch_next;
 	bool owned_seen, owned_known, owned_writing;
-	char (*owned)[WS_NAME_MAX];
-	size_t nowned;
+	char owned_upto[WS_NAME_MAX]; /* names rise with creation: owned ones end here */
 	double relay_since; /* reports have come by other nodes alone since then; 0: not so */
 
 	struct ws_job *jobs;
 	struct ws_machine *machines;
 	struct ws_rental *rentals;
 	struct ws_team teams[WS_MAX_TEAMS];
-	struct ws_job *dirty_jobs, **dirty_jobs_tail;
-	struct ws_machine *dirty_plans, **dirty_plans_tail;
-	struct ws_rental *dirty_rentals, **dirty_rentals_tail;
+	struct ws_machine **order; /* all machines as first fit takes them */
+	size_t norder;
+	bool order_stale;
+	struct ws_chunk *chunks;
+	int nchunks;
+	struct ws_job *dirty_jobs;
+	struct ws_rental *dirty_rentals;
+	double sweep_next, rent_next;
+	bool rentals_stale; /* a machine went: records of rentals may be out of date */
+	uint64_t steps;	    /* of work in placement, for tests */
 	bool flushing;
 	double flush_next;
 	int flush_fails;
@@ -215,7 +268,7 @@
 	uint64_t pass;
 
 	/* cloud */
-	double cloud_next, hosts_next;
+	double cloud_next, hosts_next, tidy_next;
 	bool hosts_inflight, rent_inflight, hosts_known;
 	char hosts_after[WS_KEY_MAX];
 	struct ws_refusal refusals[64];
@@ -241,17 +294,23 @@
 void ws_state_seen(struct ws_core *c, int status);
 
 /* record.c: records of the state service to JSON and back */
-json_t *ws_record_job(const struct ws_job *j, size_t limit, bool *all);
+json_t *ws_record_job(const struct ws_job *j, size_t limit);
 struct ws_job *ws_record_read_job(const char *id, json_t *v);
 json_t *ws_record_final(const struct ws_job *j);
 bool ws_record_read_phase(json_t *v, enum ws_phase *phase, uint32_t *done, uint32_t *running);
 json_t *ws_record_spec(const struct ws_spec *s, enum ws_phase phase, double wall);
 bool ws_record_withdraw(json_t *v);
-json_t *ws_record_plan(const struct ws_machine *m);
-bool ws_record_read_plan(json_t *v, struct ws_machine *m, struct ws_slot **list);
+struct ws_assigned { /* an attempt as a job's record names it */
+	char machine[WS_NAME_MAX], zone[WS_NAME_MAX];
+	uint64_t tenure, attempt;
+	uint32_t task;
+};
+size_t ws_record_read_assigned(json_t *v, struct ws_assigned **list);
+size_t ws_record_assign_size(const struct ws_slot *before, const struct ws_slot *s);
+json_t *ws_record_chunk(struct ws_core *c, int chunk);
+void ws_record_read_chunk(struct ws_core *c, json_t *v, int chunk);
 json_t *ws_record_rental(const struct ws_rental *r);
 bool ws_record_read_rental(json_t *v, struct ws_rental *r);
-json_t *ws_record_names(char (*names)[WS_NAME_MAX], size_t n);
 json_t *ws_record_leader(const struct ws_settings *s, uint64_t nonce);
 const char *ws_record_leader_node(json_t *v);
 json_t *ws_record_types(const struct ws_type *t, size_t n);
@@ -262,7 +321,10 @@
 void ws_job_event(struct ws_core *c, const char *id, json_t *value, uint64_t stamp);
 void ws_job_free(struct ws_core *c, struct ws_job *j);
 void ws_job_task_done(struct ws_core *c, struct ws_job *j, uint32_t task);
-void ws_job_dirty(struct ws_core *c, struct ws_job *j);
+void ws_job_dirty(struct ws_core *c, struct ws_job *j, bool urgent);
+void ws_job_fits(const struct ws_core *c, struct ws_job *j);
+int ws_image_id(struct ws_core *c, const char *name);
+int ws_zone_id(struct ws_core *c, const char *name);
 void ws_job_check_end(struct ws_core *c, struct ws_job *j);
 struct ws_team *ws_team_of(struct ws_core *c, const char *name);
 bool ws_type_fits(const struct ws_type *t, const struct ws_spec *s);
@@ -273,15 +335,25 @@
 struct ws_machine *ws_machine_find(struct ws_core *c, const char *name);
 struct ws_machine *ws_machine_get(struct ws_core *c, const char *name);
 void ws_machine_dirty(struct ws_core *c, struct ws_machine *m);
+void ws_machine_place(struct ws_core *c, struct ws_machine *m, const char *type, const char *zone,
+		      bool spot);
+int ws_chunk_size(const struct ws_core *c);
+struct ws_chunk *ws_chunk_at(struct ws_core *c, int i);
+void ws_chunk_dirty(struct ws_core *c, int i);
+bool ws_buried(struct ws_core *c, struct ws_tomb *const *tombs, const char *name);
+void ws_bury(struct ws_core *c, struct ws_tomb **tombs, const char *name, double until);
+void ws_slot_free(struct ws_core *c, struct ws_slot *s);
+void ws_slot_count(struct ws_core *c, struct ws_slot *s, int sign);
 void ws_machine_gone(struct ws_core *c, struct ws_machine *m, const char *why);
-bool ws_machine_buried(struct ws_core *c, const char *name);
 void ws_tombs_clear(struct ws_core *c, bool all);
 void ws_machine_forget(struct ws_core *c, struct ws_machine *m);
 struct ws_slot *ws_slot_add(struct ws_core *c, struct ws_machine *m, const char *job, uint32_t task,
 			    uint64_t attempt);
 void ws_slot_release(struct ws_core *c, struct ws_slot *s);
+void ws_slot_ends(struct ws_slot *s);
 void ws_slot_stop(struct ws_core *c, struct ws_slot *s, double grace, const char *why);
 void ws_fleet_tick(struct ws_core *c);
+double ws_sweep_every(const struct ws_core *c);
 void ws_fleet_push(struct ws_core *c, struct ws_machine *m);
 void ws_fleet_greet(struct ws_core *c, struct ws_machine *m);
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m);
@@ -318,5 +390,5 @@
 void ws_requests_tick(struct ws_core *c);
 void ws_report_answer(struct ws_core *c, uint64_t token, int status, const char *leader);
 void ws_follower_report(struct ws_core *c, uint64_t token, const struct ws_report *r, bool relayed);
-void ws_redirects_free(struct ws_core *c);
+void ws_requests_free(struct ws_core *c);
 #endif
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -22,35 +22,81 @@
 	return j->phase == WS_DONE || j->phase == WS_CANCELLED;
 }
 
-void ws_job_dirty(struct ws_core *c, struct ws_job *j)
+/* What users wait for is written at once, the rest with it or a moment later. */
+void ws_job_dirty(struct ws_core *c, struct ws_job *j, bool urgent)
 {
+	j->urgent |= urgent;
 	if (j->dirty)
 		return;
 	j->dirty = true;
-	j->dirty_next = NULL;
-	*c->dirty_jobs_tail = j;
-	c->dirty_jobs_tail = &j->dirty_next;
+	j->dirty_at = c->now;
+	DL_APPEND2(c->dirty_jobs, j, dprev, dnext);
+}
+
+/* The types of machine that its tasks may run on. */
+void ws_job_fits(const struct ws_core *c, struct ws_job *j)
+{
+	if (j->fits_of == c->types_edition)
+		return;
+	j->fits_of = c->types_edition;
+	j->fits = 0;
+	for (size_t i = 0; i < c->ntypes; i++)
+		if (ws_type_fits(&c->types[i], &j->spec))
+			j->fits |= 1u << i;
+}
+
+int ws_image_id(struct ws_core *c, const char *name)
+{
+	struct ws_image *i;
+
+	HASH_FIND_STR(c->images, name, i);
+	if (i)
+		return i->id;
+	i = calloc(1, sizeof(*i));
+	c->image_names =
+	    realloc(c->image_names, (size_t)(c->nimages + 1) * sizeof(*c->image_names));
+	if (!i || !c->image_names)
+		abort();
+	snprintf(i->name, sizeof(i->name), "%s", name);
+	memcpy(c->image_names[c->nimages], i->name, sizeof(i->name));
+	i->id = c->nimages++;
+	HASH_ADD_STR(c->images, name, i);
+	return i->id;
+}
+
+int ws_zone_id(struct ws_core *c, const char *name)
+{
+	if (!name[0])
+		return -1;
+	for (int i = 0; i < c->nzones; i++)
+		if (!strcmp(c->zones[i], name))
+			return i;
+	if (c->nzones == WS_MAX_ZONES)
+		return -1;
+	snprintf(c->zones[c->nzones], WS_NAME_MAX, "%s", name);
+	return c->nzones++;
 }
 
 void ws_job_free(struct ws_core *c, struct ws_job *j)
 {
-	struct ws_machine *m, *t;
-
-	HASH_ITER (hh, c->machines, m, t)
-		for (struct ws_slot *s = m->slots; s; s = s->next)
-			if (s->job == j)
-				s->job = NULL;
-	if (j->dirty) {
-		struct ws_job **p = &c->dirty_jobs;
-
-		while (*p && *p != j)
-			p = &(*p)->dirty_next;
-		if (*p)
-			*p = j->dirty_next;
-		for (p = &c->dirty_jobs; *p; p = &(*p)->dirty_next)
-			;
-		c->dirty_jobs_tail = p;
+	struct ws_slot *s, *n;
+
+	DL_FOREACH_SAFE2 (j->slots, s, n, jnext) {
+		bool alive = s->state == WS_SLOT_WRITTEN;
+
+		if (s->state != WS_SLOT_LEAVING)
+			ws_slot_count(c, s, -1);
+		DL_DELETE2(j->slots, s, jprev, jnext);
+		s->job = NULL;
+		if (alive) { /* its record is gone, the attempt may live on: it is told to stop */
+			s->stop = s->orphan = true;
+			ws_slot_count(c, s, 1);
+		} else {
+			ws_slot_free(c, s);
+		}
 	}
+	if (j->dirty)
+		DL_DELETE2(c->dirty_jobs, j, dprev, dnext);
 	HASH_DEL(c->jobs, j);
 	free(j->tasks);
 	free(j);
@@ -63,43 +109,43 @@
 	    j->phase != WS_DONE) {
 		j->phase = WS_DONE;
 		ws_log(c, WS_LOG_INFO, "job %s done", j->spec.id);
-		ws_job_dirty(c, j);
+		ws_job_dirty(c, j, true);
 	}
 	if (ws_job_over(j) && !j->nslots)
-		ws_job_dirty(c, j);
+		ws_job_dirty(c, j, true);
 }
 
 void ws_job_task_done(struct ws_core *c, struct ws_job *j, uint32_t task)
 {
 	if (task >= j->spec.tasks || j->tasks[task].done || j->spec.service)
 		return;
+	if (!j->tasks[task].slots)
+		j->waiting--;
 	j->tasks[task].done = true;
 	j->ndone++;
 	j->errors = 0;
-	ws_job_dirty(c, j);
+	ws_job_dirty(c, j, false);
 	ws_job_check_end(c, j);
 }
 
 static void ws_job_cancelled(struct ws_core *c, struct ws_job *j)
 {
-	struct ws_machine *m, *t;
+	struct ws_slot *s, *n;
 
 	j->phase = WS_CANCELLED;
 	ws_log(c, WS_LOG_INFO, "job %s cancelled by its user, %u tasks to stop", j->spec.id,
 	       j->nslots);
-	HASH_ITER (hh, c->machines, m, t) {
-		bool any = false;
-
-		for (struct ws_slot *s = m->slots, *n; s; s = n) {
-			n = s->next;
-			if (s->job == j && s->state != WS_SLOT_LEAVING) {
-				any = true;
-				ws_slot_stop(c, s, 0, "cancelled");
-			}
+	DL_FOREACH_SAFE2 (j->slots, s, n, jnext)
+		if (s->state != WS_SLOT_LEAVING) {
+			s->machine->push = true;
+			ws_slot_stop(c, s, 0, NULL);
+		}
+	/* one command to each machine with all that is to end there */
+	DL_FOREACH2 (j->slots, s, jnext)
+		if (s->machine->push) {
+			s->machine->push = false;
+			ws_fleet_push(c, s->machine);
 		}
-		if (any)
-			ws_fleet_push(c, m);
-	}
 	ws_job_check_end(c, j);
 }
 
@@ -125,34 +171,45 @@
 			ws_job_free(c, j);
 		return;
 	}
+	if (j) { /* of what others may write only its user's cancelling matters here */
+		enum ws_phase phase;
+		uint32_t done, running;
+
+		j->stamp = stamp;
+		j->stale = false;
+		if (!ws_record_read_phase(value, &phase, &done, &running))
+			return;
+		if (phase == WS_CANCELLED && !ws_job_over(j)) {
+			ws_job_cancelled(c, j);
+		} else if (phase == WS_CANCELLED && j->phase == WS_DONE) {
+			/* the user was told "cancelled" before we could record "done": that stands
+			 */
+			j->phase = WS_CANCELLED;
+			ws_job_check_end(c, j);
+		}
+		return;
+	}
+	if (ws_buried(c, &c->ended, id))
+		return; /* written before we archived it */
 	n = ws_record_read_job(id, value);
 	if (!n) {
 		ws_log(c, WS_LOG_ERROR, "job %s: its record can't be read, left alone", id);
 		return;
 	}
 	n->stamp = stamp;
-	if (!j) {
-		HASH_ADD_STR(c->jobs, spec.id, n);
-		if (c->role == WS_LEADER) {
-			ws_log(c, WS_LOG_DEBUG, "job %s known: %u tasks of %s %s", id,
-			       n->spec.tasks, n->spec.team, n->spec.job_class);
-			if (n->phase == WS_CANCELLED)
-				ws_job_check_end(c, n);
-			else if (!n->spec.service)
-				c->work_arrived += n->spec.tasks * ws_load_of(c, &n->spec);
-		}
-		c->place_wanted = true;
-		return;
-	}
-	j->stamp = stamp;
-	j->stale = false;
-	if (n->phase == WS_CANCELLED && !ws_job_over(j))
-		ws_job_cancelled(c, j);
-	else if (n->phase == WS_CANCELLED && j->phase == WS_DONE) {
-		/* the user was told "cancelled" before we could record "done": that stands */
-		j->phase = WS_CANCELLED;
-		ws_job_check_end(c, j);
+	n->team = ws_team_of(c, n->spec.team);
+	n->zone = ws_zone_id(c, n->spec.zone);
+	n->image = ws_image_id(c, n->spec.image);
+	n->fits_of = -1;
+	n->waiting = n->spec.tasks - n->ndone;
+	HASH_ADD_STR(c->jobs, spec.id, n);
+	if (c->role == WS_LEADER) {
+		ws_log(c, WS_LOG_DEBUG, "job %s known: %u tasks of %s %s", id, n->spec.tasks,
+		       n->spec.team, n->spec.job_class);
+		if (n->phase == WS_CANCELLED)
+			ws_job_check_end(c, n);
+		else if (!n->spec.service)
+			c->work_arrived += n->spec.tasks * ws_load_of(c, &n->spec);
 	}
-	free(n->tasks);
-	free(n);
+	c->place_wanted = true;
 }
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -4,11 +4,6 @@
  */
 #include "internal.h"
 
-struct ws_want {
-	struct ws_job *job;
-	uint32_t waiting;
-};
-
 /*
  * The order in which work is served. What may stop other work must also be served before it, or
  * the two take the same room from each other for ever.
@@ -22,8 +17,7 @@
 
 static int ws_want_cmp(const void *pa, const void *pb)
 {
-	const struct ws_job *a = ((const struct ws_want *)pa)->job,
-			    *b = ((const struct ws_want *)pb)->job;
+	const struct ws_job *a = *(struct ws_job *const *)pa, *b = *(struct ws_job *const *)pb;
 
 	if (ws_rank(a) != ws_rank(b))
 		return ws_rank(a) > ws_rank(b) ? -1 : 1;
@@ -66,7 +60,7 @@
 	qsort(all, n, sizeof(*all), ws_job_age_cmp);
 	for (size_t i = 0; i < n; i++) {
 		struct ws_job *j = all[i];
-		struct ws_team *t = ws_team_of(c, j->spec.team);
+		struct ws_team *t = j->team;
 
 		j->guaranteed = false;
 		if (!t)
@@ -79,55 +73,31 @@
 	}
 }
 
-struct ws_zone_use {
-	char zone[WS_NAME_MAX];
-	uint32_t n;
-};
-
-/* Where siblings that may be alive are, counted afresh for each job. */
-static size_t ws_siblings(struct ws_core *c, const struct ws_job *j, struct ws_zone_use *z)
+/* Whether one more of its attempts may be in a zone, given where others may be alive. */
+static bool ws_zone_ok(const struct ws_core *c, const struct ws_job *j, int zone)
 {
-	size_t n = 0;
-	struct ws_machine *m, *t;
-
-	HASH_ITER (hh, c->machines, m, t)
-		for (struct ws_slot *s = m->slots; s; s = s->next) {
-			size_t i;
-
-			if (s->job != j || s->state == WS_SLOT_LEAVING)
-				continue;
-			for (i = 0; i < n && strcmp(z[i].zone, m->zone); i++)
-				;
-			if (i == n) {
-				if (n == WS_MAX_ZONES)
-					continue;
-				snprintf(z[n].zone, WS_NAME_MAX, "%s", m->zone);
-				z[n++].n = 0;
-			}
-			z[i].n++;
-		}
-	return n;
+	if (zone < 0 || (j->zone >= 0 && j->zone != zone))
+		return false;
+	if (j->spec.one_zone)
+		for (int i = 0; i < c->nzones; i++)
+			if (i != zone && j->zone_n[i])
+				return false;
+	return !j->spec.spread || j->zone_n[zone] < (j->spec.tasks + 1) / 2;
 }
 
-static bool ws_zone_ok(const struct ws_job *j, const char *zone, const struct ws_zone_use *z,
-		       size_t nz)
+static uint32_t ws_zones_ok(const struct ws_core *c, const struct ws_job *j)
 {
-	if (j->spec.zone[0] && strcmp(j->spec.zone, zone))
-		return false;
-	for (size_t i = 0; i < nz; i++) {
-		bool same = !strcmp(z[i].zone, zone);
+	uint32_t zones = 0;
 
-		if (j->spec.one_zone && !same && z[i].n)
-			return false;
-		if (j->spec.spread && same && z[i].n >= (j->spec.tasks + 1) / 2)
-			return false;
-	}
-	return true;
+	for (int i = 0; i < c->nzones; i++)
+		if (ws_zone_ok(c, j, i))
+			zones |= 1u << i;
+	return zones;
 }
 
 static bool ws_kind_ok(const struct ws_job *j, const struct ws_machine *m)
 {
-	return m->type && ws_type_fits(m->type, &j->spec) && (!m->spot || j->spec.spot);
+	return m->type && (j->fits >> m->ti & 1) && (!m->spot || j->spec.spot);
 }
 
 static bool ws_room(const struct ws_job *j, const struct ws_machine *m)
@@ -150,21 +120,14 @@
 	m->virt_mem -= j->spec.mem;
 }
 
-static bool ws_cached(const struct ws_machine *m, const char *image)
+static bool ws_cached(const struct ws_machine *m, int image)
 {
 	for (int i = 0; i < m->ncache; i++)
-		if (!strcmp(m->cache[i], image))
+		if (m->cache[i] == image)
 			return true;
 	return false;
 }
 
-/* Attempts a plan record can hold. */
-static uint32_t ws_plan_room(const struct ws_core *c)
-{
-	return (uint32_t)((c->set->value_kb * 1024 - 320 - 36 * WS_CACHE_KEPT) /
-			  (WS_ID_MAX / 2 + 24));
-}
-
 static bool ws_may_preempt(const struct ws_job *j, const struct ws_slot *v)
 {
 	if (!v->job || v->stop || v->orphan || v->state == WS_SLOT_LEAVING)
@@ -175,74 +138,145 @@
 	    !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
 		return false;
 	return o->spec.tier < j->spec.tier ||
-	       (j->guaranteed && !o->guaranteed && strcmp(o->spec.team, j->spec.team));
+	       (j->guaranteed && !o->guaranteed && o->team != j->team);
 }
 
-/* Stops what loses least to make room on one machine; true if room will come. */
-static bool ws_preempt(struct ws_core *c, struct ws_job *j, struct ws_machine **ms, size_t n,
-		       const struct ws_zone_use *z, size_t nz, bool cached)
+/* Tasks that fit a machine by what it has free and by what it will have. */
+static uint32_t ws_fit(const struct ws_job *j, const struct ws_machine *m, uint32_t most, bool now)
 {
-	struct ws_machine *best = NULL;
-	double best_cost = 0;
+	double cpus = m->virt_cpus, gpus = m->virt_gpus, mem = m->virt_mem, fit = most;
 
-	for (int act = 0; act < 2; act++) {
-		for (size_t i = 0; i < n; i++) {
-			struct ws_machine *m = ms[i];
-			double cpus = m->virt_cpus, gpus = m->virt_gpus, mem = m->virt_mem,
-			       cost = 0;
+	if (now) {
+		cpus = fmin(cpus, m->type->cpus - m->used_cpus);
+		gpus = fmin(gpus, m->type->gpus - m->used_gpus);
+		mem = fmin(mem, m->type->mem - m->used_mem);
+	}
+	if (j->spec.cpus > 0)
+		fit = fmin(fit, floor((cpus + 1e-9) / j->spec.cpus));
+	if (j->spec.gpus > 0)
+		fit = fmin(fit, floor((gpus + 1e-9) / j->spec.gpus));
+	if (j->spec.mem > 0)
+		fit = fmin(fit, floor((mem + 1e-9) / j->spec.mem));
+	return fit > 0 ? (uint32_t)fit : 0;
+}
 
-			if (act && m != best)
-				continue;
-			if (!ws_kind_ok(j, m) || !ws_zone_ok(j, m->zone, z, nz) ||
-			    (cached && !ws_cached(m, j->spec.image)))
-				continue;
-			c->pass++;
-			while (cpus + 1e-9 < j->spec.cpus || gpus + 1e-9 < j->spec.gpus ||
-			       mem + 1e-9 < j->spec.mem) {
-				struct ws_slot *v = NULL;
-				double least = 0;
-
-				for (struct ws_slot *s = m->slots; s; s = s->next) {
-					if (s->pass == c->pass || !ws_may_preempt(j, s))
-						continue;
-					double lost =
-					    (c->now - s->planned_at + 1) * s->job->spec.cpus;
-					lost *= s->job->guaranteed ? 4 : 1;
-					if (!v || lost < least) {
-						v = s;
-						least = lost;
-					}
-				}
-				if (!v)
-					break;
-				v->pass = c->pass;
-				cpus += v->job->spec.cpus;
-				gpus += v->job->spec.gpus;
-				mem += v->job->spec.mem;
-				cost += least;
-				if (act) {
-					m->virt_cpus += v->job->spec.cpus;
-					m->virt_gpus += v->job->spec.gpus;
-					m->virt_mem += v->job->spec.mem;
-					ws_slot_stop(c, v, v->job->spec.save_s,
-						     j->guaranteed ? "room for a guarantee"
-								   : "room for production");
-				}
-			}
-			if (cpus + 1e-9 < j->spec.cpus || gpus + 1e-9 < j->spec.gpus ||
-			    mem + 1e-9 < j->spec.mem)
+/* What one pass goes by. */
+struct ws_pass {
+	struct ws_core *c;
+	struct ws_machine **ms; /* usable ones, in first fit's order */
+	size_t n;
+	struct ws_machine **fit; /* scratch, of the same size */
+	struct ws_victim {
+		double cost;
+		struct ws_machine *m;
+	} * victims;
+	int lowest; /* rank of what runs */
+	/* of the last job for which nothing could be stopped; nothing can for one that asks more */
+	bool vain;
+	int vain_rank;
+	double vain_cpus, vain_gpus, vain_mem;
+	bool vain_spot;
+	uint32_t vain_types, vain_zones;
+};
+
+/* Makes room for one task on a machine; what that would lose, or below 0 if it can't be. */
+static double ws_preempt_on(struct ws_core *c, struct ws_job *j, struct ws_machine *m, bool act)
+{
+	double cpus = m->virt_cpus, gpus = m->virt_gpus, mem = m->virt_mem, cost = 0;
+
+	c->pass++;
+	while (cpus + 1e-9 < j->spec.cpus || gpus + 1e-9 < j->spec.gpus ||
+	       mem + 1e-9 < j->spec.mem) {
+		struct ws_slot *v = NULL;
+		double least = 0;
+
+		for (struct ws_slot *s = m->slots; s; s = s->next) {
+			c->steps++;
+			if (s->pass == c->pass || !ws_may_preempt(j, s))
 				continue;
-			if (!act && (!best || cost < best_cost)) {
-				best = m;
-				best_cost = cost;
+			double lost = (c->now - s->planned_at + 1) * s->job->spec.cpus;
+			lost *= s->job->guaranteed ? 4 : 1;
+			if (!v || lost < least) {
+				v = s;
+				least = lost;
 			}
 		}
-		if (!best)
-			return false;
+		if (!v)
+			return -1;
+		v->pass = c->pass;
+		cpus += v->job->spec.cpus;
+		gpus += v->job->spec.gpus;
+		mem += v->job->spec.mem;
+		cost += least;
+		if (act) {
+			m->virt_cpus += v->job->spec.cpus;
+			m->virt_gpus += v->job->spec.gpus;
+			m->virt_mem += v->job->spec.mem;
+			ws_slot_stop(c, v, v->job->spec.save_s,
+				     j->guaranteed ? "room for a guarantee"
+						   : "room for production");
+		}
 	}
-	ws_virt_take(j, best);
-	ws_fleet_push(c, best);
-	return true;
+	return cost;
+}
+
+static int ws_victim_cmp(const void *pa, const void *pb)
+{
+	const struct ws_victim *a = pa, *b = pb;
+
+	return a->cost < b->cost ? -1 : a->cost > b->cost;
+}
+
+/* Stops what loses least to make room on each machine; the number of tasks with room to come. */
+static uint32_t ws_preempt(struct ws_pass *p, struct ws_job *j, uint32_t want, bool cached)
+{
+	struct ws_core *c = p->c;
+	uint32_t got = 0, zones = ws_zones_ok(c, j);
+	size_t n = 0;
+
+	if (ws_rank(j) <= p->lowest ||
+	    !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
+		return 0;
+	if (p->vain && ws_rank(j) <= p->vain_rank && j->spec.cpus >= p->vain_cpus &&
+	    j->spec.gpus >= p->vain_gpus && j->spec.mem >= p->vain_mem &&
+	    (!j->spec.spot || p->vain_spot) && !(j->fits & ~p->vain_types) &&
+	    !(zones & ~p->vain_zones))
+		return 0;
+	for (size_t i = 0; i < p->n; i++) {
+		struct ws_machine *m = p->ms[i];
+		double cost;
+
+		c->steps++;
+		if (!m->nslots || !ws_kind_ok(j, m) || !ws_zone_ok(c, j, m->zi) ||
+		    (cached && !ws_cached(m, j->image)))
+			continue;
+		cost = ws_preempt_on(c, j, m, false);
+		if (cost >= 0)
+			p->victims[n++] = (struct ws_victim){cost, m};
+	}
+	if (!n && !cached) {
+		p->vain = true;
+		p->vain_rank = ws_rank(j);
+		p->vain_cpus = j->spec.cpus;
+		p->vain_gpus = j->spec.gpus;
+		p->vain_mem = j->spec.mem;
+		p->vain_spot = j->spec.spot;
+		p->vain_types = j->fits;
+		p->vain_zones = zones;
+	}
+	qsort(p->victims, n, sizeof(*p->victims), ws_victim_cmp);
+	for (size_t i = 0; i < n && got < want; i++) {
+		struct ws_machine *m = p->victims[i].m;
+
+		ws_preempt_on(c, j, m, true);
+		/* what is stopped often leaves room for more than one */
+		for (uint32_t fit = ws_fit(j, m, want - got, false); fit; fit--) {
+			ws_virt_take(j, m);
+			got++;
+		}
+		ws_fleet_push(c, m);
+	}
+	return got;
 }
 
 /*
@@ -250,16 +284,15 @@
  * that must share a zone, the zone where it fits is handed back.
  */
 static bool ws_gang_fits(struct ws_core *c, struct ws_job *j, uint32_t waiting,
-			 struct ws_machine **ms, size_t n, const struct ws_zone_use *z, size_t nz,
-			 const char **zone)
+			 struct ws_machine **ms, size_t n, int *zone)
 {
 	double(*keep)[3] = calloc(n + 1, sizeof(*keep));
-	size_t rounds = j->spec.one_zone ? c->set->nzones : 1;
+	size_t rounds = j->spec.one_zone ? (size_t)c->nzones : 1;
 	bool fits = false;
 
 	if (!keep)
 		abort();
-	*zone = NULL;
+	*zone = -1;
 	for (size_t r = 0; r < rounds && !fits; r++) {
 		uint32_t placed = 0;
 
@@ -272,8 +305,8 @@
 			double used = ms[i]->used_cpus, gpus = ms[i]->used_gpus,
 			       mem = ms[i]->used_mem;
 
-			if (!ws_kind_ok(j, ms[i]) || !ws_zone_ok(j, ms[i]->zone, z, nz) ||
-			    (j->spec.one_zone && strcmp(ms[i]->zone, c->set->zones[r])))
+			if (!ws_kind_ok(j, ms[i]) || !ws_zone_ok(c, j, ms[i]->zi) ||
+			    (j->spec.one_zone && ms[i]->zi != (int)r))
 				continue;
 			while (placed < waiting && ws_virt_room(j, ms[i]) && ws_room(j, ms[i])) {
 				ws_virt_take(j, ms[i]);
@@ -293,7 +326,7 @@
 		}
 		if (placed == waiting) {
 			fits = true;
-			*zone = j->spec.one_zone ? c->set->zones[r] : NULL;
+			*zone = j->spec.one_zone ? (int)r : -1;
 		}
 	}
 	free(keep);
@@ -307,7 +340,7 @@
 static bool ws_moves_fast(const struct ws_core *c, const struct ws_machine *to,
 			  const struct ws_job *j)
 {
-	return ws_cached(to, j->spec.image) ||
+	return ws_cached(to, j->image) ||
 	       j->spec.image_gb <= to->type->fetch_gb_s * 2 * c->set->report_s;
 }
 
@@ -328,8 +361,7 @@
 		if (m->owned)
 			break; /* owned ones come first in the order */
 		for (s = m->slots; s && all; s = s->next) {
-			struct ws_zone_use z[WS_MAX_ZONES];
-			size_t nz, k;
+			size_t k;
 
 			if (s->state == WS_SLOT_LEAVING)
 				continue;
@@ -338,16 +370,16 @@
 			      c->now - s->running_at > WS_START_COUNTS_S;
 			if (!all)
 				break;
-			nz = ws_siblings(c, s->job, z);
-			for (k = 0; k < nz; k++)
-				if (!strcmp(z[k].zone, m->zone))
-					z[k].n--; /* itself */
+			if (m->zi >= 0)
+				s->job->zone_n[m->zi]--; /* as if it were gone */
 			for (k = 0; k < n && ms[k]->owned; k++)
 				if (ws_kind_ok(s->job, ms[k]) && ws_room(s->job, ms[k]) &&
 				    ws_virt_room(s->job, ms[k]) &&
-				    ws_zone_ok(s->job, ms[k]->zone, z, nz) &&
+				    ws_zone_ok(c, s->job, ms[k]->zi) &&
 				    ws_moves_fast(c, ms[k], s->job))
 					break;
+			if (m->zi >= 0)
+				s->job->zone_n[m->zi]++;
 			all = k < n && ms[k]->owned;
 			if (all)
 				ws_virt_take(s->job, ms[k]);
@@ -382,163 +414,224 @@
 	return true;
 }
 
+static uint32_t ws_next_waiting(struct ws_job *j)
+{
+	uint32_t t = j->scan;
+
+	while (t < j->spec.tasks && (j->tasks[t].done || j->tasks[t].slots))
+		t++;
+	j->scan = t;
+	return t;
+}
+
+/* Plans up to 'most' tasks of a job on a machine; how many. */
+static uint32_t ws_place_on(struct ws_core *c, struct ws_job *j, struct ws_machine *m,
+			    uint32_t most, uint64_t attempt, size_t *room)
+{
+	uint32_t n = 0;
+
+	for (uint32_t fit = ws_fit(j, m, most, true); n < fit && ws_zone_ok(c, j, m->zi); n++) {
+		uint32_t t = ws_next_waiting(j);
+		struct ws_slot *s;
+		size_t size;
+
+		if (t == j->spec.tasks)
+			break;
+		s = ws_slot_add(c, m, j->spec.id, t, attempt);
+		size = ws_record_assign_size(s->jprev != s ? s->jprev : NULL, s);
+		if (size > *room) { /* the record holds no more: in slices, then */
+			ws_slot_count(c, s, -1);
+			ws_slot_free(c, s);
+			*room = 0;
+			break;
+		}
+		*room -= size;
+		ws_virt_take(j, m);
+		c->steps++;
+		ws_log(c, WS_LOG_DEBUG, "place %s/%u attempt %llu on %s", j->spec.id, t,
+		       (unsigned long long)attempt, m->name);
+	}
+	return n;
+}
+
+/* Bytes left for attempts in a job's record: three quarters of what its description leaves. */
+static size_t ws_record_room(const struct ws_core *c, const struct ws_job *j)
+{
+	double room = c->set->value_kb * 1024 - 640 - strlen(j->spec.image) - strlen(j->spec.team) -
+		      strlen(j->spec.job_class) - WS_NAME_MAX / 4.0 * (double)j->spec.ntypes;
+	double used = 0;
+	const struct ws_slot *s, *before = NULL;
+
+	room = room * 3 / 4;
+	DL_FOREACH2 (j->slots, s, jnext)
+		if (s->state != WS_SLOT_LEAVING && !s->orphan) {
+			used += (double)ws_record_assign_size(before, s);
+			before = s;
+		}
+	return room > used ? (size_t)(room - used) : 0;
+}
+
+static void ws_place_job(struct ws_pass *p, struct ws_job *j)
+{
+	struct ws_core *c = p->c;
+	struct ws_team *team = j->team;
+	double within = ws_wait_aim(c, j->spec.job_class);
+	uint32_t want = j->waiting, lack;
+	uint64_t attempt;
+	size_t nfit = 0, room;
+	int zone = -1;
+
+	ws_job_fits(c, j);
+	j->prompt = within > 0;
+	if (!team)
+		return;
+	if (j->not_before > c->now) {
+		ws_why_waits(c, j, "held back after failures");
+		return;
+	}
+	if (j->spec.gang && !ws_gang_fits(c, j, want, p->ms, p->n, &zone)) {
+		ws_rentals_want(c, j, want, ws_zones_ok(c, j));
+		return;
+	}
+	/* no more than the team's limit allows: more machines would not help */
+	double most = want;
+	if (j->spec.cpus > 0)
+		most = fmin(most,
+			    floor((team->set->cpus_max + 1e-9 - team->used_cpus) / j->spec.cpus));
+	if (j->spec.gpus > 0)
+		most = fmin(most,
+			    floor((team->set->gpus_max + 1e-9 - team->used_gpus) / j->spec.gpus));
+	if (most < want)
+		ws_why_waits(c, j, "its team is at its limit");
+	if (most <= 0)
+		return;
+	want = (uint32_t)most;
+	room = ws_record_room(c, j);
+	attempt = ((c->epoch >> WS_EPOCH_SHIFT) << WS_ATTEMPT_SHIFT) + ++c->attempt_seq;
+	/* machines with room, those preferred first: 0 to 3 by owner and image */
+	for (size_t i = 0; i < p->n; i++) {
+		struct ws_machine *m = p->ms[i];
+
+		c->steps++;
+		if (ws_kind_ok(j, m) && ws_virt_room(j, m) && ws_room(j, m) &&
+		    (zone < 0 || zone == m->zi) && ws_zone_ok(c, j, m->zi)) {
+			bool here = ws_cached(m, j->image);
+
+			m->rank = here ? 0 : 1;
+			if (!j->prompt && !m->owned)
+				m->rank += 2;
+			p->fit[nfit++] = m;
+		}
+	}
+	for (int rank = 0; rank < 4 && want && room; rank++) {
+		/* a fetch would take longer than the class may wait for its start */
+		if (rank == 1 && j->prompt && j->spec.tier == WS_PRODUCTION) {
+			bool slow = nfit > 0;
+
+			for (size_t i = 0; i < nfit && slow; i++)
+				slow = p->fit[i]->type->fetch_gb_s > 0 &&
+				       j->spec.image_gb / p->fit[i]->type->fetch_gb_s > within;
+			if (slow)
+				want -= ws_preempt(p, j, want, true);
+		}
+		for (size_t i = 0; i < nfit && want && room; i++)
+			if (p->fit[i]->rank == rank)
+				want -= ws_place_on(c, j, p->fit[i], want, attempt, &room);
+	}
+	if (j->waiting < j->waiting_before)
+		ws_job_dirty(c, j, true);
+	if (!room)
+		return; /* as many as can be on record: the rest when these are over */
+	/* room that is being made already, or can be made */
+	for (size_t i = 0; i < p->n && want; i++) {
+		struct ws_machine *m = p->ms[i];
+
+		if (m->stop_cpus <= 0 && m->stop_mem <= 0)
+			continue;
+		if (ws_kind_ok(j, m) && ws_zone_ok(c, j, m->zi)) {
+			uint32_t n = ws_fit(j, m, want, false);
+
+			for (uint32_t k = 0; k < n; k++)
+				ws_virt_take(j, m);
+			want -= n;
+		}
+	}
+	if (want)
+		want -= ws_preempt(p, j, want, j->prompt && !j->guaranteed);
+	lack = want;
+	if (!lack)
+		return;
+	ws_rentals_want(c, j, lack, ws_zones_ok(c, j));
+	if (c->now - j->wait_logged > c->set->lease_s) {
+		j->wait_logged = c->now;
+		ws_log(c, WS_LOG_INFO, "job %s: %u tasks wait for room (%s%s)", j->spec.id, lack,
+		       j->guaranteed ? "guaranteed, " : "",
+		       j->spec.spot ? "spot allowed" : "ordinary machines only");
+	}
+}
+
+/* All machines in the order of first fit. Names change seldom, so neither does the order. */
+static void ws_order(struct ws_core *c)
+{
+	struct ws_machine *m, *mt;
+
+	if (!c->order_stale)
+		return;
+	c->norder = 0;
+	c->order = realloc(c->order, (HASH_COUNT(c->machines) + 1) * sizeof(*c->order));
+	if (!c->order)
+		abort();
+	HASH_ITER (hh, c->machines, m, mt)
+		c->order[c->norder++] = m;
+	qsort(c->order, c->norder, sizeof(*c->order), ws_machine_cmp);
+	c->order_stale = false;
+}
+
 void ws_place(struct ws_core *c)
 {
-	size_t nj = HASH_COUNT(c->jobs), nm = HASH_COUNT(c->machines), n = 0, nw = 0, nu = 0;
+	size_t nj = HASH_COUNT(c->jobs), n = 0, nw = 0;
 	struct ws_job **all = calloc(nj + 1, sizeof(*all)), *j, *jt;
-	struct ws_want *wants = calloc(nj + 1, sizeof(*wants));
-	struct ws_machine **ms = calloc(nm + 1, sizeof(*ms)), *m, *mt;
+	struct ws_pass p = {.c = c, .lowest = 1000};
 
-	if (!all || !wants || !ms)
+	ws_order(c);
+	p.ms = calloc(2 * c->norder + 1, sizeof(*p.ms));
+	p.fit = p.ms + c->norder;
+	p.victims = calloc(c->norder + 1, sizeof(*p.victims));
+	if (!all || !p.ms || !p.victims)
 		abort();
 	c->place_wanted = false;
-	c->place_next = c->now + 1 / c->set->state_write_rps;
+	c->place_next = c->now + ws_sweep_every(c) / 2;
 	HASH_ITER (hh, c->jobs, j, jt)
 		if (!ws_job_over(j))
 			all[n++] = j;
 	ws_mark_guaranteed(c, all, n);
 	for (size_t i = 0; i < n; i++) {
-		uint32_t waiting = 0;
-
-		j = all[i];
-		for (uint32_t t = 0; t < j->spec.tasks; t++)
-			waiting += !j->tasks[t].done && !j->tasks[t].slots;
-		if (waiting)
-			wants[nw++] = (struct ws_want){j, waiting};
+		if (all[i]->nslots && ws_rank(all[i]) < p.lowest)
+			p.lowest = ws_rank(all[i]);
+		if (all[i]->waiting)
+			all[nw++] = all[i];
 	}
-	qsort(wants, nw, sizeof(*wants), ws_want_cmp);
-	HASH_ITER (hh, c->machines, m, mt) {
+	qsort(all, nw, sizeof(*all), ws_want_cmp);
+	for (size_t i = 0; i < c->norder; i++) {
+		struct ws_machine *m = c->order[i];
+
 		if (!m->type)
-			m->type = ws_type_find(c, m->type_name);
+			ws_machine_place(c, m, m->type_name, m->zone, m->spot);
 		if (!ws_machine_usable(c, m))
 			continue;
-		ms[nu++] = m;
-		m->virt_cpus = m->type->cpus;
-		m->virt_gpus = m->type->gpus;
-		m->virt_mem = m->type->mem;
-		for (struct ws_slot *s = m->slots; s; s = s->next)
-			if (s->job && s->state != WS_SLOT_LEAVING && !s->stop)
-				ws_virt_take(s->job, m);
+		p.ms[p.n++] = m;
+		m->virt_cpus = m->type->cpus - m->used_cpus + m->stop_cpus;
+		m->virt_gpus = m->type->gpus - m->used_gpus + m->stop_gpus;
+		m->virt_mem = m->type->mem - m->used_mem + m->stop_mem;
 	}
-	qsort(ms, nu, sizeof(*ms), ws_machine_cmp);
 	for (size_t w = 0; w < nw; w++) {
-		struct ws_zone_use z[WS_MAX_ZONES];
-		size_t nz;
-		uint32_t lack = 0;
-		struct ws_team *team;
-		bool preempt = true;
-
-		j = wants[w].job;
-		team = ws_team_of(c, j->spec.team);
-		if (!team)
-			continue;
-		if (j->not_before > c->now) {
-			ws_why_waits(c, j, "held back after failures");
-			continue;
-		}
-		nz = ws_siblings(c, j, z);
-		double cpus = team->used_cpus, gpus = team->used_gpus;
-		const char *zone = NULL;
-		uint32_t shared = 0;
-		double prompt = ws_wait_aim(c, j->spec.job_class);
-
-		j->prompt = prompt > 0;
-
-		if (j->spec.gang && !ws_gang_fits(c, j, wants[w].waiting, ms, nu, z, nz, &zone)) {
-			uint32_t zones = 0;
-
-			for (size_t i = 0; i < c->set->nzones; i++)
-				if (ws_zone_ok(j, c->set->zones[i], z, nz))
-					zones |= 1u << i;
-			ws_rentals_want(c, j, wants[w].waiting, zones);
-			continue;
-		}
-		for (uint32_t t = 0; t < j->spec.tasks; t++) {
-			struct ws_machine *to = NULL;
-			bool cached = false;
-
-			if (j->tasks[t].done || j->tasks[t].slots)
-				continue;
-			if (cpus + j->spec.cpus > team->set->cpus_max + 1e-9 ||
-			    gpus + j->spec.gpus > team->set->gpus_max + 1e-9) {
-				/* more machines would not help */
-				ws_why_waits(c, j, "its team is at its limit");
-				break;
-			}
-			cpus += j->spec.cpus;
-			gpus += j->spec.gpus;
-			for (size_t i = 0; i < nu; i++) {
-				m = ms[i];
-				if (zone && strcmp(zone, m->zone))
-					continue;
-				if (!ws_kind_ok(j, m) || !ws_room(j, m) || !ws_virt_room(j, m) ||
-				    !ws_zone_ok(j, m->zone, z, nz) || m->nslots >= ws_plan_room(c))
-					continue;
-				bool here = ws_cached(m, j->spec.image);
-
-				if (!to ||
-				    (here && !cached && (prompt > 0 || m->owned == to->owned))) {
-					to = m;
-					cached = here;
-				}
-				if (cached)
-					break;
-			}
-			/* a fetch would take longer than the class may wait for its start */
-			if (to && !cached && prompt > 0 && j->spec.tier == WS_PRODUCTION &&
-			    to->type->fetch_gb_s > 0 &&
-			    j->spec.image_gb / to->type->fetch_gb_s > prompt &&
-			    ws_preempt(c, j, ms, nu, z, nz, true))
-				continue;
-			if (to) {
-				struct ws_slot *s;
-
-				/* a gang's tasks know each other by the attempt they share */
-				if (!j->spec.gang || !shared++)
-					c->attempt_seq++;
-				s = ws_slot_add(c, to, j->spec.id, t,
-						((c->epoch >> WS_EPOCH_SHIFT) << 24) +
-						    c->attempt_seq);
-				ws_virt_take(j, to);
-				ws_machine_dirty(c, to);
-				nz = ws_siblings(c, j, z);
-				ws_log(c, WS_LOG_DEBUG, "place %s/%u attempt %llu on %s",
-				       j->spec.id, t, (unsigned long long)s->attempt, to->name);
-				continue;
-			}
-			/* room that is being made already, or can be made */
-			for (size_t i = 0; i < nu && !to; i++)
-				if (ws_kind_ok(j, ms[i]) && ws_virt_room(j, ms[i]) &&
-				    ws_zone_ok(j, ms[i]->zone, z, nz))
-					to = ms[i];
-			if (to) {
-				ws_virt_take(j, to);
-				continue;
-			}
-			if (preempt && (preempt = ws_preempt(c, j, ms, nu, z, nz,
-							     j->prompt && !j->guaranteed)))
-				continue;
-			lack++;
-		}
-		if (lack) {
-			uint32_t zones = 0;
-
-			for (size_t i = 0; i < c->set->nzones; i++)
-				if (ws_zone_ok(j, c->set->zones[i], z, nz))
-					zones |= 1u << i;
-			ws_rentals_want(c, j, lack, zones);
-			if (c->now - j->wait_logged > c->set->lease_s) {
-				j->wait_logged = c->now;
-				ws_log(c, WS_LOG_INFO, "job %s: %u tasks wait for room (%s%s)",
-				       j->spec.id, lack, j->guaranteed ? "guaranteed, " : "",
-				       j->spec.spot ? "spot allowed" : "ordinary machines only");
-			}
-		}
+		all[w]->waiting_before = all[w]->waiting;
+		ws_place_job(&p, all[w]);
 	}
 	ws_rentals_plan(c);
 	if (!nw)
-		ws_consolidate(c, ms, nu);
+		ws_consolidate(c, p.ms, p.n);
 	free(all);
-	free(wants);
-	free(ms);
+	free(p.ms);
+	free(p.victims);
 }
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -3,6 +3,7 @@
  * limited. Anything that does not read back cleanly is refused whole.
  */
 #include "internal.h"
+#include <stdarg.h>
 
 static const char *const phases[] = {"queued", "running", "done", "withdrawn"};
 
@@ -44,22 +45,176 @@
 	return v;
 }
 
+struct ws_text { /* grows; what can't be had ends the program, as everywhere in the core */
+	char *p;
+	size_t len, cap;
+};
+
+static void ws_text_add(struct ws_text *t, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+static void ws_text_add(struct ws_text *t, const char *fmt, ...)
+{
+	va_list ap;
+	int n;
+
+	if (t->cap - t->len < 256) {
+		t->cap = t->cap ? 2 * t->cap : 1024;
+		t->p = realloc(t->p, t->cap);
+		if (!t->p)
+			abort();
+	}
+	va_start(ap, fmt);
+	n = vsnprintf(t->p + t->len, t->cap - t->len, fmt, ap);
+	va_end(ap);
+	t->len += (size_t)n;
+}
+
+/*
+ * What an attempt adds to its job's record at the most, behind 'before', the live one before it in
+ * the job's list. When others of the list go, the record never grows by it.
+ */
+size_t ws_record_assign_size(const struct ws_slot *before, const struct ws_slot *s)
+{
+	if (before && before->machine == s->machine && before->attempt == s->attempt &&
+	    before->tenure == s->tenure)
+		return 6; /* ",12345" */
+	if (before && before->attempt >> WS_ATTEMPT_SHIFT == s->attempt >> WS_ATTEMPT_SHIFT &&
+	    before->machine->zi == s->machine->zi)
+		return strlen(s->machine->name) + 20;
+	return strlen(s->machine->name) + strlen(s->machine->zone) + 48;
+}
+
+/*
+ * Attempts that may be alive: [[term, zone, "machine/tenure/number=0-5,7;machine/..."], ...]. The
+ * attempt is the term, shifted, plus the number. Those of one pass share the number and follow each
+ * other by machine.
+ */
+static json_t *ws_record_assigned(const struct ws_job *j)
+{
+	json_t *a = json_array();
+	struct ws_slot *s;
+	struct ws_text t = {0};
+	const struct ws_slot *last = NULL; /* the one written before */
+
+	for (s = j->slots; s;) {
+		const struct ws_slot *from = s;
+		uint64_t term = s->attempt >> WS_ATTEMPT_SHIFT;
+
+		s->writing = false;
+		if (s->state == WS_SLOT_LEAVING || s->orphan) {
+			s = s->jnext;
+			continue;
+		}
+		if (last && (last->attempt >> WS_ATTEMPT_SHIFT != term ||
+			     last->machine->zi != s->machine->zi)) {
+			json_array_append_new(
+			    a, json_pack("[I,s,s]", (json_int_t)(last->attempt >> WS_ATTEMPT_SHIFT),
+					 last->machine->zone, t.p));
+			last = NULL;
+			t.len = 0;
+		}
+		if (last && last->machine == s->machine && last->attempt == s->attempt &&
+		    last->tenure == s->tenure)
+			ws_text_add(&t, ",");
+		else
+			ws_text_add(
+			    &t, "%s%.130s/%llu/%llu=", t.len ? ";" : "", s->machine->name,
+			    (unsigned long long)s->tenure,
+			    (unsigned long long)(s->attempt & ((1ULL << WS_ATTEMPT_SHIFT) - 1)));
+		ws_text_add(&t, "%u", s->task);
+		for (last = s, s->writing = true, s = s->jnext;
+		     s && s->state != WS_SLOT_LEAVING && !s->orphan &&
+		     s->machine == from->machine && s->attempt == from->attempt &&
+		     s->tenure == from->tenure && s->task == last->task + 1;
+		     last = s, s = s->jnext)
+			s->writing = true;
+		if (last != from)
+			ws_text_add(&t, "-%u", last->task);
+	}
+	if (last)
+		json_array_append_new(a, json_pack("[I,s,s]",
+						   (json_int_t)(last->attempt >> WS_ATTEMPT_SHIFT),
+						   last->machine->zone, t.p));
+	free(t.p);
+	return a;
+}
+
+/* The attempts that a record names; as many as could be read. */
+size_t ws_record_read_assigned(json_t *v, struct ws_assigned **list)
+{
+	json_t *a = json_object_get(v, "p"), *e;
+	size_t i, n = 0, cap = 0;
+
+	*list = NULL;
+	json_array_foreach (a, i, e) {
+		json_int_t term;
+		const char *zone, *p;
+
+		if (json_unpack(e, "[I,s,s]", &term, &zone, &p))
+			continue;
+		while (*p) {
+			const char *slash = strchr(p, '/');
+			char *end;
+			unsigned long long tenure, number, from, to;
+
+			if (!slash || slash == p || slash - p >= WS_NAME_MAX)
+				break;
+			tenure = strtoull(slash + 1, &end, 10);
+			if (*end != '/')
+				break;
+			number = strtoull(end + 1, &end, 10);
+			if (*end != '=')
+				break;
+			do {
+				from = to = strtoull(end + 1, &end, 10);
+				if (*end == '-')
+					to = strtoull(end + 1, &end, 10);
+				for (; from <= to && to < WS_MAX_SHARDS; from++) {
+					struct ws_assigned *x;
+
+					if (n == cap) {
+						cap = cap ? 2 * cap : 64;
+						*list = realloc(*list, cap * sizeof(**list));
+						if (!*list)
+							abort();
+					}
+					x = &(*list)[n++];
+					memset(x, 0, sizeof(*x));
+					memcpy(x->machine, p, (size_t)(slash - p));
+					ws_copy(x->zone, sizeof(x->zone), zone);
+					x->tenure = tenure;
+					x->attempt = ((uint64_t)term << WS_ATTEMPT_SHIFT) + number;
+					x->task = (uint32_t)from;
+				}
+			} while (*end == ',');
+			p = *end == ';' ? end + 1 : "";
+		}
+	}
+	return n;
+}
+
 /*
  * Completed tasks are written as ranges, which stay short because tasks start in order. Should
  * they not fit the value's limit, the rest stays out: those tasks are not marked saved and so not
- * reaped, and their results wait on their machines.
+ * reaped, and their results wait on their machines. NULL: not even the attempts fit.
  */
-json_t *ws_record_job(const struct ws_job *j, size_t limit, bool *all)
+json_t *ws_record_job(const struct ws_job *j, size_t limit)
 {
 	json_t *v = ws_record_spec(&j->spec, j->phase, j->submitted_wall);
+	json_object_set_new(v, "p", ws_record_assigned(j));
 	char *text = json_dumps(v, JSON_COMPACT);
 	size_t room = limit, used = 0;
 	char *ranges;
 
-	room -= text ? strlen(text) + 64 < limit ? strlen(text) + 64 : limit : limit;
+	used = text ? strlen(text) + 64 : limit + 1;
 	free(text);
+	if (used > limit) {
+		json_decref(v);
+		return NULL;
+	}
+	room -= used;
+	used = 0;
 	ranges = malloc(room + 1);
-	*all = true;
 	if (ranges && j->tasks) {
 		ranges[0] = 0;
 		for (uint32_t i = 0; i < j->spec.tasks; i++) {
@@ -78,8 +233,6 @@
 			if (fits) {
 				memcpy(ranges + used, part, (size_t)len + 1);
 				used += (size_t)len;
-			} else {
-				*all = false;
 			}
 			for (; i <= e; i++)
 				j->tasks[i].writing = fits;
@@ -177,82 +330,74 @@
 	return json_object_set_new(v, "ph", json_string(phases[WS_CANCELLED])) == 0;
 }
 
-json_t *ws_record_plan(const struct ws_machine *m)
+/* Machines with their addresses and newest images, so that the next leader can greet them. */
+json_t *ws_record_chunk(struct ws_core *c, int chunk)
 {
 	json_t *a = json_array();
+	struct ws_machine *m, *t;
+	size_t size = 64, limit = (size_t)(c->set->value_kb * 1024);
 
-	for (const struct ws_slot *s = m->slots; s; s = s->next)
-		if (s->state != WS_SLOT_LEAVING && !s->orphan)
-			json_array_append_new(a,
-					      json_pack("[s,I,I]", s->job_id, (json_int_t)s->task,
-							(json_int_t)s->attempt));
-	json_t *im = json_array();
-
-	/* images it has, newest first, so that a new leader places as well as the last one */
-	for (int i = 0; i < m->ncache && i < WS_CACHE_KEPT && strlen(m->cache[i]) < 32; i++)
-		json_array_append_new(im, json_string(m->cache[i]));
-	return json_pack("{s:I,s:o,s:s,s:s,s:b,s:s,s:i,s:o}", "te", (json_int_t)m->tenure, "a", a,
-			 "ty", m->type_name, "z", m->zone, "sp", m->spot, "ip", m->host, "po",
-			 m->port, "im", im);
-}
-
-bool ws_record_read_plan(json_t *v, struct ws_machine *m, struct ws_slot **list)
-{
-	json_int_t te;
-	json_t *a, *e, *im = NULL;
-	size_t i;
-	const char *ty, *z, *ip = "";
-	int sp, port = 0;
+	HASH_ITER (hh, c->machines, m, t) {
+		json_t *im;
 
-	*list = NULL;
-	if (json_unpack(v, "{s:I,s:o,s:s,s:s,s:b,s?s,s?i,s?o}", "te", &te, "a", &a, "ty", &ty, "z",
-			&z, "sp", &sp, "ip", &ip, "po", &port, "im", &im) ||
-	    !json_is_array(a))
-		return false;
-	ws_copy(m->host, sizeof(m->host), ip);
-	m->port = port;
-	json_array_foreach (im, i, e) {
-		if (json_is_string(e) && m->ncache < WS_CACHE_KEPT)
-			ws_copy(m->cache[m->ncache++], WS_NAME_MAX, json_string_value(e));
-	}
-	m->plan_tenure = (uint64_t)te;
-	m->tenure = (uint64_t)te;
-	ws_copy(m->type_name, sizeof(m->type_name), ty);
-	ws_copy(m->zone, sizeof(m->zone), z);
-	m->spot = sp;
-	json_array_foreach (a, i, e) {
-		const char *id;
-		json_int_t task, attempt;
-		struct ws_slot *s;
-
-		if (json_unpack(e, "[s,I,I]", &id, &task, &attempt))
-			return false;
-		s = calloc(1, sizeof(*s));
-		if (!s)
-			return false;
-		ws_copy(s->job_id, sizeof(s->job_id), id);
-		s->task = (uint32_t)task;
-		s->attempt = (uint64_t)attempt;
-		s->next = *list;
-		*list = s;
+		if (m->chunk != chunk || m->gone || !m->port)
+			continue;
+		size += strlen(m->name) + strlen(m->host) + strlen(m->type_name) + strlen(m->zone) +
+			60 + 19 * WS_CACHE_KEPT;
+		if (size > limit) /* names longer than reckoned: the rest will not be greeted */
+			break;
+		im = json_array();
+		for (int i = 0; i < m->ncache && i < WS_CACHE_KEPT; i++)
+			if (strlen(c->image_names[m->cache[i]]) < 16)
+				json_array_append_new(im, json_string(c->image_names[m->cache[i]]));
+		json_array_append_new(a, json_pack("[s,s,i,s,s,b,I,o]", m->name, m->host, m->port,
+						   m->type_name, m->zone, m->spot,
+						   (json_int_t)m->tenure, im));
 	}
-	return true;
+	return a;
 }
 
-json_t *ws_record_names(char (*names)[WS_NAME_MAX], size_t n)
+void ws_record_read_chunk(struct ws_core *c, json_t *v, int chunk)
 {
-	json_t *a = json_array();
+	json_t *e, *im, *x;
+	size_t i, k;
 
-	for (size_t i = 0; i < n; i++)
-		json_array_append_new(a, json_string(names[i]));
-	return a;
+	json_array_foreach (v, i, e) {
+		const char *name, *host, *type, *zone;
+		int port, spot;
+		json_int_t tenure;
+		struct ws_machine *m;
+
+		if (json_unpack(e, "[s,s,i,s,s,b,I,o]", &name, &host, &port, &type, &zone, &spot,
+				&tenure, &im) ||
+		    strlen(name) >= WS_NAME_MAX)
+			continue;
+		m = ws_machine_get(c, name);
+		if (m->chunk >= 0)
+			continue;
+		m->chunk = chunk;
+		ws_chunk_at(c, chunk)->n++;
+		m->on_record = true;
+		ws_machine_place(c, m, type, zone, spot);
+		ws_copy(m->host, sizeof(m->host), host);
+		m->port = port;
+		if ((uint64_t)tenure > m->tenure)
+			m->tenure = (uint64_t)tenure;
+		json_array_foreach (im, k, x) {
+			if (json_is_string(x) && m->ncache < WS_CACHE_KEPT)
+				m->cache[m->ncache++] = ws_image_id(c, json_string_value(x));
+		}
+	}
 }
 
 json_t *ws_record_rental(const struct ws_rental *r)
 {
+	json_t *a = json_array();
+
+	for (uint32_t i = 0; i < r->nhosts; i++)
+		json_array_append_new(a, json_string(r->hosts[i]));
 	return json_pack("{s:s,s:s,s:b,s:I,s:b,s:o}", "ty", r->type, "z", r->zone, "sp", r->spot,
-			 "n", (json_int_t)r->count, "got", r->state == WS_RENTAL_GOT, "h",
-			 ws_record_names(r->hosts, r->nhosts));
+			 "n", (json_int_t)r->count, "got", r->state == WS_RENTAL_GOT, "h", a);
 }
 
 bool ws_record_read_rental(json_t *v, struct ws_rental *r)
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -56,16 +56,26 @@
 	}
 	ws_tombs_clear(c, true);
 	c->dirty_jobs = NULL;
-	c->dirty_jobs_tail = &c->dirty_jobs;
-	c->dirty_plans = NULL;
-	c->dirty_plans_tail = &c->dirty_plans;
 	c->dirty_rentals = NULL;
-	c->dirty_rentals_tail = &c->dirty_rentals;
+	free(c->order);
+	c->order = NULL;
+	c->norder = 0;
+	c->order_stale = true;
+	free(c->chunks);
+	c->chunks = NULL;
+	c->nchunks = 0;
+	struct ws_image *im, *it;
+
+	HASH_ITER (hh, c->images, im, it) {
+		HASH_DEL(c->images, im);
+		free(im);
+	}
+	free(c->image_names);
+	c->image_names = NULL;
+	c->nimages = 0;
 	for (size_t i = 0; i < c->set->nteams; i++)
 		c->teams[i].used_cpus = c->teams[i].used_gpus = 0;
-	free(c->owned);
-	c->owned = NULL;
-	c->nowned = 0;
+	c->owned_upto[0] = 0;
 	c->owned_seen = c->owned_known = c->owned_writing = c->types_saved = false;
 	free(c->lacks);
 	c->lacks = NULL;
@@ -74,7 +84,7 @@
 	c->extend_inflight = c->in_outage = c->paused = false;
 	c->ask_out = 0;
 	c->hosts_after[0] = 0;
-	c->hosts_next = c->cloud_next = c->flush_next = 0;
+	c->hosts_next = c->cloud_next = c->flush_next = c->sweep_next = c->rent_next = 0;
 	c->nrefusals = 0;
 	c->measured_at = 0;
 	c->work_arrived = c->work_done = c->busy_time = 0;
@@ -334,8 +344,7 @@
 	call->urgent = true;
 }
 
-/* plan/ behind job/, so that each attempt finds its job */
-static const char *const ws_load_order[] = {"owned", "rental/", "job/", "plan/", NULL};
+static const char *const ws_load_order[] = {"owned", "rental/", "fleet/", "job/", NULL};
 
 static void ws_load(struct ws_core *c)
 {
@@ -354,33 +363,27 @@
 	c->place_wanted = true;
 	c->watch_next = c->now;
 	HASH_ITER (hh, c->machines, m, mt) {
-		m->type = ws_type_find(c, m->type_name);
 		ws_fleet_greet(c, m);
 		for (struct ws_slot *s = m->slots; s; s = s->next)
 			if (s->job && s->job->phase == WS_CANCELLED)
-				s->stop = true;
+				ws_slot_ends(s);
 			else if (s->job && s->task < s->job->spec.tasks &&
 				 s->job->tasks[s->task].slot != s)
-				s->stop = true; /* an older attempt of a task placed anew */
+				ws_slot_ends(s); /* an older attempt of a task placed anew */
 	}
 	HASH_ITER (hh, c->jobs, j, jt)
 		ws_job_check_end(c, j);
-	ws_log(c, WS_LOG_INFO, "leading: %u jobs, %u machines with plans, %u rentals on record",
+	ws_log(c, WS_LOG_INFO, "leading: %u jobs, %u machines, %u rentals on record",
 	       HASH_COUNT(c->jobs), HASH_COUNT(c->machines), HASH_COUNT(c->rentals));
 }
 
 static void ws_load_kv(struct ws_core *c, const struct ws_kv *kv)
 {
 	if (!strcmp(kv->key, "owned")) {
-		c->owned_seen = true;
-		c->owned = calloc(json_array_size(kv->value) + 1, sizeof(*c->owned));
-		if (!c->owned)
-			abort();
-		for (size_t i = 0; i < json_array_size(kv->value); i++) {
-			const char *n = json_string_value(json_array_get(kv->value, i));
+		const char *n = json_string_value(json_object_get(kv->value, "upto"));
 
-			snprintf(c->owned[c->nowned++], WS_NAME_MAX, "%s", n ? n : "");
-		}
+		c->owned_seen = true;
+		snprintf(c->owned_upto, sizeof(c->owned_upto), "%s", n ? n : "");
 		c->owned_known = true;
 	} else if (!strncmp(kv->key, "rental/", 7)) {
 		struct ws_rental *r = calloc(1, sizeof(*r));
@@ -401,33 +404,38 @@
 			struct ws_machine *m = ws_machine_get(c, r->hosts[i]);
 
 			m->on_record = true;
-			snprintf(m->type_name, sizeof(m->type_name), "%s", r->type);
-			snprintf(m->zone, sizeof(m->zone), "%s", r->zone);
-			m->spot = r->spot;
+			ws_machine_place(c, m, r->type, r->zone, r->spot);
+		}
+	} else if (!strncmp(kv->key, "fleet/", 6)) {
+		int i = atoi(kv->key + 6);
+
+		if (i >= 0 && i < WS_MAX_CHUNKS) {
+			ws_chunk_at(c, i)->stamp = kv->stamp;
+			ws_record_read_chunk(c, kv->value, i);
 		}
 	} else if (!strncmp(kv->key, "job/", 4)) {
+		struct ws_assigned *list;
+		size_t n = ws_record_read_assigned(kv->value, &list);
+
 		ws_job_event(c, kv->key + 4, kv->value, kv->stamp);
-	} else if (!strncmp(kv->key, "plan/", 5)) {
-		struct ws_machine *m = ws_machine_get(c, kv->key + 5);
-		struct ws_slot *list, *s;
-
-		m->plan_stamp = kv->stamp;
-		m->on_record = true;
-		if (!ws_record_read_plan(kv->value, m, &list))
-			ws_log(c, WS_LOG_ERROR, "%s can't be read in full", kv->key);
-		while ((s = list)) {
-			struct ws_slot *n;
-
-			list = s->next;
-			n = ws_slot_add(c, m, s->job_id, s->task, s->attempt);
-			n->state = WS_SLOT_WRITTEN;
-			n->sent = true; /* for all we know */
-			if (n->job && n->task < n->job->spec.tasks && n->job->tasks[n->task].done)
-				n->stop = true;
-			if (!n->job)
-				n->stop = true; /* over and archived */
-			free(s);
+		for (size_t i = 0; i < n; i++) {
+			struct ws_machine *m = ws_machine_get(c, list[i].machine);
+			struct ws_slot *x;
+
+			m->on_record = true;
+			if (!m->zone[0])
+				ws_machine_place(c, m, "", list[i].zone, false);
+			if (list[i].tenure > m->tenure)
+				m->tenure = list[i].tenure;
+			x = ws_slot_add(c, m, kv->key + 4, list[i].task, list[i].attempt);
+			x->tenure = list[i].tenure;
+			x->state = WS_SLOT_WRITTEN;
+			x->sent = true; /* for all we know */
+			if (!x->job ||
+			    (x->task < x->job->spec.tasks && x->job->tasks[x->task].done))
+				ws_slot_ends(x);
 		}
+		free(list);
 	}
 }
 
@@ -471,6 +479,8 @@
 		return;
 	}
 	c->watch_rev = r->rev > c->watch_rev ? r->rev : c->watch_rev;
+	/* what comes within a moment comes together: an eighth of the requests allowed at most */
+	c->watch_next = c->now + 8 / c->set->state_rps;
 	for (size_t i = 0; i < r->nkvs; i++)
 		if (!strncmp(r->kvs[i].key, "job/", 4))
 			ws_job_event(c, r->kvs[i].key + 4, r->kvs[i].value, r->kvs[i].stamp);
@@ -547,7 +557,6 @@
 
 static void ws_reread(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
-	struct ws_machine *m;
 	struct ws_rental *x;
 	uint64_t stamp = r->status == 200 && r->nkvs == 1 ? r->kvs[0].stamp : 0;
 
@@ -559,18 +568,18 @@
 		snprintf(g->key, sizeof(g->key), "%s", call->key);
 		return;
 	}
-	if (!strncmp(call->key, "plan/", 5) && (m = ws_machine_find(c, call->key + 5))) {
-		m->plan_stamp = stamp;
-		m->writing = false;
-		m->dirty = false;
-		ws_machine_dirty(c, m);
+	if (!strncmp(call->key, "fleet/", 6)) {
+		struct ws_chunk *k = ws_chunk_at(c, atoi(call->key + 6));
+
+		k->stamp = stamp;
+		k->writing = false;
+		ws_chunk_dirty(c, atoi(call->key + 6));
 	} else if (!strncmp(call->key, "rental/", 7)) {
 		HASH_FIND_STR(c->rentals, call->key + 7, x);
 		if (!x)
 			return;
 		x->stamp = stamp;
 		x->writing = false;
-		x->dirty = false;
 		ws_rental_dirty(c, x);
 	} else if (!strcmp(call->key, "owned")) {
 		c->owned_known = r->status == 200;
@@ -578,37 +587,41 @@
 	}
 }
 
+/* What a job's record held is on record now: its starts may go out. */
+static void ws_job_written(struct ws_core *c, struct ws_job *j)
+{
+	struct ws_slot *s, *n;
+
+	(void)c;
+	DL_FOREACH_SAFE2 (j->slots, s, n, jnext) {
+		if (s->state == WS_SLOT_LEAVING && !s->writing) {
+			ws_slot_free(c, s); /* what was just written no longer names it */
+			continue;
+		}
+		if (s->writing && s->state == WS_SLOT_PLANNED) {
+			s->state = WS_SLOT_WRITTEN;
+			s->machine->push = true;
+		}
+		s->writing = false;
+	}
+	for (uint32_t t = 0; t < j->spec.tasks; t++)
+		if (j->tasks[t].writing) {
+			j->tasks[t].saved = true;
+			j->tasks[t].writing = false;
+		}
+}
+
 static void ws_flush_op(struct ws_core *c, const struct ws_op *op, uint64_t rev)
 {
-	struct ws_machine *m;
 	struct ws_rental *r;
 	struct ws_job *j;
 
-	if (!strncmp(op->key, "plan/", 5) && (m = ws_machine_find(c, op->key + 5))) {
-		bool push = false;
+	if (!strncmp(op->key, "fleet/", 6)) {
+		struct ws_chunk *k = ws_chunk_at(c, atoi(op->key + 6));
 
-		m->writing = false;
-		m->plan_stamp = op->value ? rev : 0;
-		if (m->gone && !op->value) {
-			ws_machine_forget(c, m);
-			return;
-		}
-		for (struct ws_slot **p = &m->slots, *s; (s = *p);) {
-			if (s->state == WS_SLOT_LEAVING && !s->writing) {
-				/* what was just written no longer names it */
-				*p = s->next;
-				free(s);
-				continue;
-			}
-			if (s->writing && s->state == WS_SLOT_PLANNED) {
-				s->state = WS_SLOT_WRITTEN;
-				push = true;
-			}
-			s->writing = false;
-			p = &s->next;
-		}
-		if (push)
-			ws_fleet_push(c, m);
+		k->writing = false;
+		k->stamp = rev;
+		k->written_at = c->now;
 	} else if (!strncmp(op->key, "rental/", 7)) {
 		HASH_FIND_STR(c->rentals, op->key + 7, r);
 		if (!r)
@@ -619,20 +632,18 @@
 	} else if (!strncmp(op->key, "job/", 4) && (j = ws_job_find(c, op->key + 4))) {
 		j->writing = false;
 		if (!op->value) {
+			ws_bury(c, &c->ended, j->spec.id, c->now + c->set->lease_s);
 			ws_job_free(c, j);
 			return;
 		}
 		if (rev > j->stamp)
 			j->stamp = rev;
-		for (uint32_t t = 0; t < j->spec.tasks; t++)
-			if (j->tasks[t].writing) {
-				j->tasks[t].saved = true;
-				j->tasks[t].writing = false;
-			}
+		ws_job_written(c, j);
 	} else if (!strcmp(op->key, "owned")) {
 		c->owned_known = true;
 		c->owned_writing = false;
-		ws_log(c, WS_LOG_INFO, "%zu owned machines recorded", c->nowned);
+		ws_log(c, WS_LOG_INFO, "owned machines recorded: up to %s",
+		       c->owned_upto[0] ? c->owned_upto : "none");
 	} else if (!strcmp(op->key, "types")) {
 		c->types_saved = true;
 	}
@@ -641,17 +652,14 @@
 /* The write did not happen, or not surely: what it held is due again. */
 static void ws_flush_undo(struct ws_core *c, const struct ws_op *op, bool reread)
 {
-	struct ws_machine *m;
 	struct ws_rental *r;
 	struct ws_job *j;
 	struct ws_call *g;
 
-	if (!strncmp(op->key, "plan/", 5) && (m = ws_machine_find(c, op->key + 5))) {
-		for (struct ws_slot *s = m->slots; s; s = s->next)
-			s->writing = false;
+	if (!strncmp(op->key, "fleet/", 6)) {
 		if (!reread) {
-			m->writing = false;
-			ws_machine_dirty(c, m);
+			ws_chunk_at(c, atoi(op->key + 6))->writing = false;
+			ws_chunk_dirty(c, atoi(op->key + 6));
 		}
 	} else if (!strncmp(op->key, "rental/", 7)) {
 		HASH_FIND_STR(c->rentals, op->key + 7, r);
@@ -662,10 +670,14 @@
 			ws_rental_dirty(c, r);
 		}
 	} else if (!strncmp(op->key, "job/", 4) && (j = ws_job_find(c, op->key + 4))) {
+		struct ws_slot *s;
+
 		j->writing = false;
 		for (uint32_t t = 0; t < j->spec.tasks; t++)
 			j->tasks[t].writing = false;
-		ws_job_dirty(c, j);
+		DL_FOREACH2 (j->slots, s, jnext)
+			s->writing = false;
+		ws_job_dirty(c, j, true);
 		return;
 	} else if (!strcmp(op->key, "owned")) {
 		if (!reread)
@@ -679,6 +691,22 @@
 	}
 }
 
+/* One command to each machine with all that may start there now. */
+static void ws_flush_push(struct ws_core *c, const struct ws_call *call)
+{
+	struct ws_job *j;
+	struct ws_slot *s;
+
+	for (size_t i = 0; i < call->nops; i++)
+		if (!strncmp(call->ops[i].key, "job/", 4) &&
+		    (j = ws_job_find(c, call->ops[i].key + 4)))
+			DL_FOREACH2 (j->slots, s, jnext)
+				if (s->machine->push) {
+					s->machine->push = false;
+					ws_fleet_push(c, s->machine);
+				}
+}
+
 static void ws_flushed(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
 	if (call->generation != c->generation)
@@ -688,6 +716,7 @@
 		c->flush_fails = 0;
 		for (size_t i = 0; i < call->nops; i++)
 			ws_flush_op(c, &call->ops[i], r->rev);
+		ws_flush_push(c, call);
 		return;
 	}
 	if (r->status == 409) {
@@ -714,29 +743,95 @@
 		return;
 	}
 	if (r->status == 400) {
-		ws_log(c, WS_LOG_ERROR, "a write of %zu records was called malformed", call->nops);
+		size_t most = 0, all = 0, which = 0;
+
+		for (size_t i = 0; i < call->nops; i++) {
+			char *text = call->ops[i].value
+					 ? json_dumps(call->ops[i].value, JSON_COMPACT)
+					 : NULL;
+			size_t n = text ? strlen(text) : 0;
+
+			all += n;
+			if (n > most) {
+				most = n;
+				which = i;
+			}
+			free(text);
+		}
+		ws_log(c, WS_LOG_ERROR,
+		       "a write of %zu records, %zu bytes, was called malformed; the largest is %s "
+		       "with %zu",
+		       call->nops, all, call->ops[which].key, most);
 		ws_lead_end(c, "a write was refused");
 		return;
 	}
 	for (size_t i = 0; i < call->nops; i++)
 		ws_flush_undo(c, &call->ops[i], false);
+	if (r->status == 429) { /* too fast: what this one asked for will be there soon */
+		c->flush_next = c->now + c->set->txn_ops / c->set->state_write_rps / 4;
+		return;
+	}
 	if (c->flush_fails < 5)
 		c->flush_fails++;
 	c->flush_next = c->now + c->ttl / 64 * (1 << c->flush_fails);
 }
 
-/* One transaction at a time, with what is due: plans first, in the order they changed. */
+/* Whether a job's record is to be written now: starts and ends at once, the rest after a while. */
+static bool ws_job_due(const struct ws_core *c, const struct ws_job *j)
+{
+	return !j->writing && !j->stale &&
+	       (j->urgent || c->now - j->dirty_at > c->set->lease_s / 16);
+}
+
+static void ws_flush_job(struct ws_core *c, struct ws_call *t, struct ws_job *j, size_t *bytes)
+{
+	/* archived once nothing of it can be alive, so that what is counts for its team */
+	bool over = ws_job_over(j) && !j->nslots;
+	json_t *v;
+
+	DL_DELETE2(c->dirty_jobs, j, dprev, dnext);
+	j->dirty = j->urgent = false;
+	if (j->phase == WS_CANCELLED && !over)
+		return; /* the record says so already; due again when the last task is gone */
+	j->writing = true;
+	if (over) {
+		snprintf(t->conds[t->nconds].key, WS_KEY_MAX, "old/%s", j->spec.id);
+		t->conds[t->nconds++].stamp = 0;
+		snprintf(t->ops[t->nops].key, WS_KEY_MAX, "old/%s", j->spec.id);
+		t->ops[t->nops++].value = ws_record_final(j);
+		ws_put(t, "job/", j->spec.id, j->stamp, NULL);
+		*bytes += 256;
+	} else {
+		v = ws_record_job(j, (size_t)(c->set->value_kb * 1024) - 64);
+		if (!v) { /* more planned than the record holds: what was not sent is taken back */
+			struct ws_slot *s, *n;
+
+			DL_FOREACH_SAFE2 (j->slots, s, n, jnext)
+				if (s->state == WS_SLOT_PLANNED)
+					ws_slot_release(c, s);
+			ws_log(c, WS_LOG_INFO, "job %s: its record is full", j->spec.id);
+			v = ws_record_job(j, (size_t)(c->set->value_kb * 1024) - 64);
+		}
+		if (!v) {
+			j->writing = false;
+			return;
+		}
+		ws_put(t, "job/", j->spec.id, j->stamp, v);
+		/* a record is mostly its attempts */
+		*bytes += 1024 + 24 * (size_t)j->nslots;
+	}
+}
+
+/* One transaction at a time, with what is due: bookings, starts and ends, then the rest. */
 void ws_flush(struct ws_core *c)
 {
 	struct ws_call *t;
 	size_t max = (size_t)c->set->txn_ops, bytes = 0;
-	struct ws_job *j, *again = NULL, **again_tail = &again;
+	struct ws_job *j, *jn;
+	struct ws_rental *r, *rn;
 
 	if (c->flushing || c->now < c->flush_next || !ws_entitled(c) || c->in_outage)
 		return;
-	if (!c->dirty_jobs && !c->dirty_plans && !c->dirty_rentals &&
-	    !(c->owned_seen && !c->owned_known && !c->owned_writing) && c->types_saved)
-		return;
 	t = calloc(1, sizeof(*t));
 	if (!t)
 		abort();
@@ -748,7 +843,7 @@
 	t->conds[0].stamp = c->epoch >> WS_EPOCH_SHIFT;
 	t->nconds = 1;
 	if (c->owned_seen && !c->owned_known && !c->owned_writing) {
-		ws_put(t, "", "owned", 0, ws_record_names(c->owned, c->nowned));
+		ws_put(t, "", "owned", 0, json_pack("{s:s}", "upto", c->owned_upto));
 		c->owned_writing = true;
 	}
 	if (!c->types_saved && c->ntypes) {
@@ -756,70 +851,38 @@
 		t->ops[t->nops++].value = ws_record_types(c->types, c->ntypes);
 	}
 	/* room is left below the transaction's 64 KiB */
-	while (c->dirty_plans && t->nops < max && bytes < 32768) {
-		struct ws_machine *m = c->dirty_plans;
-
-		c->dirty_plans = m->dirty_next;
-		if (!c->dirty_plans)
-			c->dirty_plans_tail = &c->dirty_plans;
-		m->dirty = false;
-		if (m->writing) /* being read again; due anew when that is done */
-			continue;
-		m->writing = true;
-		for (struct ws_slot *s = m->slots; s; s = s->next)
-			s->writing = s->state != WS_SLOT_LEAVING;
-		bytes += 256 + m->nslots * 64;
-		ws_put(t, "plan/", m->name, m->plan_stamp, m->gone ? NULL : ws_record_plan(m));
-	}
-	while (c->dirty_rentals && t->nops < max && bytes < 32768) {
-		struct ws_rental *r = c->dirty_rentals;
-
-		c->dirty_rentals = r->dirty_next;
-		if (!c->dirty_rentals)
-			c->dirty_rentals_tail = &c->dirty_rentals;
-		r->dirty = false;
+	DL_FOREACH_SAFE2 (c->dirty_rentals, r, rn, dnext) {
+		if (t->nops == max || bytes > 32768)
+			break;
 		if (r->writing)
 			continue;
+		DL_DELETE2(c->dirty_rentals, r, dprev, dnext);
+		r->dirty = false;
 		r->writing = true;
 		bytes += 512 + r->nhosts * 64;
 		ws_put(t, "rental/", r->booking, r->stamp,
 		       r->state == WS_RENTAL_DROP ? NULL : ws_record_rental(r));
 	}
-	while ((j = c->dirty_jobs) && t->nops + 2 <= max && bytes < 32768) {
-		/* archived once nothing of it can be alive, so that what is counts for its team */
-		bool all, over = ws_job_over(j) && !j->nslots;
-
-		c->dirty_jobs = j->dirty_next;
-		if (!c->dirty_jobs)
-			c->dirty_jobs_tail = &c->dirty_jobs;
-		j->dirty = false;
-		if (j->phase == WS_CANCELLED && !over)
-			continue; /* the record says so already; due again when the last task is
-				     gone */
-		if (j->stale) {	  /* wait for the watch to bring its stamp */
-			j->dirty = true;
-			j->dirty_next = NULL;
-			*again_tail = j;
-			again_tail = &j->dirty_next;
-			continue;
+	for (int urgent = 1; urgent >= 0; urgent--)
+		DL_FOREACH_SAFE2 (c->dirty_jobs, j, jn, dnext) {
+			if (t->nops + 2 > max || bytes > 32768)
+				break;
+			if (j->urgent == urgent && ws_job_due(c, j))
+				ws_flush_job(c, t, j, &bytes);
 		}
-		j->writing = true;
-		if (over) {
-			snprintf(t->conds[t->nconds].key, WS_KEY_MAX, "old/%s", j->spec.id);
-			t->conds[t->nconds++].stamp = 0;
-			snprintf(t->ops[t->nops].key, WS_KEY_MAX, "old/%s", j->spec.id);
-			t->ops[t->nops++].value = ws_record_final(j);
-			ws_put(t, "job/", j->spec.id, j->stamp, NULL);
-			bytes += 256;
-		} else {
-			ws_put(t, "job/", j->spec.id, j->stamp,
-			       ws_record_job(j, (size_t)(c->set->value_kb * 1024) - 64, &all));
-			bytes += 4096;
-		}
-	}
-	if (again) {
-		*c->dirty_jobs_tail = again;
-		c->dirty_jobs_tail = again_tail;
+	for (int i = 0; i < c->nchunks && t->nops < max && bytes < 32768; i++) {
+		struct ws_chunk *k = &c->chunks[i];
+		char name[16];
+
+		if (k->writing || !((k->dirty && c->now - k->dirty_at > c->set->lease_s / 32) ||
+				    (k->images && c->now - k->written_at > c->set->lease_s)))
+			continue;
+		k->dirty = k->images = false;
+		k->writing = true;
+		bytes += (size_t)(c->set->value_kb * 1024);
+		snprintf(name, sizeof(name), "%d", i);
+		ws_put(t, "fleet/", name, k->stamp, ws_record_chunk(c, i));
+		break; /* one at a time: what users wait for goes before */
 	}
 	if (!t->nops) {
 		ws_call_free(t);
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -6,14 +6,45 @@
  */
 #include "internal.h"
 
-struct ws_bin { /* a machine that is booting, or one that ought to be rented */
+struct ws_bin { /* machines alike that are booting, or that ought to be rented, equally full */
 	const struct ws_type *type;
 	const char *zone;
+	int zi;
 	bool spot;
-	double cpus, gpus, mem;
+	uint32_t n;
+	double cpus, gpus, mem; /* what each has left */
 };
 
-#define WS_BINS 256
+struct ws_bins {
+	struct ws_bin *b;
+	int n, cap;
+};
+
+static struct ws_bin *ws_bin_add(struct ws_bins *all, struct ws_bin b)
+{
+	if (all->n == all->cap) {
+		all->cap = all->cap ? 2 * all->cap : 64;
+		all->b = realloc(all->b, (size_t)all->cap * sizeof(*all->b));
+		if (!all->b)
+			abort();
+	}
+	all->b[all->n] = b;
+	return &all->b[all->n++];
+}
+
+/* Machines that are whole: added to those of the same kind. */
+static void ws_bin_whole(struct ws_core *c, struct ws_bins *all, const struct ws_type *t,
+			 const char *zone, bool spot, uint32_t n)
+{
+	int zi = ws_zone_id(c, zone);
+
+	for (int i = 0; i < all->n; i++)
+		if (all->b[i].type == t && all->b[i].zi == zi && all->b[i].spot == spot) {
+			all->b[i].n += n;
+			return;
+		}
+	ws_bin_add(all, (struct ws_bin){t, zone, zi, spot, n, t->cpus, t->gpus, t->mem});
+}
 
 bool ws_boot_late(const struct ws_core *c, const struct ws_machine *m)
 {
@@ -107,29 +138,68 @@
 
 static bool ws_zone_in(const struct ws_core *c, uint32_t zones, const char *zone)
 {
-	for (size_t i = 0; i < c->set->nzones; i++)
-		if (!strcmp(c->set->zones[i], zone))
+	for (int i = 0; i < c->nzones; i++)
+		if (!strcmp(c->zones[i], zone))
 			return zones >> i & 1;
 	return false;
 }
 
-static bool ws_bin_take(struct ws_core *c, struct ws_bin *b, const struct ws_lack *l)
+/* How many such tasks one of these machines still takes. */
+static uint32_t ws_bin_fit(const struct ws_bin *b, const struct ws_lack *l)
 {
 	const struct ws_spec *s = &l->job->spec;
+	double fit = l->tasks;
+
+	if (!b->n || (b->spot && !s->spot) || !ws_type_fits(b->type, s) || b->zi < 0 ||
+	    !(l->zones >> b->zi & 1))
+		return 0;
+	if (s->cpus > 0)
+		fit = fmin(fit, floor(b->cpus / s->cpus + 1e-9));
+	if (s->gpus > 0)
+		fit = fmin(fit, floor(b->gpus / s->gpus + 1e-9));
+	if (s->mem > 0)
+		fit = fmin(fit, floor(b->mem / s->mem + 1e-9));
+	return fit > 0 ? (uint32_t)fit : 0;
+}
 
-	if (!b->type || (b->spot && !s->spot) || !ws_type_fits(b->type, s) ||
-	    !ws_zone_in(c, l->zones, b->zone) || b->cpus + 1e-9 < s->cpus ||
-	    b->gpus + 1e-9 < s->gpus || b->mem + 1e-9 < s->mem)
-		return false;
-	b->cpus -= s->cpus;
-	b->gpus -= s->gpus;
-	b->mem -= s->mem;
-	return true;
+/* Puts tasks on machines of a bin; those touched go to bins of their own. Tasks taken. */
+static uint32_t ws_bin_take(struct ws_bins *all, int i, const struct ws_lack *l, uint32_t left)
+{
+	const struct ws_spec *s = &l->job->spec;
+	uint32_t fit = ws_bin_fit(&all->b[i], l), whole, taken = 0;
+
+	if (!fit)
+		return 0;
+	whole = left / fit < all->b[i].n ? left / fit : all->b[i].n;
+	for (int last = 0; last < 2; last++) {
+		uint32_t n = last ? (all->b[i].n && left > taken ? 1 : 0) : whole;
+		uint32_t each = last ? (left - taken < fit ? left - taken : fit) : fit;
+		struct ws_bin *x;
+
+		if (!n || !each)
+			continue;
+		if (all->b[i].n == n) {
+			x = &all->b[i];
+		} else {
+			struct ws_bin b = all->b[i];
+
+			b.n = n;
+			all->b[i].n -= n;
+			x = ws_bin_add(all, b);
+		}
+		x->cpus -= each * s->cpus;
+		x->gpus -= each * s->gpus;
+		x->mem -= each * s->mem;
+		taken += n * each;
+		if (x == &all->b[i])
+			break; /* all of them are used */
+	}
+	return taken;
 }
 
 /* The kind of machine that costs least for what waits. */
 static bool ws_kind_for(struct ws_core *c, const struct ws_lack *l, uint32_t tasks,
-			const struct ws_bin *bins, int nbins, struct ws_bin *kind)
+			const struct ws_bins *bins, struct ws_bin *kind)
 {
 	const struct ws_spec *s = &l->job->spec;
 	double best = 0;
@@ -155,16 +225,19 @@
 				if (!ws_zone_in(c, l->zones, t->zones[z]) ||
 				    ws_refused(c, t->name, t->zones[z], spot))
 					continue;
-				for (int k = 0; k < nbins; k++)
-					same +=
-					    bins[k].type == t && !strcmp(bins[k].zone, t->zones[z]);
+				for (int k = 0; k < bins->n; k++)
+					if (bins->b[k].type == t &&
+					    !strcmp(bins->b[k].zone, t->zones[z]))
+						same += (int)bins->b[k].n;
 				cost *= 1 + same * 1e-4; /* even zones, among equals */
 				if (found && cost >= best)
 					continue;
 				found = true;
 				best = cost;
-				*kind =
-				    (struct ws_bin){t, t->zones[z], spot, t->cpus, t->gpus, t->mem};
+				*kind = (struct ws_bin){
+				    t,	     t->zones[z], ws_zone_id(c, t->zones[z]),
+				    spot,    1,		  t->cpus,
+				    t->gpus, t->mem};
 			}
 	}
 	return found;
@@ -173,65 +246,70 @@
 /* Called at the end of a placement pass with all that found no room. */
 void ws_rentals_plan(struct ws_core *c)
 {
-	struct ws_bin *bins = calloc(WS_BINS, sizeof(*bins));
+	struct ws_bins bins = {0};
 	struct ws_machine *m, *mt;
 	struct ws_rental *r, *rt;
-	int n = 0, old, allowed, booting, limit, gang = 0;
-
-	if (!bins)
-		abort();
-	HASH_ITER (hh, c->machines, m, mt)
-		if (!m->owned && !m->gone && !m->failed && !m->returning && !m->reported &&
-		    m->type && !ws_boot_late(c, m) && n < WS_BINS)
-			bins[n++] = (struct ws_bin){m->type,	   m->zone,	  m->spot,
-						    m->type->cpus, m->type->gpus, m->type->mem};
-	HASH_ITER (hh, c->rentals, r, rt)
-		if (r->state < WS_RENTAL_GOT)
-			for (uint32_t i = 0; i < r->count && n < WS_BINS; i++) {
-				const struct ws_type *t = ws_type_find(c, r->type);
+	struct ws_bin *first = NULL;
+	uint32_t wanted[WS_MAX_TYPES][WS_MAX_ZONES][2] = {0};
+	int allowed, booting, limit, gang = 0;
+
+	c->loads = 0;
+	if (c->nlacks) {
+		HASH_ITER (hh, c->machines, m, mt)
+			if (!m->owned && !m->gone && !m->failed && !m->returning && !m->reported &&
+			    m->type && !ws_boot_late(c, m))
+				ws_bin_whole(c, &bins, m->type, m->zone, m->spot, 1);
+		HASH_ITER (hh, c->rentals, r, rt) {
+			const struct ws_type *t = ws_type_find(c, r->type);
 
-				if (t)
-					bins[n++] = (struct ws_bin){t,	     r->zone, r->spot,
-								    t->cpus, t->gpus, t->mem};
-			}
-	old = n;
+			if (r->state < WS_RENTAL_GOT && t)
+				ws_bin_whole(c, &bins, t, r->zone, r->spot, r->count);
+		}
+	}
 	for (size_t i = 0; i < c->nlacks; i++) {
 		struct ws_lack *l = &c->lacks[i];
-		int before = n;
+		uint32_t left = l->tasks;
+		int before = c->loads;
 
-		for (uint32_t left = l->tasks; left; left--) {
-			int b;
+		for (int b = 0; b < bins.n && left; b++)
+			left -= ws_bin_take(&bins, b, l, left);
+		while (left) {
+			struct ws_bin kind;
+			uint32_t fit;
 
-			for (b = 0; b < n && !ws_bin_take(c, &bins[b], l); b++)
-				;
-			if (b < n)
-				continue;
-			if (n == WS_BINS || !ws_kind_for(c, l, left, bins, n, &bins[n]))
+			if (!ws_kind_for(c, l, left, &bins, &kind) || !(fit = ws_bin_fit(&kind, l)))
 				break;
-			if (!ws_bin_take(c, &bins[n], l))
-				break;
-			n++;
+			/* as many as hold the rest, but few enough for zones to stay even */
+			kind.n = (left + fit - 1) / fit / (uint32_t)kind.type->nzones;
+			if (kind.n > 8)
+				kind.n = 8;
+			if (!kind.n)
+				kind.n = 1;
+			wanted[kind.type - c->types][kind.zi][kind.spot] += kind.n;
+			c->loads += (int)kind.n;
+			*ws_bin_add(&bins, kind) = kind;
+			left -= ws_bin_take(&bins, bins.n - 1, l, left);
 		}
-		if (l->job->spec.gang && n - before > gang)
-			gang = n - before;
+		if (l->job->spec.gang && c->loads - before > gang)
+			gang = c->loads - before;
 	}
 	c->nlacks = 0;
-	c->loads = n - old;
+	/* the first kind asked for goes first: its tasks are served first */
 	limit = c->k < 0 ? c->pol.rental_ceiling : c->k;
 	if (gang > limit) /* k is at least what the largest waiting gang lacks */
 		limit = gang < c->pol.rental_ceiling ? gang : c->pol.rental_ceiling;
 	allowed = limit - ws_rentals_held(c, &booting);
+	for (int b = 0; b < bins.n && !first; b++)
+		if (bins.b[b].zi >= 0 &&
+		    wanted[bins.b[b].type - c->types][bins.b[b].zi][bins.b[b].spot])
+			first = &bins.b[b];
 	/* machines that are well get a report period to make themselves known to a new leader */
-	if (c->loads > 0 && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next &&
+	if (first && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next &&
 	    c->now - c->elected_at > c->set->report_s) {
 		/* as many of one kind as the loads ask for, in one request */
-		struct ws_bin *first = &bins[old];
-		uint32_t count = 0;
+		uint32_t count = wanted[first->type - c->types][first->zi][first->spot];
 		struct ws_rental *x;
 
-		for (int b = old; b < n; b++)
-			count += bins[b].type == first->type && bins[b].spot == first->spot &&
-				 !strcmp(bins[b].zone, first->zone);
 		if (count > (uint32_t)allowed)
 			count = (uint32_t)allowed;
 		if (count > WS_RENT_HOSTS)
@@ -257,7 +335,7 @@
 		    count, x->type, x->zone, x->spot ? ", spot" : "", x->booking, c->loads,
 		    ws_rentals_held(c, NULL) - (int)count, booting, c->k);
 	}
-	free(bins);
+	free(bins.b);
 }
 
 void ws_rental_dirty(struct ws_core *c, struct ws_rental *r)
@@ -265,24 +343,13 @@
 	if (r->dirty)
 		return;
 	r->dirty = true;
-	r->dirty_next = NULL;
-	*c->dirty_rentals_tail = r;
-	c->dirty_rentals_tail = &r->dirty_next;
+	DL_APPEND2(c->dirty_rentals, r, dprev, dnext);
 }
 
 void ws_rental_free(struct ws_core *c, struct ws_rental *r)
 {
-	if (r->dirty) {
-		struct ws_rental **p = &c->dirty_rentals;
-
-		while (*p && *p != r)
-			p = &(*p)->dirty_next;
-		if (*p)
-			*p = r->dirty_next;
-		for (p = &c->dirty_rentals; *p; p = &(*p)->dirty_next)
-			;
-		c->dirty_rentals_tail = p;
-	}
+	if (r->dirty)
+		DL_DELETE2(c->dirty_rentals, r, dprev, dnext);
 	HASH_DEL(c->rentals, r);
 	free(r->hosts);
 	free(r);
@@ -310,10 +377,7 @@
 			snprintf(r->hosts[r->nhosts++], WS_NAME_MAX, "%s", res->hosts[i].name);
 			if (m->reported)
 				continue;
-			snprintf(m->type_name, sizeof(m->type_name), "%s", r->type);
-			m->type = ws_type_find(c, r->type);
-			snprintf(m->zone, sizeof(m->zone), "%s", r->zone);
-			m->spot = r->spot;
+			ws_machine_place(c, m, r->type, r->zone, r->spot);
 		}
 		ws_log(c, WS_LOG_INFO, "booking %s: %u of %u machines", r->booking, r->nhosts,
 		       r->count);
@@ -388,19 +452,19 @@
 		return;
 	}
 	/*
-	 * The first list ever read names the machines that were here before any rental. A list that
-	 * names none is believed only when the cloud's lag can't be why.
+	 * The first list ever read, to its last page, names the machines that were here before any
+	 * rental. A list that names none is believed only when the cloud's lag can't be why.
 	 */
-	if (!c->owned_known && !c->owned_seen && !c->hosts_after[0] && !r->more &&
-	    (r->nhosts || c->now - c->elected_at > 2 * c->set->list_lag_s)) {
-		c->owned_seen = true;
-		c->owned = calloc(r->nhosts + 1, sizeof(*c->owned));
-		if (!c->owned)
-			abort();
-		for (size_t i = 0; i < r->nhosts; i++) {
-			snprintf(c->owned[c->nowned++], WS_NAME_MAX, "%s", r->hosts[i].name);
-			if ((m = ws_machine_find(c, r->hosts[i].name)))
-				m->owned = true;
+	if (!c->owned_known && !c->owned_seen) {
+		if (r->nhosts)
+			snprintf(c->owned_upto, sizeof(c->owned_upto), "%s",
+				 r->hosts[r->nhosts - 1].name);
+		if (!r->more &&
+		    (c->owned_upto[0] || c->now - c->elected_at > 2 * c->set->list_lag_s)) {
+			c->owned_seen = true;
+			c->order_stale = true;
+			HASH_ITER (hh, c->machines, m, mt)
+				m->owned = strcmp(m->name, c->owned_upto) <= 0;
 		}
 	}
 	for (size_t i = 0; i < r->nhosts; i++) {
@@ -457,13 +521,15 @@
 		else if (m->noticed && c->now > m->notice_until &&
 			 c->now - m->heard > 1.5 * c->set->report_s && heard * 2 >= up)
 			ws_give_back(c, m, "taken after its notice"); /* to have it confirmed */
-		else if ((m->reported || m->plan_stamp) &&
+		else if ((m->reported || m->on_record) &&
 			 c->set->lease_s * c->pol.silent_ratio < c->now - base && heard * 2 >= up &&
 			 up)
 			ws_give_back(c, m, "silent");
 		else if (m->reported && !m->nslots && !m->noticed &&
 			 c->now - m->empty_since > c->pol.empty_wait_s &&
-			 c->now - m->up_at > c->pol.empty_wait_s && c->loads == 0)
+			 c->now - m->up_at > c->pol.empty_wait_s &&
+			 /* what waits had its time to be placed on it */
+			 (!c->loads || c->now - m->empty_since > 2 * c->pol.empty_wait_s))
 			ws_give_back(c, m, "empty");
 		else if (m->strikes >= 3 && !m->nslots)
 			ws_give_back(c, m, "fails its tasks");
@@ -472,7 +538,7 @@
 		return;
 	HASH_ITER (hh, c->machines, m, mt) {
 		if (!m->returning || m->gone || m->return_inflight || m->owned ||
-		    c->now < m->return_next || m->dirty || m->writing)
+		    c->now < m->return_next)
 			continue;
 		if (!call) {
 			call = ws_call(c, WS_CALL_RETURN, ws_return_done);
@@ -503,8 +569,16 @@
 			size += c->types[i].cpus / (double)c->ntypes;
 		c->pol.rental_ceiling = size > 0 ? (int)ceil(cpus / size) : 1;
 	}
-	if (!ws_entitled(c) || c->in_outage)
+	if (!ws_entitled(c) || c->in_outage || c->now < c->rent_next)
 		return;
+	c->rent_next = c->now + ws_sweep_every(c);
+	/* records of rentals need not be newer than lists of machines are */
+	bool tidy = c->rentals_stale && c->now >= c->tidy_next;
+
+	if (tidy) {
+		c->rentals_stale = false;
+		c->tidy_next = c->now + c->set->list_lag_s;
+	}
 	if (c->owned_known) { /* else rentals could not be told from what was here before */
 		HASH_ITER (hh, c->rentals, r, rt) {
 			if (r->state == WS_RENTAL_RECORDED && !r->dirty && !r->writing &&
@@ -521,7 +595,7 @@
 				c->cloud_next = c->now + 1;
 				break;
 			}
-			if (r->state != WS_RENTAL_GOT)
+			if (r->state != WS_RENTAL_GOT || !tidy || r->dirty || r->writing)
 				continue;
 			uint32_t left = 0;
 			for (uint32_t i = 0; i < r->nhosts; i++) {
@@ -538,7 +612,9 @@
 		}
 		ws_returns(c);
 	}
-	if (!c->hosts_inflight && c->now >= c->hosts_next && c->now >= c->cloud_next) {
+	/* rentals and returns go before lists, as long as these don't get too old */
+	if (!c->hosts_inflight && c->now >= c->hosts_next && c->now >= c->cloud_next &&
+	    (!c->loads || c->now >= c->hosts_next + c->set->list_lag_s || !c->owned_known)) {
 		struct ws_call *call = ws_call(c, WS_CALL_HOSTS, ws_hosts_done);
 
 		snprintf(call->after, sizeof(call->after), "%s", c->hosts_after);
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -4,6 +4,9 @@
  */
 #include "internal.h"
 
+/* The protocol: a user waits 2 s for the answer to a poll; a peer may have to be asked as well. */
+#define WS_POLL_HOLD_S 0.8
+
 struct ws_redirect { /* a worker sent to the leader a short while ago */
 	char machine[WS_NAME_MAX];
 	double at;
@@ -12,6 +15,22 @@
 	UT_hash_handle hh;
 };
 
+struct ws_seen { /* what a live job's record says */
+	char id[WS_ID_MAX];
+	enum ws_phase phase;
+	uint32_t done, running;
+	uint64_t stamp;
+	UT_hash_handle hh;
+};
+
+struct ws_poll {
+	char id[WS_ID_MAX];
+	uint64_t token;
+	bool relayed, asked; /* asked: the check under way began after it came */
+	double at;
+	struct ws_poll *prev, *next;
+};
+
 struct ws_ask { /* a user's request under way */
 	bool relayed;
 	int tries;
@@ -96,28 +115,20 @@
 	       n * s->gpus <= team->set->gpus_max + 1e-9;
 }
 
-static void ws_state_answer(struct ws_core *c, struct ws_call *call, const struct ws_result *r,
-			    bool poll)
+static void ws_known_answer(struct ws_core *c, uint64_t token, const char *id, enum ws_phase phase,
+			    uint32_t done, uint32_t running, bool poll)
 {
-	enum ws_phase phase;
-	uint32_t done, running;
-	struct ws_action *a;
+	struct ws_action *a = ws_act(c, WS_ACT_ANSWER_USER);
 
-	if (r->nkvs != 1 || !ws_record_read_phase(r->kvs[0].value, &phase, &done, &running)) {
-		ws_log(c, WS_LOG_ERROR, "record %s can't be read", call->key);
-		ws_answer(c, call->ctx_n, 503, call->ctx_name, WS_QUEUED);
-		return;
-	}
-	a = ws_act(c, WS_ACT_ANSWER_USER);
-	a->token = call->ctx_n;
+	a->token = token;
 	a->status = 200;
 	a->phase = phase;
 	a->counts = poll;
 	a->done = done;
 	a->running = running;
-	snprintf(a->name, sizeof(a->name), "%s", call->ctx_name);
+	snprintf(a->name, sizeof(a->name), "%s", id);
 	if (poll && c->role == WS_LEADER && phase == WS_RUNNING) {
-		struct ws_job *j = ws_job_find(c, call->ctx_name);
+		struct ws_job *j = ws_job_find(c, id);
 
 		if (j) {
 			a->done = j->ndone;
@@ -126,6 +137,20 @@
 	}
 }
 
+static void ws_state_answer(struct ws_core *c, struct ws_call *call, const struct ws_result *r,
+			    bool poll)
+{
+	enum ws_phase phase;
+	uint32_t done, running;
+
+	if (r->nkvs != 1 || !ws_record_read_phase(r->kvs[0].value, &phase, &done, &running)) {
+		ws_log(c, WS_LOG_ERROR, "record %s can't be read", call->key);
+		ws_answer(c, call->ctx_n, 503, call->ctx_name, WS_QUEUED);
+		return;
+	}
+	ws_known_answer(c, call->ctx_n, call->ctx_name, phase, done, running, poll);
+}
+
 /* ---- submit ---- */
 
 static void ws_submit_known_old(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
@@ -246,9 +271,185 @@
 		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
 }
 
+static void ws_poll_ask(struct ws_core *c, uint64_t token, const char *id, bool relayed,
+			const char *prefix)
+{
+	struct ws_ask *ask = calloc(1, sizeof(*ask));
+
+	if (!ask) {
+		ws_answer(c, token, 503, id, WS_QUEUED);
+		return;
+	}
+	ask->relayed = relayed;
+	ws_get(c, prefix, id, token, ask, prefix[0] == 'j' ? ws_poll_got : ws_poll_old);
+}
+
+/*
+ * Every node keeps a copy of what the live jobs' records say. Polls wait until a request that was
+ * sent after they came has brought the copy up to date, and are then answered in one go: so an
+ * answer is never older than one that another node gave, and the state service is asked a few times
+ * a second however many poll.
+ */
+static void ws_seen_event(struct ws_core *c, const struct ws_kv *kv)
+{
+	struct ws_seen *s;
+	enum ws_phase phase;
+	uint32_t done, running;
+	const char *id = kv->key + 4;
+
+	if (strncmp(kv->key, "job/", 4) || strlen(id) >= WS_ID_MAX)
+		return;
+	HASH_FIND_STR(c->seen, id, s);
+	if (s && kv->stamp <= s->stamp)
+		return;
+	if (!kv->value) {
+		if (s) {
+			HASH_DEL(c->seen, s);
+			free(s);
+		}
+		return;
+	}
+	if (!s) {
+		s = calloc(1, sizeof(*s));
+		if (!s)
+			abort();
+		snprintf(s->id, sizeof(s->id), "%s", id);
+		HASH_ADD_STR(c->seen, id, s);
+	}
+	s->stamp = kv->stamp;
+	if (!ws_record_read_phase(kv->value, &phase, &done, &running)) {
+		s->phase = WS_QUEUED; /* known at any rate */
+		return;
+	}
+	s->phase = phase;
+	s->done = done;
+	s->running = running;
+}
+
+static void ws_seen_clear(struct ws_core *c)
+{
+	struct ws_seen *s, *t;
+
+	HASH_ITER (hh, c->seen, s, t) {
+		HASH_DEL(c->seen, s);
+		free(s);
+	}
+	c->seen_ready = false;
+}
+
+static void ws_polls_answer(struct ws_core *c, int status)
+{
+	struct ws_poll *p, *n;
+
+	DL_FOREACH_SAFE (c->polls, p, n) {
+		struct ws_seen *s;
+
+		if (!p->asked)
+			continue;
+		DL_DELETE(c->polls, p);
+		HASH_FIND_STR(c->seen, p->id, s);
+		if (status != 200)
+			ws_cannot(c, p->token, p->id, p->relayed, status);
+		else if (s)
+			ws_known_answer(c, p->token, p->id, s->phase, s->done, s->running, true);
+		else /* not live by now: over, or never submitted */
+			ws_poll_ask(c, p->token, p->id, p->relayed, "old");
+		free(p);
+	}
+}
+
+static void ws_seen_news(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	(void)call;
+	c->seen_inflight = false;
+	if (r->status != 429)
+		ws_state_seen(c, r->status);
+	if (r->status == 200) {
+		c->seen_at = c->now;
+		if (r->rev > c->seen_rev)
+			c->seen_rev = r->rev;
+		for (size_t i = 0; i < r->nkvs; i++)
+			ws_seen_event(c, &r->kvs[i]);
+		ws_polls_answer(c, 200);
+	} else if (r->status == 410) { /* the copy is too old to be brought up to date */
+		ws_seen_clear(c);
+	} else if (r->status == 429) {
+		struct ws_poll *p;
+
+		DL_FOREACH (c->polls, p)
+			p->asked = false; /* asked for again in a moment */
+	} else {
+		ws_polls_answer(c, r->status);
+	}
+}
+
+static void ws_seen_from(struct ws_core *c, const char *after);
+
+static void ws_seen_page(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	if (r->status != 200) {
+		c->seen_inflight = false;
+		c->seen_next = c->now + c->ttl / 4;
+		return;
+	}
+	if (!call->after[0])
+		c->seen_rev = r->rev;
+	for (size_t i = 0; i < r->nkvs; i++)
+		ws_seen_event(c, &r->kvs[i]);
+	if (r->more && r->nkvs) {
+		ws_seen_from(c, r->kvs[r->nkvs - 1].key);
+		return;
+	}
+	c->seen_inflight = false;
+	c->seen_ready = true;
+	c->seen_at = c->now;
+}
+
+static void ws_seen_from(struct ws_core *c, const char *after)
+{
+	struct ws_call *call = ws_call(c, WS_CALL_LIST, ws_seen_page);
+
+	snprintf(call->key, sizeof(call->key), "job/");
+	snprintf(call->after, sizeof(call->after), "%s", after);
+	c->seen_inflight = true;
+}
+
+static void ws_seen_tick(struct ws_core *c)
+{
+	struct ws_poll *p, *n;
+	struct ws_call *call;
+
+	/* a peer is asked, or the user told, well before the user gives up */
+	DL_FOREACH_SAFE (c->polls, p, n)
+		if (c->now - p->at > WS_POLL_HOLD_S) {
+			DL_DELETE(c->polls, p);
+			ws_cannot(c, p->token, p->id, p->relayed, 0);
+			free(p);
+		} else {
+			break;
+		}
+	if (c->seen_inflight || c->now < c->seen_next)
+		return;
+	if (!c->seen_ready) {
+		ws_seen_clear(c);
+		ws_seen_from(c, "");
+		return;
+	}
+	if (!c->polls && c->now - c->seen_at < c->set->lease_s / 4)
+		return;
+	/* all nodes together spend a quarter of the requests allowed on this */
+	c->seen_next = c->now + 4.0 * (double)(c->set->npeers + 1) / c->set->state_rps;
+	c->seen_inflight = true;
+	DL_FOREACH (c->polls, p)
+		p->asked = true;
+	call = ws_call(c, WS_CALL_WATCH, ws_seen_news);
+	snprintf(call->key, sizeof(call->key), "job/");
+	call->since = c->seen_rev;
+}
+
 void ws_core_poll(struct ws_core *c, double now, uint64_t token, const char *id, bool relayed)
 {
-	struct ws_ask *ask;
+	struct ws_poll *p;
 
 	if (now > c->now)
 		c->now = now;
@@ -256,13 +457,21 @@
 		ws_cannot(c, token, id, relayed, 503);
 		return;
 	}
-	ask = calloc(1, sizeof(*ask));
-	if (!ask) {
+	if (!c->seen_ready) {
+		ws_poll_ask(c, token, id, relayed, "job");
+		ws_core_tick(c, now);
+		return;
+	}
+	p = calloc(1, sizeof(*p));
+	if (!p) {
 		ws_answer(c, token, 503, id, WS_QUEUED);
 		return;
 	}
-	ask->relayed = relayed;
-	ws_get(c, "job", id, token, ask, ws_poll_got);
+	snprintf(p->id, sizeof(p->id), "%s", id);
+	p->token = token;
+	p->relayed = relayed;
+	p->at = c->now;
+	DL_APPEND(c->polls, p);
 	ws_core_tick(c, now);
 }
 
@@ -348,6 +557,7 @@
 	c->types_asked = false;
 	if (r->status == 200 && r->nkvs == 1 && !c->ntypes)
 		c->ntypes = ws_record_read_types(r->kvs[0].value, c->types);
+	c->types_edition++;
 	if (!c->ntypes)
 		c->types_next = c->now + c->set->report_s / 2;
 }
@@ -364,6 +574,7 @@
 			else if (c->ntypes < WS_MAX_TYPES)
 				c->types[c->ntypes++] = r->types[i];
 		}
+		c->types_edition++;
 		c->types_asked = false;
 		c->types_next = c->now + c->set->lease_s * 8;
 		c->place_wanted = true;
@@ -383,10 +594,14 @@
 {
 	struct ws_redirect *d, *t;
 
+	ws_seen_tick(c);
 	if (!c->types_asked && c->now >= c->types_next && (!c->ntypes || c->role == WS_LEADER)) {
 		c->types_asked = true;
 		ws_call(c, WS_CALL_TYPES, ws_types_cloud);
 	}
+	if (c->now < c->redirects_next)
+		return;
+	c->redirects_next = c->now + c->set->lease_s / 4;
 	HASH_ITER (hh, c->redirects, d, t)
 		if (c->now - d->at > c->set->lease_s) {
 			HASH_DEL(c->redirects, d);
@@ -394,9 +609,16 @@
 		}
 }
 
-void ws_redirects_free(struct ws_core *c)
+void ws_requests_free(struct ws_core *c)
 {
 	struct ws_redirect *d, *t;
+	struct ws_poll *p, *n;
+
+	ws_seen_clear(c);
+	DL_FOREACH_SAFE (c->polls, p, n) {
+		DL_DELETE(c->polls, p);
+		free(p);
+	}
 
 	HASH_ITER (hh, c->redirects, d, t) {
 		HASH_DEL(c->redirects, d);
--- a/src/io/codec.c
+++ b/src/io/codec.c
@@ -317,10 +317,10 @@
 	case WS_CALL_GET: snprintf(path, WS_URL_MAX, "/kv/%s", call->key); return NULL;
 	case WS_CALL_LIST:
 		if (call->after[0])
-			snprintf(path, WS_URL_MAX, "/kv?starts=%s&since=%s&most=200", call->key,
+			snprintf(path, WS_URL_MAX, "/kv?starts=%s&since=%s&most=1000", call->key,
 				 call->after);
 		else
-			snprintf(path, WS_URL_MAX, "/kv?starts=%s&most=200", call->key);
+			snprintf(path, WS_URL_MAX, "/kv?starts=%s&most=1000", call->key);
 		return NULL;
 	case WS_CALL_WATCH:
 		snprintf(path, WS_URL_MAX, "/watch?starts=%s&since=%llu&holdMs=%u", call->key,
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -264,6 +264,10 @@
 	}
 	switch (call->kind) {
 	case WS_CALL_WATCH:
+		if (!call->ms) { /* answered at once; a peer is asked after it */
+			timeout = fmin(timeout, WS_POLL_WAIT_S * 0.4);
+			break;
+		}
 		to = v->watch;
 		timeout = call->ms / 1000.0 + 1;
 		break;
--- a/tests/smoke_test.c
+++ b/tests/smoke_test.c
@@ -18,7 +18,7 @@
 
 static struct ev_loop *loop;
 static struct ws_server *state, *cloud;
-static json_t *kv;
+static json_t *gone, *kv;
 static json_int_t rev = 1;
 static struct {
 	uint64_t token;
@@ -57,9 +57,20 @@
 				      json_pack("{s:s,s:O,s:I}", events ? "write" : "k", k, "value",
 						json_object_get(v, "value"), "stamp", st));
 	}
+	if (events)
+		json_object_foreach (gone, k, v)
+			if (!strncmp(k, prefix, strlen(prefix)) && json_integer_value(v) > since)
+				json_array_append_new(
+				    a, json_pack("{s:s,s:O}", "delete", k, "stamp", v));
 	return a;
 }
 
+static void forget(const char *k)
+{
+	json_object_del(kv, k);
+	json_object_set_new(gone, k, json_integer(rev));
+}
+
 static void wake(void)
 {
 	for (int i = 0; i < 16; i++) {
@@ -135,8 +146,7 @@
 								      json_object_get(e, "value"),
 								      "stamp", rev));
 				else
-					json_object_del(
-					    kv, json_string_value(json_object_get(e, "delete")));
+					forget(json_string_value(json_object_get(e, "delete")));
 			}
 			send_json(state, token, 200, json_pack("{s:I}", "ledgerRev", rev));
 			wake();
@@ -289,6 +299,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	loop = ev_default_loop(0);
 	kv = json_object();
+	gone = json_object();
 	state = ws_server_new(loop, "127.0.0.1", 0, 64, on_state, NULL, err, sizeof(err));
 	cloud = ws_server_new(loop, "127.0.0.1", 0, 64, on_cloud, NULL, err, sizeof(err));
 	fd = mkstemp(file);
