Algorithm 1 by halving, a budget for the leader's changes, users' changes apart

Cause: at 1600 rentals one run of Algorithm 1 cost minutes of processor time and held k at an old value; every job with an ended task was written anew each 2.8 s; users at the leader's node shared its quarter second of changes, so that a third of the submissions needed a second try. Now k is found by halving over units of several machines; the leader keeps a budget that gives way when refused; ends ride along unless changes are to spare; a stop makes room for as many as fit.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -175,6 +175,7 @@
 	struct ws_order *orders;
 	size_t norders;
 	bool urgent; /* goes before other calls to the same service */
+	bool paced;  /* keeps to its share of the state service's changes by itself */
 	/* the core's own */
 	ws_done_fn done;
 	void *ctx; /* owned by the call; a handler that passes it on clears it */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -203,6 +203,16 @@
 	free(s);
 }
 
+/* Array work begins or ends: busy load-seconds, over which completions give mu. */
+static void ws_busy(struct ws_core *c, const struct ws_slot *s, int sign)
+{
+	if (!s->job || s->job->spec.service)
+		return;
+	c->busy_time += c->busy * (c->now - c->busy_at);
+	c->busy_at = c->now;
+	c->busy = fmax(0, c->busy + sign * ws_load_of(c, &s->job->spec));
+}
+
 /* The attempt is surely gone. Its task may be placed again; the record will name the new one. */
 void ws_slot_release(struct ws_core *c, struct ws_slot *s)
 {
@@ -211,6 +221,8 @@
 
 	if (s->state == WS_SLOT_LEAVING)
 		return;
+	if (s->running_at > 0)
+		ws_busy(c, s, -1);
 	ws_slot_count(c, s, -1);
 	if (!m->nslots)
 		m->empty_since = c->now;
@@ -333,12 +345,8 @@
 		m->strikes = 0;
 		m->strike_job[0] = 0;
 		if (j) {
-			if (s->running_at > 0) {
-				double load = ws_load_of(c, &j->spec);
-
-				c->busy_time += (c->now - s->running_at) * load;
-				c->work_done += load;
-			}
+			if (s->running_at > 0)
+				c->work_done += ws_load_of(c, &j->spec);
 			ws_job_task_done(c, j, s->task);
 		}
 		break;
@@ -431,6 +439,7 @@
 		s->pass = c->pass;
 		s->seen = s->sent = true;
 		if (t->state == WS_TASK_RUNNING && s->at != WS_TASK_RUNNING) {
+			ws_busy(c, s, 1);
 			s->running_at = c->now;
 			ws_log(c, WS_LOG_DEBUG, "machine %s: %s/%u attempt %llu runs", m->name,
 			       s->job_id, s->task, (unsigned long long)s->attempt);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -187,6 +187,9 @@
 	UT_hash_handle hh;
 };
 
+enum ws_wrote { WS_WROTE_STARTS, WS_WROTE_ENDS, WS_WROTE_LATER, WS_WROTE_FLEET, WS_WROTE_RENTALS };
+#define WS_WROTE_KINDS 5
+
 struct ws_core {
 	struct ws_tomb *tombs;
 	struct ws_tomb *ended; /* jobs just archived: word of the watch may be older */
@@ -261,8 +264,11 @@
 	bool rentals_stale; /* a machine went: records of rentals may be out of date */
 	uint64_t steps;	    /* of work in placement, for tests */
 	bool flushing;
-	double flush_next;
+	double flush_next, chunk_next;
 	int flush_fails;
+	double flush_rate, flush_tokens, flush_at; /* changes a second that are ours */
+	double wrote_log;
+	uint32_t wrote[WS_WROTE_KINDS]; /* records by kind, for the log */
 	bool place_wanted;
 	double place_next, move_next;
 	uint64_t pass;
@@ -282,6 +288,7 @@
 	int k;
 	double size_next;
 	double work_arrived, work_done, busy_time; /* machine-loads since the last run */
+	double busy, busy_at; /* loads of arrays that run, and until when that is in busy_time */
 	double boot_sum, boot_n;
 	double measured_at;
 };
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -242,8 +242,9 @@
 	    (!j->spec.spot || p->vain_spot) && !(j->fits & ~p->vain_types) &&
 	    !(zones & ~p->vain_zones))
 		return 0;
-	for (size_t i = 0; i < p->n; i++) {
-		struct ws_machine *m = p->ms[i];
+	/* the cheapest of some, looked for from another machine on each time */
+	for (size_t k = 0, from = c->pass; k < p->n && n < 2 * (size_t)want + 16; k++) {
+		struct ws_machine *m = p->ms[(k + from) % p->n];
 		double cost;
 
 		c->steps++;
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -87,7 +87,7 @@
 	c->hosts_next = c->cloud_next = c->flush_next = c->sweep_next = c->rent_next = 0;
 	c->nrefusals = 0;
 	c->measured_at = 0;
-	c->work_arrived = c->work_done = c->busy_time = 0;
+	c->work_arrived = c->work_done = c->busy_time = c->busy = 0;
 	if (c->hold && why) {
 		struct ws_call *call;
 
@@ -767,8 +767,10 @@
 	}
 	for (size_t i = 0; i < call->nops; i++)
 		ws_flush_undo(c, &call->ops[i], false);
-	if (r->status == 429) { /* too fast: what this one asked for will be there soon */
-		c->flush_next = c->now + c->set->txn_ops / c->set->state_write_rps / 4;
+	if (r->status == 429) { /* others write as well: less for a while */
+		c->flush_rate = fmax(c->flush_rate * 0.8, c->set->state_write_rps / 2);
+		c->flush_tokens = 0;
+		c->flush_next = c->now + 1 / c->flush_rate;
 		return;
 	}
 	if (c->flush_fails < 5)
@@ -776,11 +778,51 @@
 	c->flush_next = c->now + c->ttl / 64 * (1 << c->flush_fails);
 }
 
-/* Whether a job's record is to be written now: starts and ends at once, the rest after a while. */
+/*
+ * Changes a second are the scarcest thing in a large deployment. The leader has half of them for
+ * sure, and takes up to four fifths while nobody is refused any.
+ */
+static void ws_flush_budget(struct ws_core *c)
+{
+	double most = 0.8 * c->set->state_write_rps;
+
+	if (!c->flush_rate)
+		c->flush_rate = most;
+	c->flush_rate = fmin(most, c->flush_rate + (c->now - c->flush_at) * most / 32);
+	c->flush_tokens =
+	    fmin(c->flush_rate / 2, c->flush_tokens + (c->now - c->flush_at) * c->flush_rate);
+	c->flush_at = c->now;
+}
+
+/*
+ * Whether a job's record is to be written now: starts and ends at once; which tasks are over
+ * meanwhile, within the 2 s that users may wait for it while there are changes to spare, else with
+ * the next start or end, or when half a lease has passed.
+ */
 static bool ws_job_due(const struct ws_core *c, const struct ws_job *j)
 {
+	double age = c->now - j->dirty_at;
+
 	return !j->writing && !j->stale &&
-	       (j->urgent || c->now - j->dirty_at > c->set->lease_s / 16);
+	       (j->urgent || age > c->set->lease_s / 2 ||
+		(age > 2 && c->flush_tokens > c->flush_rate / 4));
+}
+
+/* Now and then, so that operators see what the changes are spent on. */
+static void ws_flush_log(struct ws_core *c)
+{
+	const uint32_t *w = c->wrote;
+
+	if (c->now < c->wrote_log)
+		return;
+	if (w[0] + w[1] + w[2] + w[3] + w[4])
+		ws_log(c, WS_LOG_INFO,
+		       "written since: %u starts, %u ends, %u jobs later, %u fleet, %u rentals; "
+		       "%.0f changes a second are ours",
+		       w[WS_WROTE_STARTS], w[WS_WROTE_ENDS], w[WS_WROTE_LATER], w[WS_WROTE_FLEET],
+		       w[WS_WROTE_RENTALS], c->flush_rate);
+	memset(c->wrote, 0, sizeof(c->wrote));
+	c->wrote_log = c->now + c->set->lease_s;
 }
 
 static void ws_flush_job(struct ws_core *c, struct ws_call *t, struct ws_job *j, size_t *bytes)
@@ -790,6 +832,7 @@
 	json_t *v;
 
 	DL_DELETE2(c->dirty_jobs, j, dprev, dnext);
+	c->wrote[over ? WS_WROTE_ENDS : j->urgent ? WS_WROTE_STARTS : WS_WROTE_LATER]++;
 	j->dirty = j->urgent = false;
 	if (j->phase == WS_CANCELLED && !over)
 		return; /* the record says so already; due again when the last task is gone */
@@ -830,8 +873,11 @@
 	struct ws_job *j, *jn;
 	struct ws_rental *r, *rn;
 
-	if (c->flushing || c->now < c->flush_next || !ws_entitled(c) || c->in_outage)
+	ws_flush_budget(c);
+	if (c->flushing || c->now < c->flush_next || !ws_entitled(c) || c->in_outage ||
+	    c->flush_tokens < 1)
 		return;
+	ws_flush_log(c);
 	t = calloc(1, sizeof(*t));
 	if (!t)
 		abort();
@@ -859,6 +905,7 @@
 		DL_DELETE2(c->dirty_rentals, r, dprev, dnext);
 		r->dirty = false;
 		r->writing = true;
+		c->wrote[WS_WROTE_RENTALS]++;
 		bytes += 512 + r->nhosts * 64;
 		ws_put(t, "rental/", r->booking, r->stamp,
 		       r->state == WS_RENTAL_DROP ? NULL : ws_record_rental(r));
@@ -870,7 +917,8 @@
 			if (j->urgent == urgent && ws_job_due(c, j))
 				ws_flush_job(c, t, j, &bytes);
 		}
-	for (int i = 0; i < c->nchunks && t->nops < max && bytes < 32768; i++) {
+	for (int i = 0; i < c->nchunks && t->nops < max && bytes < 32768 && c->now >= c->chunk_next;
+	     i++) {
 		struct ws_chunk *k = &c->chunks[i];
 		char name[16];
 
@@ -879,6 +927,8 @@
 			continue;
 		k->dirty = k->images = false;
 		k->writing = true;
+		c->wrote[WS_WROTE_FLEET]++;
+		c->chunk_next = c->now + 8 / c->set->state_write_rps;
 		bytes += (size_t)(c->set->value_kb * 1024);
 		snprintf(name, sizeof(name), "%d", i);
 		ws_put(t, "fleet/", name, k->stamp, ws_record_chunk(c, i));
@@ -888,7 +938,9 @@
 		ws_call_free(t);
 		return;
 	}
+	c->flush_tokens -= (double)t->nops;
 	t->kind = WS_CALL_TXN;
+	t->paced = true;
 	t->done = ws_flushed;
 	t->generation = c->generation;
 	t->made = c->now;
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -653,6 +653,8 @@
 				services += s->job->spec.cpus / size;
 	}
 	memset(m, 0, sizeof(*m));
+	c->busy_time += c->busy * (c->now - c->busy_at);
+	c->busy_at = c->now;
 	m->lambda = c->work_arrived / span;
 	m->mu = c->busy_time > 0 ? c->work_done / c->busy_time : 0;
 	m->alpha = c->boot_n > 0 ? c->boot_n / c->boot_sum : boot > 0 ? 1 / boot : 0;
--- a/src/core/sizing.c
+++ b/src/core/sizing.c
@@ -133,21 +133,41 @@
 	return isfinite(q->wq) && isfinite(q->s);
 }
 
+/* Whether Algorithm 1 stops at k: 1 yes, 0 not yet, -1 the queue can't be solved. */
+static int ws_sizing_stops(const struct ws_measure *m, int k, int unit, struct ws_queue *at)
+{
+	int cap = m->owned + m->ceiling + m->waiting_loads;
+
+	if (!ws_queue_solve(m->lambda / unit, m->mu, m->alpha, m->owned / unit, k,
+			    (cap + unit - 1) / unit, at))
+		return -1;
+	at->s *= unit;
+	if (m->bound_s > 0 && at->wq > m->bound_s)
+		return 0;
+	return at->wq <= 0 || (at->s / m->rentals_max) / (at->wq / m->wait_max_s) >= m->delta;
+}
+
+/*
+ * Algorithm 1 raises k from 0 until it stops. As k rises S does and Wq falls, so the first k at
+ * which it stops is found by halving. Its cost grows with the cube of the machines: hundreds are
+ * counted in units of several, which wait a little longer than as many single ones.
+ */
 int ws_sizing_run(const struct ws_measure *m, struct ws_queue *at)
 {
-	int cap = m->owned + m->ceiling + m->waiting_loads, k;
+	int cap = m->owned + m->ceiling + m->waiting_loads;
+	int unit = cap / WS_SIZING_STATES + 1, low = 0, high = (m->ceiling + unit - 1) / unit;
+
+	while (low < high) {
+		int mid = low + (high - low) / 2, stops = ws_sizing_stops(m, mid, unit, at);
 
-	for (k = 0; k <= m->ceiling; k++) {
-		if (!ws_queue_solve(m->lambda, m->mu, m->alpha, m->owned, k, cap, at))
+		if (stops < 0)
 			return -1;
-		if (k == m->ceiling)
-			break;
-		if (m->bound_s > 0 && at->wq > m->bound_s)
-			continue;
-		if (at->wq <= 0)
-			break;
-		if ((at->s / m->rentals_max) / (at->wq / m->wait_max_s) >= m->delta)
-			break;
+		if (stops)
+			high = mid;
+		else
+			low = mid + 1;
 	}
-	return k;
+	if (ws_sizing_stops(m, low, unit, at) < 0)
+		return -1;
+	return low * unit < m->ceiling ? low * unit : m->ceiling;
 }
--- a/src/core/sizing.h
+++ b/src/core/sizing.h
@@ -3,6 +3,9 @@
 #define WS_SIZING_H
 #include "core.h"
 
+/* More states than this are counted in units. */
+#define WS_SIZING_STATES 400
+
 struct ws_queue {
 	double s;  /* mean rentals active or booting, (38) */
 	double wq; /* mean wait in the queue, (35) and (36) */
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -186,6 +186,31 @@
 	ws_drain(v);
 }
 
+/*
+ * Changes a second that users' requests to this node may cost: a fair part of three tenths for
+ * sure, and up to half of all while nobody is refused any.
+ */
+static bool ws_write_allowed(struct ws_service *v, size_t ops)
+{
+	double now = ws_now(), most = v->set->state_write_rps / 2;
+
+	v->write_rate = fmin(most, v->write_rate + (now - v->writes_at) * most / 16);
+	v->writes = fmin(v->write_rate, v->writes + (now - v->writes_at) * v->write_rate);
+	v->writes_at = now;
+	if (v->writes < 1)
+		return false;
+	v->writes -= (double)ops;
+	return true;
+}
+
+static void ws_write_refused(struct ws_service *v)
+{
+	double least = v->set->state_write_rps * 0.3 / (double)(v->set->npeers + 1);
+
+	v->write_rate = fmax(least, v->write_rate * 0.7);
+	v->writes = 0;
+}
+
 static void ws_call_done(void *ctx, int status, const char *body, size_t len)
 {
 	struct ws_flight *x = ctx;
@@ -193,6 +218,8 @@
 	struct ws_call *call = x->call;
 
 	free(x);
+	if (status == 429 && call->kind == WS_CALL_TXN && !call->paced)
+		ws_write_refused(v);
 	ws_complete(v, call, status, body, len);
 }
 
@@ -225,21 +252,6 @@
 	return w->client;
 }
 
-/* Puts and deletes a second are shared out: half for the leader, half for the others. */
-static bool ws_write_allowed(struct ws_service *v, size_t ops)
-{
-	double now = ws_now();
-
-	v->writes += (now - v->writes_at) * v->write_rate;
-	v->writes_at = now;
-	if (v->writes > v->write_rate)
-		v->writes = v->write_rate;
-	if (v->writes < 1)
-		return false;
-	v->writes -= (double)ops;
-	return true;
-}
-
 static void ws_call_start(struct ws_service *v, struct ws_call *call)
 {
 	struct ws_flight *x = calloc(1, sizeof(*x));
@@ -287,8 +299,9 @@
 		timeout = v->set->report_s;
 		break;
 	case WS_CALL_TXN:
-		if (!ws_write_allowed(v, call->nops)) {
-			ws_call_done(x, 429, "", 0);
+		if (!call->paced && !ws_write_allowed(v, call->nops)) {
+			free(x);
+			ws_complete(v, call, 429, "", 0);
 			return;
 		}
 		break;
@@ -311,7 +324,6 @@
 	if (!v->set->npeers)
 		share = 1;
 	v->leading = leading;
-	v->write_rate = v->set->state_write_rps * share;
 	ws_client_rate(v->state, v->set->state_rps * share * 0.95, v->set->state_rps * share / 2);
 }
 
@@ -643,6 +655,7 @@
 		return NULL;
 	}
 	ws_shares(v, false);
+	v->write_rate = s->state_write_rps / 2;
 	v->writes = v->write_rate;
 	v->writes_at = ws_now();
 	ev_async_init(&v->sized, ws_sized);
