--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -118,17 +118,30 @@
 	ws_chunk_dirty(c, m->chunk);
 }
 
+/*
+ * Array work takes or leaves room: load-seconds held, over which completions give mu. A server of
+ * the queue is taken from the plan to the end: by fetches and by work that is lost as well.
+ */
+static void ws_held(struct ws_core *c, const struct ws_spec *p, int sign)
+{
+	if (p->service)
+		return;
+	c->busy_time += c->busy * (c->now - c->busy_at);
+	c->busy_at = c->now;
+	c->busy = fmax(0, c->busy + sign * ws_load_of(c, p));
+}
+
 /* An attempt begins or ceases to count against machine, team, job and task. */
 void ws_slot_count(struct ws_core *c, struct ws_slot *s, int sign)
 {
 	struct ws_machine *m = s->machine;
 	struct ws_team *t;
 
-	(void)c;
 	m->nslots += (uint32_t)sign;
 	if (!s->job)
 		return;
 	const struct ws_spec *p = &s->job->spec;
+	ws_held(c, p, sign);
 	m->used_cpus += sign * p->cpus;
 	m->used_gpus += sign * p->gpus;
 	m->used_mem += sign * p->mem;
@@ -203,16 +216,6 @@
 	free(s);
 }
 
-/* Array work begins or ends: busy load-seconds, over which completions give mu. */
-static void ws_busy(struct ws_core *c, const struct ws_slot *s, int sign)
-{
-	if (!s->job || s->job->spec.service)
-		return;
-	c->busy_time += c->busy * (c->now - c->busy_at);
-	c->busy_at = c->now;
-	c->busy = fmax(0, c->busy + sign * ws_load_of(c, &s->job->spec));
-}
-
 /* The attempt is surely gone. Its task may be placed again; the record will name the new one. */
 void ws_slot_release(struct ws_core *c, struct ws_slot *s)
 {
@@ -221,8 +224,6 @@
 
 	if (s->state == WS_SLOT_LEAVING)
 		return;
-	if (s->running_at > 0)
-		ws_busy(c, s, -1);
 	ws_slot_count(c, s, -1);
 	if (!m->nslots)
 		m->empty_since = c->now;
@@ -439,7 +440,6 @@
 		s->pass = c->pass;
 		s->seen = s->sent = true;
 		if (t->state == WS_TASK_RUNNING && s->at != WS_TASK_RUNNING) {
-			ws_busy(c, s, 1);
 			s->running_at = c->now;
 			ws_log(c, WS_LOG_DEBUG, "machine %s: %s/%u attempt %llu runs", m->name,
 			       s->job_id, s->task, (unsigned long long)s->attempt);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -288,7 +288,7 @@
 	int k;
 	double size_next;
 	double work_arrived, work_done, busy_time; /* machine-loads since the last run */
-	double busy, busy_at; /* loads of arrays that run, and until when that is in busy_time */
+	double busy, busy_at; /* loads that arrays hold, and until when that is in busy_time */
 	double boot_sum, boot_n;
 	double measured_at;
 };
