k rises further while the wait as measured exceeds the bound

Cause: between two runs of Algorithm 1 bursts of whole arrays met a cap fitted to past means (DESIGN's own objection): up to 40 jobs waited while nothing booted. Now the bound W'q also holds for the wait as it is: while waiting loads have waited longer on average, k is the ceiling.

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -61,7 +61,8 @@
 	uint32_t errors;   /* failures on machines that otherwise work */
 	bool prompt;	   /* its class has a start aim */
 	double wait_logged;
-	bool guaranteed; /* fits its team's guarantee with the team's earlier jobs */
+	double lack_since; /* tasks of it have found no room since then; 0: none */
+	bool guaranteed;   /* fits its team's guarantee with the team's earlier jobs */
 	struct ws_job *dprev, *dnext;
 	UT_hash_handle hh;
 };
@@ -374,11 +375,11 @@
 /* rentals.c */
 void ws_rentals_tick(struct ws_core *c);
 struct ws_lack { /* tasks of a job that found no room, and the zones they may be in */
-	const struct ws_job *job;
+	struct ws_job *job;
 	uint32_t tasks;
 	uint32_t zones;
 };
-void ws_rentals_want(struct ws_core *c, const struct ws_job *j, uint32_t tasks, uint32_t zones);
+void ws_rentals_want(struct ws_core *c, struct ws_job *j, uint32_t tasks, uint32_t zones);
 void ws_rentals_plan(struct ws_core *c);
 void ws_rental_dirty(struct ws_core *c, struct ws_rental *r);
 void ws_rental_written(struct ws_core *c, struct ws_rental *r, bool deleted);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -560,8 +560,10 @@
 	if (want)
 		want -= ws_preempt(p, j, want, j->prompt && !j->guaranteed);
 	lack = want;
-	if (!lack)
+	if (!lack) {
+		j->lack_since = 0;
 		return;
+	}
 	ws_rentals_want(c, j, lack, ws_zones_ok(c, j));
 	if (c->now - j->wait_logged > c->set->lease_s) {
 		j->wait_logged = c->now;
@@ -611,6 +613,8 @@
 			p.lowest = ws_rank(all[i]);
 		if (all[i]->waiting)
 			all[nw++] = all[i];
+		else
+			all[i]->lack_since = 0;
 	}
 	qsort(all, nw, sizeof(*all), ws_want_cmp);
 	for (size_t i = 0; i < c->norder; i++) {
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -125,8 +125,10 @@
 	}
 }
 
-void ws_rentals_want(struct ws_core *c, const struct ws_job *j, uint32_t tasks, uint32_t zones)
+void ws_rentals_want(struct ws_core *c, struct ws_job *j, uint32_t tasks, uint32_t zones)
 {
+	if (!j->lack_since)
+		j->lack_since = c->now;
 	if (c->nlacks == c->lacks_cap) {
 		c->lacks_cap = c->lacks_cap ? c->lacks_cap * 2 : 64;
 		c->lacks = realloc(c->lacks, c->lacks_cap * sizeof(*c->lacks));
@@ -243,6 +245,18 @@
 	return found;
 }
 
+/* The paper's W'q: the wait that users are promised within their guarantee. */
+static double ws_bound(const struct ws_core *c)
+{
+	if (c->pol.latency_bound_s > 0)
+		return c->pol.latency_bound_s;
+	for (size_t i = 0; i < c->set->nobjectives; i++)
+		if (!strcmp(c->set->objectives[i].kind, "guarantee") &&
+		    c->set->objectives[i].within_s > 0)
+			return c->set->objectives[i].within_s;
+	return c->set->lease_s / 4;
+}
+
 /* Called at the end of a placement pass with all that found no room. */
 void ws_rentals_plan(struct ws_core *c)
 {
@@ -252,6 +266,7 @@
 	struct ws_bin *first = NULL;
 	uint32_t wanted[WS_MAX_TYPES][WS_MAX_ZONES][2] = {0};
 	int allowed, booting, limit, gang = 0;
+	double waited = 0, tasks = 0;
 
 	c->loads = 0;
 	if (c->nlacks) {
@@ -271,6 +286,8 @@
 		uint32_t left = l->tasks;
 		int before = c->loads;
 
+		waited += (c->now - l->job->lack_since) * ws_load_of(c, &l->job->spec) * left;
+		tasks += ws_load_of(c, &l->job->spec) * left;
 		for (int b = 0; b < bins.n && left; b++)
 			left -= ws_bin_take(&bins, b, l, left);
 		while (left) {
@@ -296,6 +313,9 @@
 	c->nlacks = 0;
 	/* the first kind asked for goes first: its tasks are served first */
 	limit = c->k < 0 ? c->pol.rental_ceiling : c->k;
+	/* while the wait as it is exceeds the bound, k rises further, whatever the queue says */
+	if (tasks > 0 && waited / tasks > ws_bound(c))
+		limit = c->pol.rental_ceiling;
 	if (gang > limit) /* k is at least what the largest waiting gang lacks */
 		limit = gang < c->pol.rental_ceiling ? gang : c->pol.rental_ceiling;
 	allowed = limit - ws_rentals_held(c, &booting);
@@ -631,7 +651,7 @@
 {
 	struct ws_machine *x, *xt;
 	double span, services = 0, size = 0, boot = 0;
-	int owned = 0, bound = -1;
+	int owned = 0;
 
 	if (c->role != WS_LEADER || c->pol.rental_ceiling < 0 || now < c->size_next || !c->ntypes)
 		return false;
@@ -663,13 +683,7 @@
 	m->waiting_loads = c->pol.waiting_loads >= 0 ? c->pol.waiting_loads : m->ceiling / 2 + 1;
 	m->delta = c->pol.delta;
 	m->rentals_max = c->pol.rentals_max > 0 ? c->pol.rentals_max : m->ceiling;
-	for (size_t i = 0; i < c->set->nobjectives; i++)
-		if (!strcmp(c->set->objectives[i].kind, "guarantee"))
-			bound = (int)i;
-	m->bound_s = c->pol.latency_bound_s > 0 ? c->pol.latency_bound_s
-		     : bound >= 0 && c->set->objectives[bound].within_s > 0
-			 ? c->set->objectives[bound].within_s
-			 : c->set->lease_s / 4;
+	m->bound_s = ws_bound(c);
 	m->wait_max_s = c->pol.wait_max_s > 0 ? c->pol.wait_max_s : 2 * m->bound_s;
 	c->work_arrived = c->work_done = c->busy_time = 0;
 	c->measured_at = now;
