Machines must show that they hear; ageing; cut-off nodes say so; sockets shared out

The token is kept by machine now: raised when a lease ran out or a command got no answer, and no work is given until the machine's own word carries it. Connections to workers get an eighth of the sockets; reports that can't be passed on name the leader at once.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -97,10 +97,13 @@
 /* Whether the state service serves us, as the last answers tell. */
 void ws_state_seen(struct ws_core *c, int status)
 {
-	if (status == 503 || status == 0)
+	if (status == 503 || status == 0) {
+		if (c->state_bad_at <= c->state_ok_at)
+			c->state_bad_since = c->now;
 		c->state_bad_at = c->now;
-	else
+	} else {
 		c->state_ok_at = c->now;
+	}
 }
 
 void ws_core_complete(struct ws_core *c, double now, struct ws_call *call,
@@ -158,7 +161,7 @@
 
 bool ws_core_ready(const struct ws_core *c)
 {
-	return c->ntypes > 0 && c->state_ok_at > 0;
+	return c->ntypes > 0 && c->state_ok_at > 0 && !ws_cut_off(c);
 }
 
 bool ws_core_leading(const struct ws_core *c)
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -33,6 +33,8 @@
 	/* an earlier leader may have answered it, and sent it commands, until we were elected */
 	m->alive_until = ws_lease_out(c, c->elected_at);
 	m->fence = c->epoch ? c->epoch - 1 : 0;
+	m->token = c->epoch;
+	m->token_at = c->now;
 	m->owned = c->owned_seen && strcmp(name, c->owned_upto) <= 0;
 	m->zi = m->chunk = -1;
 	HASH_ADD_STR(c->machines, name, m);
@@ -272,11 +274,31 @@
 		ws_slot_release(c, s);
 }
 
+/*
+ * A report that arrives is no proof that its sender hears us: answers may be cut while reports are
+ * not, and a report may be a late copy. The token that we gave it, in its own word, is proof; it
+ * is raised whenever a lease ran out or a command got no answer.
+ */
+bool ws_machine_hears(const struct ws_machine *m)
+{
+	return m->reported && m->epoch >= m->token;
+}
+
+static void ws_machine_doubt(struct ws_core *c, struct ws_machine *m, uint64_t known)
+{
+	if (m->token <= known) {
+		m->token = known + 1;
+		m->token_at = c->now;
+		m->greet_next = 0;
+	}
+}
+
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m)
 {
-	return m->reported && m->type && !m->gone && !m->returning && !m->failed && m->tenure &&
-	       c->now - m->heard < 3 * c->set->report_s && c->now < m->alive_until &&
-	       c->now >= m->quarantine_until && c->now >= m->refused_until && !m->noticed;
+	return ws_machine_hears(m) && m->reported && m->type && !m->gone && !m->returning &&
+	       !m->failed && m->tenure && c->now - m->heard < 3 * c->set->report_s &&
+	       c->now < m->alive_until && c->now >= m->quarantine_until &&
+	       c->now >= m->refused_until && !m->noticed;
 }
 
 static void ws_cache_touch(struct ws_core *c, struct ws_machine *m, int image)
@@ -397,6 +419,8 @@
 		if (m->tenure && m->nslots)
 			ws_log(c, WS_LOG_INFO, "machine %s began tenure %llu, %u tasks lost",
 			       m->name, (unsigned long long)r->tenure, m->nslots);
+		if (m->tenure) /* its lease ran out: did it hear our answers? */
+			ws_machine_doubt(c, m, r->epoch > m->token ? r->epoch : m->token);
 		m->tenure = r->tenure;
 		for (s = m->slots; s; s = n) {
 			n = s->next;
@@ -537,32 +561,37 @@
 	}
 	if (c->role != WS_LEADER || !ws_entitled(c) ||
 	    ws_buried(c, &c->tombs, r->machine) || /* a report held back since before its return */
-	    (r->epoch > c->epoch && r->epoch >> WS_EPOCH_SHIFT != c->epoch >> WS_EPOCH_SHIFT)) {
+	    r->epoch >> WS_EPOCH_SHIFT > c->epoch >> WS_EPOCH_SHIFT) {
 		ws_report_answer(c, token, 503, NULL);
 		return;
 	}
-	if (r->epoch > c->epoch)
-		c->epoch = r->epoch;
 	if (!relayed)
 		c->relay_since = 0;
 	else if (!c->relay_since)
 		c->relay_since = c->now;
 	m = ws_machine_get(c, r->machine);
-	if (r->tenure < m->least_tenure) {
-		/* held back since before: a 200 would count as an answer, its tasks as alive */
+	/*
+	 * A copy, or held back since before: nobody waits for the answer, and a 200 would count as
+	 * one, its tasks as alive. An answer to a command may have overtaken a report that is new.
+	 */
+	if (r->tenure < m->least_tenure || r->tenure < m->tenure ||
+	    (r->tenure == m->report_tenure && r->counter <= m->report_counter)) {
 		ws_report_answer(c, token, 503, NULL);
 		return;
 	}
-	newer = r->tenure > m->tenure || (r->tenure == m->tenure && r->counter > m->counter) ||
-		!m->reported;
-	if (newer && r->tenure >= m->tenure) {
+	m->report_tenure = r->tenure;
+	m->report_counter = r->counter;
+	if (r->epoch > m->token)
+		m->token = r->epoch;
+	newer = r->tenure > m->tenure || r->counter > m->counter || !m->reported;
+	if (newer) {
 		m->heard = c->now;
 		ws_fleet_read(c, m, r);
 	}
 	a = ws_act(c, WS_ACT_ANSWER_REPORT);
 	a->token = token;
 	a->status = 200;
-	a->epoch = c->epoch;
+	a->epoch = m->token;
 	m->alive_until = ws_lease_out(c, c->now);
 	if (r->tenure == m->tenure) {
 		size_t max = m->nslots + r->ntasks + 1;
@@ -573,6 +602,8 @@
 		if (a->orders)
 			a->norders = ws_orders(c, m, newer ? r : NULL, a->orders, max, false);
 	}
+	if (!ws_machine_hears(m)) /* soon, not with the next sweep's turn */
+		c->sweep_next = fmin(c->sweep_next, c->now);
 	ws_core_tick(c, now);
 }
 
@@ -597,14 +628,13 @@
 			ws_fleet_read(c, m, r->report);
 		}
 	} else if (!call->norders) {
-		return; /* a greeting: nothing of it can do harm */
+		return; /* a greeting: nothing of it can do harm; its token may be met again */
 	} else {
 		/* it may arrive later: until the worker knows a higher epoch, nothing of it can be
 		 * forgotten or moved */
 		if (call->epoch > m->fence)
 			m->fence = call->epoch;
-		if (c->epoch == call->epoch)
-			c->epoch++;
+		ws_machine_doubt(c, m, call->epoch);
 		ws_log(c, WS_LOG_INFO, "machine %s: a direct command got no answer (%d)", m->name,
 		       r->status);
 		return;
@@ -623,7 +653,7 @@
 
 	snprintf(call->host, sizeof(call->host), "%s", m->host);
 	call->port = m->port;
-	call->epoch = c->epoch;
+	call->epoch = m->token;
 	call->tenure = m->tenure;
 	snprintf(call->ctx_name, sizeof(call->ctx_name), "%s", m->name);
 	m->commands++;
@@ -647,14 +677,25 @@
 }
 
 /*
- * A new leader calls on each machine it has a plan for: the answer is the machine's report, and the
- * epoch it brings ends what the last leader may still have on its way. Waiting for the reports
- * instead costs a report period and a worker's search for the leader.
+ * Machines that did not show yet that they hear this leader are called on, so many at a time: the
+ * answer is the machine's report, with the token in it, and ends what the last leader may still
+ * have on its way. Waiting for the reports instead costs a report period and a worker's search for
+ * the leader.
  */
-void ws_fleet_greet(struct ws_core *c, struct ws_machine *m)
+static void ws_fleet_greet(struct ws_core *c)
 {
-	if (m->port && m->host[0])
+	struct ws_machine *m, *t;
+	int most = 32 + (int)HASH_COUNT(c->machines) / 8;
+
+	HASH_ITER (hh, c->machines, m, t) {
+		if (ws_machine_hears(m) || !m->port || !m->host[0] || m->gone || m->returning ||
+		    m->commands || c->now < m->greet_next)
+			continue;
+		m->greet_next = c->now + c->set->report_s;
 		ws_orders_call(c, m);
+		if (--most <= 0)
+			break;
+	}
 }
 
 /* The machine and all on it are surely gone, or its lease is. */
@@ -767,6 +808,8 @@
 	if (c->now < c->sweep_next)
 		return;
 	c->sweep_next = c->now + ws_sweep_every(c);
+	if (ws_entitled(c) && !c->in_outage)
+		ws_fleet_greet(c);
 	ws_tombs_clear(c, false);
 	HASH_ITER (hh, c->machines, m, t) {
 		if (m->gone) {
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -61,8 +61,10 @@
 	uint32_t errors;   /* failures on machines that otherwise work */
 	bool prompt;	   /* its class has a start aim */
 	double wait_logged;
-	double lack_since; /* tasks of it have found no room since then; 0: none */
-	bool guaranteed;   /* fits its team's guarantee with the team's earlier jobs */
+	double known_at, placed_at; /* when a task of it was last placed */
+	bool aged;		    /* waits too long: see ws_aged */
+	double lack_since;	    /* tasks of it have found no room since then; 0: none */
+	bool guaranteed;	    /* fits its team's guarantee with the team's earlier jobs */
 	struct ws_job *dprev, *dnext;
 	UT_hash_handle hh;
 };
@@ -84,6 +86,7 @@
 	bool orphan;	       /* reported but on no record */
 	bool seen;	       /* the worker has reported it */
 	bool stop;	       /* is to end */
+	bool aged;	       /* its job had waited too long: other arrays leave it its room */
 	bool writing;	       /* is in the record being written */
 	enum ws_task_state at; /* as reported */
 	enum ws_why why;
@@ -110,8 +113,12 @@
 	double return_next;
 	bool on_record;	       /* known from the records at this leader's election */
 	uint64_t least_tenure; /* its lease surely ran out: word of an earlier tenure is stale */
-	uint64_t tenure, counter, epoch; /* of the newest report */
-	double heard;			 /* when the newest report came in */
+	uint64_t tenure, counter, epoch; /* of its newest word: a report or a command's answer */
+	uint64_t report_tenure, report_counter; /* of its newest report alone */
+	uint64_t token;	 /* what we give it; its own echo proves that it hears us */
+	double token_at; /* since when */
+	double greet_next;
+	double heard;	    /* when the newest report came in */
 	double alive_until; /* its tasks may live until then, as far as answers given tell */
 	double first_seen, up_at;
 	double notice_until; /* the cloud takes it then; 0: no notice */
@@ -219,6 +226,7 @@
 	double leader_next;
 	uint64_t leader_rev;
 	double state_ok_at, state_bad_at; /* last answer other than 503; last 503 or silence */
+	double state_bad_since;		  /* the first of those in a row */
 	bool types_saved;
 	struct ws_seen *seen; /* all live jobs as of seen_rev, for polls */
 	bool seen_ready, seen_inflight;
@@ -227,6 +235,7 @@
 	struct ws_poll *polls; /* waiting for the copy to be found current */
 	struct ws_redirect *redirects;
 	double redirects_next;
+	double peers_ok_at, peers_next; /* while the state service refuses us */
 
 	/* leadership */
 	enum ws_role role;
@@ -363,7 +372,7 @@
 void ws_fleet_tick(struct ws_core *c);
 double ws_sweep_every(const struct ws_core *c);
 void ws_fleet_push(struct ws_core *c, struct ws_machine *m);
-void ws_fleet_greet(struct ws_core *c, struct ws_machine *m);
+bool ws_machine_hears(const struct ws_machine *m);
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m);
 void ws_machine_host(struct ws_core *c, const struct ws_host *h);
 const struct ws_type *ws_type_find(const struct ws_core *c, const char *name);
@@ -396,6 +405,7 @@
 
 /* requests.c */
 void ws_requests_tick(struct ws_core *c);
+bool ws_cut_off(const struct ws_core *c);
 void ws_report_answer(struct ws_core *c, uint64_t token, int status, const char *leader);
 void ws_follower_report(struct ws_core *c, uint64_t token, const struct ws_report *r, bool relayed);
 void ws_requests_free(struct ws_core *c);
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -202,6 +202,7 @@
 	n->image = ws_image_id(c, n->spec.image);
 	n->fits_of = -1;
 	n->waiting = n->spec.tasks - n->ndone;
+	n->known_at = c->now;
 	HASH_ADD_STR(c->jobs, spec.id, n);
 	if (c->role == WS_LEADER) {
 		ws_log(c, WS_LOG_DEBUG, "job %s known: %u tasks of %s %s", id, n->spec.tasks,
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -15,12 +15,30 @@
 	return (j->guaranteed ? 50 : 0) + (int)j->spec.tier;
 }
 
+/*
+ * No job waits for ever behind those that keep coming: one of which no task was placed for two
+ * leases is served before all other arrays until one is. What it then takes, no array may take from
+ * it, or the two would do so in turn. Production and the rules of stopping stay as they are.
+ */
+static bool ws_aged(const struct ws_core *c, const struct ws_job *j)
+{
+	return c->now - fmax(j->known_at, j->placed_at) > 2 * c->set->lease_s &&
+	       j->not_before <= c->now;
+}
+
+static int ws_turn(const struct ws_job *j)
+{
+	int rank = ws_rank(j);
+
+	return j->aged && rank < 99 ? 99 : rank;
+}
+
 static int ws_want_cmp(const void *pa, const void *pb)
 {
 	const struct ws_job *a = *(struct ws_job *const *)pa, *b = *(struct ws_job *const *)pb;
 
-	if (ws_rank(a) != ws_rank(b))
-		return ws_rank(a) > ws_rank(b) ? -1 : 1;
+	if (ws_turn(a) != ws_turn(b))
+		return ws_turn(a) > ws_turn(b) ? -1 : 1;
 	double da = a->submitted_wall + (a->spec.deadline_s >= 0 ? a->spec.deadline_s : 1e9);
 	double db = b->submitted_wall + (b->spec.deadline_s >= 0 ? b->spec.deadline_s : 1e9);
 	if (da != db)
@@ -134,7 +152,7 @@
 		return false;
 	const struct ws_job *o = v->job;
 
-	if (ws_rank(j) <= ws_rank(o) ||
+	if (ws_rank(j) <= ws_rank(o) || (v->aged && j->spec.tier != WS_PRODUCTION) ||
 	    !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
 		return false;
 	return o->spec.tier < j->spec.tier ||
@@ -447,6 +465,7 @@
 			break;
 		}
 		*room -= size;
+		s->aged = j->aged;
 		ws_virt_take(j, m);
 		c->steps++;
 		ws_log(c, WS_LOG_DEBUG, "place %s/%u attempt %llu on %s", j->spec.id, t,
@@ -539,8 +558,10 @@
 			if (p->fit[i]->rank == rank)
 				want -= ws_place_on(c, j, p->fit[i], want, attempt, &room);
 	}
-	if (j->waiting < j->waiting_before)
+	if (j->waiting < j->waiting_before) {
+		j->placed_at = c->now;
 		ws_job_dirty(c, j, true);
+	}
 	if (!room)
 		return; /* as many as can be on record: the rest when these are over */
 	/* room that is being made already, or can be made */
@@ -611,6 +632,7 @@
 	for (size_t i = 0; i < n; i++) {
 		if (all[i]->nslots && ws_rank(all[i]) < p.lowest)
 			p.lowest = ws_rank(all[i]);
+		all[i]->aged = all[i]->waiting && ws_aged(c, all[i]);
 		if (all[i]->waiting)
 			all[nw++] = all[i];
 		else
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -362,15 +362,13 @@
 	c->watch_rev = c->load_rev;
 	c->place_wanted = true;
 	c->watch_next = c->now;
-	HASH_ITER (hh, c->machines, m, mt) {
-		ws_fleet_greet(c, m);
+	HASH_ITER (hh, c->machines, m, mt)
 		for (struct ws_slot *s = m->slots; s; s = s->next)
 			if (s->job && s->job->phase == WS_CANCELLED)
 				ws_slot_ends(s);
 			else if (s->job && s->task < s->job->spec.tasks &&
 				 s->job->tasks[s->task].slot != s)
 				ws_slot_ends(s); /* an older attempt of a task placed anew */
-	}
 	HASH_ITER (hh, c->jobs, j, jt)
 		ws_job_check_end(c, j);
 	ws_log(c, WS_LOG_INFO, "leading: %u jobs, %u machines, %u rentals on record",
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -527,7 +527,7 @@
 	HASH_ITER (hh, c->machines, m, mt)
 		if (m->reported && !m->gone && !m->failed) {
 			up++;
-			heard += c->now - m->heard < 3 * c->set->report_s;
+			heard += c->now - m->heard < 3 * c->set->report_s && ws_machine_hears(m);
 		}
 	HASH_ITER (hh, c->machines, m, mt) {
 		double base = fmax(m->heard, c->elected_at);
@@ -545,6 +545,10 @@
 			 c->set->lease_s * c->pol.silent_ratio < c->now - base && heard * 2 >= up &&
 			 up)
 			ws_give_back(c, m, "silent");
+		else if (m->reported && !ws_machine_hears(m) && heard * 2 >= up && up &&
+			 c->now - fmax(m->token_at, c->elected_at) >
+			     c->set->lease_s * c->pol.silent_ratio + c->set->report_s)
+			ws_give_back(c, m, "no answer reaches it");
 		else if (m->reported && !m->nslots && !m->noticed &&
 			 c->now - m->empty_since > c->pol.empty_wait_s &&
 			 c->now - m->up_at > c->pol.empty_wait_s &&
@@ -666,7 +670,7 @@
 		boot += c->types[i].boot_s / (double)c->ntypes;
 	}
 	HASH_ITER (hh, c->machines, x, xt) {
-		if (x->owned && x->reported && c->now - x->heard < 3 * c->set->report_s)
+		if (x->owned && ws_machine_hears(x) && c->now - x->heard < 3 * c->set->report_s)
 			owned++;
 		for (struct ws_slot *s = x->slots; s; s = s->next)
 			if (s->job && s->job->spec.service)
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -49,10 +49,41 @@
 		a->retry_after = 1;
 }
 
+/*
+ * Neither the state service nor any peer answers: this node can do nothing for anybody. It says so
+ * at once, to its health check as well, and goes on asking.
+ */
+bool ws_cut_off(const struct ws_core *c)
+{
+	double patience = c->set->lease_s / 8;
+
+	return c->set->npeers && c->state_ok_at > 0 && c->state_bad_at > c->state_ok_at &&
+	       c->now - c->state_bad_since > patience && c->now - c->peers_ok_at > patience;
+}
+
+static void ws_peer_answered(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	(void)call;
+	if (r->status > 0)
+		c->peers_ok_at = c->now;
+}
+
+static void ws_peers_tick(struct ws_core *c)
+{
+	if (c->state_bad_at <= c->state_ok_at || c->now < c->peers_next)
+		return;
+	c->peers_next = c->now + c->set->lease_s / 32;
+	for (size_t i = 0; i < c->set->npeers; i++) {
+		struct ws_call *call = ws_call(c, WS_CALL_TESTIFY, ws_peer_answered);
+
+		snprintf(call->key, sizeof(call->key), "%s", c->set->peers[i].node);
+	}
+}
+
 /* The state service does not serve us: a peer may do better, unless the request came from one. */
 static void ws_cannot(struct ws_core *c, uint64_t token, const char *id, bool relayed, int status)
 {
-	if (!relayed && (status == 503 || status == 0) && c->set->npeers) {
+	if (!relayed && !ws_cut_off(c) && (status == 503 || status == 0) && c->set->npeers) {
 		struct ws_action *a = ws_act(c, WS_ACT_RELAY);
 
 		a->token = token;
@@ -595,6 +626,7 @@
 	struct ws_redirect *d, *t;
 
 	ws_seen_tick(c);
+	ws_peers_tick(c);
 	if (!c->types_asked && c->now >= c->types_next && (!c->ntypes || c->role == WS_LEADER)) {
 		c->types_asked = true;
 		ws_call(c, WS_CALL_TYPES, ws_types_cloud);
@@ -645,7 +677,7 @@
 	struct ws_redirect *d;
 	struct ws_action *a;
 
-	if (relayed || !c->leader[0] || !strcmp(c->leader, c->set->node)) {
+	if (relayed || !c->leader[0] || !strcmp(c->leader, c->set->node) || ws_cut_off(c)) {
 		ws_report_answer(c, token, 503, NULL);
 		return;
 	}
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <utlist.h>
 
 enum ws_ask_kind { WS_ASK_USER, WS_ASK_REPORT, WS_ASK_TESTIFY };
 
@@ -26,12 +27,14 @@
 struct ws_worker {
 	char name[80];
 	struct ws_client *client;
+	struct ws_worker *prev, *next; /* least lately used first */
 	UT_hash_handle hh;
 };
 
-struct ws_flight { /* a call on its way */
+struct ws_flight { /* a call on its way, or a request passed on */
 	struct ws_service *service;
 	struct ws_call *call;
+	char node[WS_NAME_MAX]; /* of a report passed on: to whom */
 };
 
 struct ws_service {
@@ -41,7 +44,9 @@
 	pthread_mutex_t lock; /* the core's; never held across input or output */
 	struct ws_server *server;
 	struct ws_client *state, *watch, *cloud;
-	struct ws_worker *workers;
+	struct ws_worker *workers, *lately;
+	double peers_bad; /* until then reports are not passed on: the leader is named instead */
+	int relays;	  /* reports passed on and not answered yet */
 	struct ws_peers *peers;
 	struct ws_pending *pending;
 	int users; /* users' requests among them */
@@ -114,14 +119,33 @@
 	ws_reply(v, token, status, "{}", 2, status == 503 || status == 429 ? 1 : 0);
 }
 
+/* A report that can't be passed on: the worker may reach the leader itself. */
+static void ws_name_leader(struct ws_service *v, uint64_t token, const char *node)
+{
+	struct ws_action a = {.status = 421};
+	char *body;
+
+	snprintf(a.name, sizeof(a.name), "%s", node);
+	body = ws_encode_report_answer(&a);
+	ws_reply(v, token, body ? 421 : 503, body ? body : "{}", body ? strlen(body) : 2, 0);
+	free(body);
+}
+
 static void ws_relayed(void *ctx, const Ws__PeerFrame *f)
 {
 	struct ws_flight *x = ctx;
 	struct ws_service *v = x->service;
 	uint64_t token = (uint64_t)(uintptr_t)x->call;
+	char node[WS_NAME_MAX];
 
+	snprintf(node, sizeof(node), "%s", x->node);
 	free(x);
-	if (!f || f->status < 200 || f->status > 599)
+	if (node[0])
+		v->relays--;
+	if (!f && node[0]) { /* no answer, or no connection */
+		v->peers_bad = ws_now() + v->set->report_s;
+		ws_name_leader(v, token, node);
+	} else if (!f || f->status < 200 || f->status > 599)
 		ws_reply_plain(v, token, 503);
 	else
 		ws_reply(v, token, (int)f->status, (const char *)f->body.data, f->body.len,
@@ -143,6 +167,16 @@
 		ws_reply_plain(v, token, 503);
 		return;
 	}
+	if (p->kind == WS_ASK_REPORT) {
+		/* few at a time: when hundreds come at once, naming the leader is quicker */
+		if (ws_now() < v->peers_bad || v->relays >= v->set->max_sockets / 32 + 1) {
+			free(x);
+			ws_name_leader(v, token, node);
+			return;
+		}
+		snprintf(x->node, sizeof(x->node), "%s", node);
+		v->relays++;
+	}
 	x->service = v;
 	x->call = (struct ws_call *)(uintptr_t)token;
 	get = !strcmp(p->method, "GET");
@@ -158,10 +192,8 @@
 			   p->kind == WS_ASK_REPORT ? 3
 			   : get		    ? WS_POLL_WAIT_S * 0.4
 						    : 2.5,
-			   ws_relayed, x)) {
-		free(x);
-		ws_reply_plain(v, token, 503);
-	}
+			   ws_relayed, x))
+		ws_relayed(x, NULL);
 }
 
 /* ---- calls ---- */
@@ -228,15 +260,39 @@
 	ws_call_done(ctx, f ? (int)f->status : 0, "{}", 2);
 }
 
+static void ws_worker_free(struct ws_service *v, struct ws_worker *w)
+{
+	HASH_DEL(v->workers, w);
+	DL_DELETE(v->lately, w);
+	ws_client_free(w->client);
+	free(w);
+}
+
+/*
+ * Connections to workers are for speed: replies carry the same commands. They get an eighth of the
+ * sockets, the least lately used giving way; if all are busy, the reply must do.
+ */
 static struct ws_client *ws_worker_client(struct ws_service *v, const char *host, int port)
 {
-	struct ws_worker *w;
+	struct ws_worker *w, *t;
 	char name[80];
 
 	snprintf(name, sizeof(name), "%s:%d", host, port);
 	HASH_FIND_STR(v->workers, name, w);
-	if (w)
+	if (w) {
+		DL_DELETE(v->lately, w);
+		DL_APPEND(v->lately, w);
 		return w->client;
+	}
+	if ((int)HASH_COUNT(v->workers) >= v->set->max_sockets / 8 + 1) {
+		DL_FOREACH_SAFE (v->lately, w, t)
+			if (ws_client_idle(w->client, ws_now(), 0)) {
+				ws_worker_free(v, w);
+				break;
+			}
+		if (!w)
+			return NULL;
+	}
 	struct ws_client_opts o = {
 	    .max_conns = 1, .max_queue = 4, .max_reply = 256 * 1024, .idle_s = v->set->lease_s};
 	w = calloc(1, sizeof(*w));
@@ -249,6 +305,7 @@
 		return NULL;
 	}
 	HASH_ADD_STR(v->workers, name, w);
+	DL_APPEND(v->lately, w);
 	return w->client;
 }
 
@@ -609,11 +666,8 @@
 
 		v->sweep_at = now + v->set->lease_s;
 		HASH_ITER (hh, v->workers, x, t)
-			if (ws_client_idle(x->client, now, 4 * v->set->lease_s)) {
-				HASH_DEL(v->workers, x);
-				ws_client_free(x->client);
-				free(x);
-			}
+			if (ws_client_idle(x->client, now, 4 * v->set->lease_s))
+				ws_worker_free(v, x);
 	}
 }
 
@@ -701,11 +755,8 @@
 	ws_client_free(v->state);
 	ws_client_free(v->watch);
 	ws_client_free(v->cloud);
-	HASH_ITER (hh, v->workers, w, t) {
-		HASH_DEL(v->workers, w);
-		ws_client_free(w->client);
-		free(w);
-	}
+	HASH_ITER (hh, v->workers, w, t)
+		ws_worker_free(v, w);
 	ws_peers_free(v->peers);
 	HASH_ITER (hh, v->pending, p, q)
 		ws_pending_free(p);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -116,6 +116,8 @@
 	double late_by;
 	int late_orders;
 	double late_orders_by;
+	double copies_by, copies_until; /* reports arrive once more, up to so much later */
+	uint64_t commands, requests, changes;
 	enum ws_call_kind crash_kind;
 	enum sim_crash crash;
 	int crash_skip;
@@ -580,7 +582,7 @@
 		w->waiting = true;
 		worker_report(w, &r, s);
 		w->next_report = s->now + s->report * (0.75 + 0.5 * rnd(s));
-		w->report_id = (++s->next_token << 10) | (uint64_t)(w - s->w) | 1ULL << 62;
+		w->report_id = (++s->next_token << 12) | (uint64_t)(w - s->w) | 1ULL << 62;
 		if (apart(s, w, nd)) {
 			double until = fmax(fmax(w->cut_until, w->pin_until),
 					    fmax(nd->cut_workers, s->zone_cut));
@@ -598,6 +600,20 @@
 			w->node = (w->node + 1) % s->nnodes;
 			w->next_report = s->now + 1;
 		} else {
+			if (s->copies_by > 0 &&
+			    s->now < s->copies_until) { /* and once more later */
+				struct sim_held *h = calloc(1, sizeof(*h)), **p = &s->held;
+
+				h->at = s->now + s->copies_by * (0.2 + 0.8 * rnd(s));
+				h->node = (int)(rnd(s) * s->nnodes);
+				h->r = r;
+				h->r.tasks = calloc(SIM_TASKS, sizeof(*r.tasks));
+				memcpy(h->r.tasks, r.tasks, r.ntasks * sizeof(*r.tasks));
+				while (*p && (*p)->at <= h->at)
+					p = &(*p)->next;
+				h->next = *p;
+				*p = h;
+			}
 			ws_core_report(nd->core, s->now * (1 + nd->skew), w->report_id, &r, false);
 		}
 		free(r.tasks);
@@ -606,10 +622,12 @@
 
 static void worker_answer(struct sim *s, const struct ws_action *a)
 {
-	struct sim_worker *w = &s->w[a->token & 1023 & (SIM_WORKERS - 1)];
+	struct sim_worker *w = &s->w[a->token & (SIM_WORKERS - 1)];
 
+	if (a->status == 200 && s->now < w->deaf_until && a->norders)
+		w->told_deaf = true;
 	if (a->token >> 60 == 1 || a->token != w->report_id || !w->waiting || !worker_live(s, w) ||
-	    apart(s, w, &s->nodes[w->node]))
+	    s->now < w->deaf_until || apart(s, w, &s->nodes[w->node]))
 		return;
 	w->waiting = false;
 	if (a->status == 200) {
@@ -939,6 +957,14 @@
 		bool lost = !worker_live(s, w) || apart(s, w, nd);
 		double late = 0;
 
+		s->commands++;
+
+		if (s->now < w->deaf_until) { /* never arrives */
+			f->at = s->now + s->report;
+			f->stage = 1;
+			flight_add(s, f);
+			return;
+		}
 		if (s->late_orders > 0) {
 			s->late_orders--;
 			late = s->now + s->late_orders_by;
@@ -985,7 +1011,7 @@
 		if (i < s->nnodes && s->nodes[i].up && s->now >= nd->cut_peers &&
 		    s->now >= s->nodes[i].cut_peers) {
 			/* the answer comes back by the token, see node_drain */
-			uint64_t token = ++s->next_token << 10 | (uint64_t)f->node | 1ULL << 61;
+			uint64_t token = ++s->next_token << 12 | (uint64_t)f->node | 1ULL << 61;
 
 			c->since = token;
 			f->at = s->now + 0.5;
@@ -1017,7 +1043,7 @@
 	nd = &s->nodes[j->node];
 	if (!nd->up)
 		return;
-	j->pending = (++s->next_token << 10) | (uint64_t)(j - s->jobs);
+	j->pending = (++s->next_token << 12) | (uint64_t)(j - s->jobs);
 	j->pending_kind = kind;
 	j->pending_at = s->now;
 	if (kind == ASK_SUBMIT) {
@@ -1033,7 +1059,7 @@
 
 static void user_answer(struct sim *s, const struct ws_action *a)
 {
-	struct sim_job *j = &s->jobs[a->token & 1023];
+	struct sim_job *j = &s->jobs[a->token & (SIM_JOBS - 1)];
 	int kind = j->pending_kind;
 
 	if (a->token != j->pending)
@@ -1130,7 +1156,7 @@
 	double t = s->now * (1 + nd->skew);
 
 	if (a->token >> 62 & 1) {
-		struct sim_worker *w = &s->w[a->token & 1023 & (SIM_WORKERS - 1)];
+		struct sim_worker *w = &s->w[a->token & (SIM_WORKERS - 1)];
 		struct ws_report r;
 
 		if (a->token != w->report_id)
@@ -1140,7 +1166,7 @@
 		ws_core_report(nd->core, t, a->token, &r, true);
 		free(r.tasks);
 	} else {
-		struct sim_job *j = &s->jobs[a->token & 1023];
+		struct sim_job *j = &s->jobs[a->token & (SIM_JOBS - 1)];
 
 		if (a->token != j->pending)
 			return;
@@ -1434,6 +1460,19 @@
 		for (i = 0; i < s->njobs; i++)
 			if (!s->jobs[i].done)
 				fail(s, "%s is not done", s->jobs[i].spec.id);
+	} else if (!strcmp(what, "all-finished")) { /* arrays, that is */
+		for (i = 0; i < s->njobs; i++)
+			if (!s->jobs[i].done && !s->jobs[i].spec.service)
+				fail(s, "%s is not done", s->jobs[i].spec.id);
+	} else if (!strcmp(what, "gone")) {
+		for (i = 0; i < s->nw; i++)
+			if (!strcmp(s->w[i].name, a) && !s->w[i].deleted)
+				fail(s, "%s is still there", a);
+	} else if (!strcmp(what, "healthy-nodes")) {
+		for (i = 0; i < s->nnodes; i++)
+			n += s->nodes[i].up && ws_core_ready(s->nodes[i].core);
+		if (n != atoi(a))
+			fail(s, "%d healthy nodes", n);
 	} else if (!strcmp(what, "elections")) { /* how often the leader's key was written */
 		for (size_t h = 0; h < s->nhist; h++)
 			n += !strcmp(s->hist[h].key, "leader") && s->hist[h].value;
@@ -1446,6 +1485,14 @@
 	} else if (!strcmp(what, "leader")) {
 		if (leader(s) < 0)
 			fail(s, "nobody leads");
+	} else if (!strcmp(what, "healthy") || !strcmp(what, "unhealthy")) {
+		i = atoi(a) % s->nnodes;
+		if (!s->nodes[i].up || ws_core_ready(s->nodes[i].core) != !strcmp(what, "healthy"))
+			fail(s, "node %d: not %s", i, what);
+	} else if (!strcmp(what, "started-within")) { /* job seconds */
+		if (!j || !j->started_at || j->started_at - j->submit_at > atof(b))
+			fail(s, "%s began after %.1f s", a,
+			     j && j->started_at ? j->started_at - j->submit_at : -1.0);
 	} else if (!strcmp(what, "no-leader")) {
 		if (leader(s) >= 0)
 			fail(s, "node %d leads", leader(s));
@@ -1534,7 +1581,7 @@
 		s->zone_cut = s->now + span;
 	} else if (!strcmp(verb, "hang") || !strcmp(verb, "cut-machine") || !strcmp(verb, "die") ||
 		   !strcmp(verb, "fail-tasks") || !strcmp(verb, "pin") || !strcmp(verb, "notice") ||
-		   !strcmp(verb, "take")) {
+		   !strcmp(verb, "take") || !strcmp(verb, "deaf")) {
 		if (!(w = machine_named(s, who))) {
 			fail(s, "no machine %s", who);
 			return;
@@ -1543,6 +1590,8 @@
 			w->hang_until = s->now + span;
 		else if (!strcmp(verb, "pin"))
 			w->pin = leader(s) + 1, w->pin_until = s->now + span;
+		else if (!strcmp(verb, "deaf"))
+			w->deaf_until = s->now + span;
 		else if (!strcmp(verb, "cut-machine"))
 			w->cut_until = s->now + span;
 		else if (!strcmp(verb, "die"))
@@ -1581,6 +1630,9 @@
 		s->crash = flag(full, "after") ? CRASH_AFTER : CRASH_BEFORE;
 		s->crash_skip = (int)opt(full, "skip", 0);
 		s->down_for = span;
+	} else if (!strcmp(verb, "copies")) { /* copies BY for=SPAN */
+		s->copies_by = atof(who);
+		s->copies_until = s->now + span;
 	} else if (!strcmp(verb, "no-boot")) {
 		s->no_boot = atoi(who);
 	} else if (!strcmp(verb, "instant-boot")) {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -8,9 +8,9 @@
 #include "../src/core/internal.h"
 
 #define SIM_NODES 5
-#define SIM_WORKERS 256
+#define SIM_WORKERS 4096
 #define SIM_TASKS 64
-#define SIM_JOBS 1020
+#define SIM_JOBS 4096
 
 struct sim_task {
 	char job[WS_ID_MAX];
@@ -27,12 +27,14 @@
 	char zone[32];
 	bool spot, owned, up, dead, deleted, hung, never, failing, slow;
 	double rented, deleted_at, boots, hang_until, cut_until, notice_at, take_at;
+	double deaf_until; /* its reports arrive, no answer or command reaches it */
 	uint64_t tenure, counter, epoch;
 	double answered_sent; /* when the last answered report was sent */
 	double next_report, sent_at;
 	int pin; /* reaches this node alone, if above 0: node + 1 */
 	double pin_until;
-	bool waiting; /* a report is out */
+	bool told_deaf; /* orders were given while it could not hear them */
+	bool waiting;	/* a report is out */
 	uint64_t report_id;
 	int node;
 	struct sim_task tasks[SIM_TASKS];
