--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -546,7 +546,7 @@
 			 up)
 			ws_give_back(c, m, "silent");
 		else if (m->reported && !ws_machine_hears(m) && heard * 2 >= up && up &&
-			 c->now - fmax(m->token_at, c->elected_at) >
+			 c->now - fmax(fmax(m->token_at, m->up_at), c->elected_at) >
 			     c->set->lease_s * c->pol.silent_ratio + c->set->report_s)
 			ws_give_back(c, m, "no answer reaches it");
 		else if (m->reported && !m->nslots && !m->noticed &&
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -44,7 +44,7 @@
 	pthread_mutex_t lock; /* the core's; never held across input or output */
 	struct ws_server *server;
 	struct ws_client *state, *watch, *cloud;
-	struct ws_worker *workers, *lately;
+	struct ws_worker *workers, *lately, *retired;
 	double peers_bad; /* until then reports are not passed on: the leader is named instead */
 	int relays;	  /* reports passed on and not answered yet */
 	struct ws_peers *peers;
@@ -260,12 +260,23 @@
 	ws_call_done(ctx, f ? (int)f->status : 0, "{}", 2);
 }
 
-static void ws_worker_free(struct ws_service *v, struct ws_worker *w)
+/* Its client may be on the stack, in whose callback this is: it is freed by the timer. */
+static void ws_worker_retire(struct ws_service *v, struct ws_worker *w)
 {
 	HASH_DEL(v->workers, w);
 	DL_DELETE(v->lately, w);
-	ws_client_free(w->client);
-	free(w);
+	DL_APPEND(v->retired, w);
+}
+
+static void ws_workers_free(struct ws_service *v)
+{
+	struct ws_worker *w, *t;
+
+	DL_FOREACH_SAFE (v->retired, w, t) {
+		DL_DELETE(v->retired, w);
+		ws_client_free(w->client);
+		free(w);
+	}
 }
 
 /*
@@ -287,7 +298,7 @@
 	if ((int)HASH_COUNT(v->workers) >= v->set->max_sockets / 8 + 1) {
 		DL_FOREACH_SAFE (v->lately, w, t)
 			if (ws_client_idle(w->client, ws_now(), 0)) {
-				ws_worker_free(v, w);
+				ws_worker_retire(v, w);
 				break;
 			}
 		if (!w)
@@ -649,6 +660,7 @@
 
 	(void)loop;
 	(void)revents;
+	ws_workers_free(v);
 	pthread_mutex_lock(&v->lock);
 	ws_core_tick(v->core, now);
 	due = ws_core_measure(v->core, now, &m);
@@ -667,7 +679,7 @@
 		v->sweep_at = now + v->set->lease_s;
 		HASH_ITER (hh, v->workers, x, t)
 			if (ws_client_idle(x->client, now, 4 * v->set->lease_s))
-				ws_worker_free(v, x);
+				ws_worker_retire(v, x);
 	}
 }
 
@@ -756,7 +768,8 @@
 	ws_client_free(v->watch);
 	ws_client_free(v->cloud);
 	HASH_ITER (hh, v->workers, w, t)
-		ws_worker_free(v, w);
+		ws_worker_retire(v, w);
+	ws_workers_free(v);
 	ws_peers_free(v->peers);
 	HASH_ITER (hh, v->pending, p, q)
 		ws_pending_free(p);
