--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -393,7 +393,6 @@
 void ws_rental_dirty(struct ws_core *c, struct ws_rental *r);
 void ws_rental_written(struct ws_core *c, struct ws_rental *r, bool deleted);
 void ws_rental_free(struct ws_core *c, struct ws_rental *r);
-int ws_rentals_held(struct ws_core *c, int *booting);
 bool ws_boot_late(const struct ws_core *c, const struct ws_machine *m);
 bool ws_refused(struct ws_core *c, const char *type, const char *zone, bool spot);
 
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -53,28 +53,39 @@
 	return !m->reported && c->now - m->first_seen > boot * c->pol.boot_patience;
 }
 
-/* Rentals that count against k; those that boot are counted apart as well. */
-int ws_rentals_held(struct ws_core *c, int *booting)
+/* A machine in machine-loads: its size over that of a middling one. */
+static double ws_load_size(const struct ws_core *c, const struct ws_type *t)
+{
+	double size = 0;
+
+	for (size_t i = 0; i < c->ntypes; i++)
+		size += c->types[i].cpus / (double)c->ntypes;
+	return t && size > 0 ? t->cpus / size : 1;
+}
+
+/* Rentals that count against k, in machine-loads; how many they are and boot is told as well. */
+static double ws_rentals_held(struct ws_core *c, int *held, int *booting)
 {
 	struct ws_machine *m, *mt;
 	struct ws_rental *r, *rt;
-	int n = 0, b = 0;
+	double loads = 0;
 
+	*held = *booting = 0;
 	HASH_ITER (hh, c->machines, m, mt) {
 		if (m->owned || m->gone || m->failed || m->returning || ws_boot_late(c, m))
 			continue;
-		n++;
-		b += !m->reported;
+		loads += ws_load_size(c, m->type);
+		*held += 1;
+		*booting += !m->reported;
 	}
 	HASH_ITER (hh, c->rentals, r, rt)
 		if (r->state == WS_RENTAL_NEW || r->state == WS_RENTAL_RECORDED ||
 		    r->state == WS_RENTAL_ASKING) {
-			n += (int)r->count;
-			b += (int)r->count;
+			loads += r->count * ws_load_size(c, ws_type_find(c, r->type));
+			*held += (int)r->count;
+			*booting += (int)r->count;
 		}
-	if (booting)
-		*booting = b;
-	return n;
+	return loads;
 }
 
 bool ws_refused(struct ws_core *c, const char *type, const char *zone, bool spot)
@@ -265,7 +276,8 @@
 	struct ws_rental *r, *rt;
 	struct ws_bin *first = NULL;
 	uint32_t wanted[WS_MAX_TYPES][WS_MAX_ZONES][2] = {0};
-	int allowed, booting, limit, gang = 0;
+	int held, booting, limit, gang = 0;
+	double allowed;
 	double waited = 0, tasks = 0;
 
 	c->loads = 0;
@@ -318,7 +330,7 @@
 		limit = c->pol.rental_ceiling;
 	if (gang > limit) /* k is at least what the largest waiting gang lacks */
 		limit = gang < c->pol.rental_ceiling ? gang : c->pol.rental_ceiling;
-	allowed = limit - ws_rentals_held(c, &booting);
+	allowed = limit - ws_rentals_held(c, &held, &booting);
 	for (int b = 0; b < bins.n && !first; b++)
 		if (bins.b[b].zi >= 0 &&
 		    wanted[bins.b[b].type - c->types][bins.b[b].zi][bins.b[b].spot])
@@ -330,8 +342,10 @@
 		uint32_t count = wanted[first->type - c->types][first->zi][first->spot];
 		struct ws_rental *x;
 
-		if (count > (uint32_t)allowed)
-			count = (uint32_t)allowed;
+		double room = ceil(allowed / ws_load_size(c, first->type));
+
+		if (count > room)
+			count = (uint32_t)room;
 		if (count > WS_RENT_HOSTS)
 			count = WS_RENT_HOSTS;
 		x = calloc(1, sizeof(*x));
@@ -352,8 +366,8 @@
 		ws_log(
 		    c, WS_LOG_INFO,
 		    "rent %u x %s in %s%s (%s): %d loads wait, %d rentals held, %d booting, k %d",
-		    count, x->type, x->zone, x->spot ? ", spot" : "", x->booking, c->loads,
-		    ws_rentals_held(c, NULL) - (int)count, booting, c->k);
+		    count, x->type, x->zone, x->spot ? ", spot" : "", x->booking, c->loads, held,
+		    booting, c->k);
 	}
 	free(bins.b);
 }
@@ -655,7 +669,7 @@
 {
 	struct ws_machine *x, *xt;
 	double span, services = 0, size = 0, boot = 0;
-	int owned = 0;
+	double owned = 0;
 
 	if (c->role != WS_LEADER || c->pol.rental_ceiling < 0 || now < c->size_next || !c->ntypes)
 		return false;
@@ -671,7 +685,7 @@
 	}
 	HASH_ITER (hh, c->machines, x, xt) {
 		if (x->owned && ws_machine_hears(x) && c->now - x->heard < 3 * c->set->report_s)
-			owned++;
+			owned += ws_load_size(c, x->type);
 		for (struct ws_slot *s = x->slots; s; s = s->next)
 			if (s->job && s->job->spec.service)
 				services += s->job->spec.cpus / size;
@@ -682,7 +696,7 @@
 	m->lambda = c->work_arrived / span;
 	m->mu = c->busy_time > 0 ? c->work_done / c->busy_time : 0;
 	m->alpha = c->boot_n > 0 ? c->boot_n / c->boot_sum : boot > 0 ? 1 / boot : 0;
-	m->owned = owned - (int)services > 0 ? owned - (int)services : 0;
+	m->owned = owned > services ? (int)(owned - services) : 0;
 	m->ceiling = c->pol.rental_ceiling;
 	m->waiting_loads = c->pol.waiting_loads >= 0 ? c->pol.waiting_loads : m->ceiling / 2 + 1;
 	m->delta = c->pol.delta;
