A silent machine is called; one that does not answer goes back

Now a machine that missed its report by a third is called without orders, and one that doesn't answer either is returned and given no work meanwhile.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -295,7 +295,7 @@
 
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m)
 {
-	return ws_machine_hears(m) && m->reported && m->type && !m->gone && !m->returning &&
+	return ws_machine_hears(m) && !m->mute && m->reported && m->type && !m->gone && !m->returning &&
 	       !m->failed && m->tenure && c->now - m->heard < 3 * c->set->report_s &&
 	       c->now < m->alive_until && c->now >= m->quarantine_until &&
 	       c->now >= m->refused_until && !m->noticed;
@@ -584,6 +584,7 @@
 	if (r->epoch > m->token)
 		m->token = r->epoch;
 	newer = r->tenure > m->tenure || r->counter > m->counter || !m->reported;
+	m->mute = false;
 	if (newer) {
 		m->heard = c->now;
 		ws_fleet_read(c, m, r);
@@ -621,6 +622,7 @@
 		return; /* never left us: the next reply carries it */
 	if (r->report && !strcmp(r->report->machine, m->name)) {
 		c->relay_since = 0; /* it can be reached from here */
+		m->mute = false;
 		if (r->report->tenure > m->tenure ||
 		    (r->report->tenure == m->tenure && r->report->counter > m->counter) ||
 		    !m->reported) {
@@ -628,6 +630,8 @@
 			ws_fleet_read(c, m, r->report);
 		}
 	} else if (!call->norders) {
+		if (c->now - m->heard > 1.3 * c->set->report_s)
+			m->mute = true;
 		return; /* a greeting: nothing of it can do harm; its token may be met again */
 	} else {
 		/* it may arrive later: until the worker knows a higher epoch, nothing of it can be
@@ -688,8 +692,10 @@
 	int most = 32 + (int)HASH_COUNT(c->machines) / 8;
 
 	HASH_ITER (hh, c->machines, m, t) {
-		if (ws_machine_hears(m) || !m->port || !m->host[0] || m->gone || m->returning ||
-		    m->commands || c->now < m->greet_next)
+		/* so is one that has not reported for longer than it may take to */
+		if ((ws_machine_hears(m) && c->now - m->heard < 1.3 * c->set->report_s) ||
+		    !m->port || !m->host[0] || m->gone || m->returning || m->commands ||
+		    c->now < m->greet_next)
 			continue;
 		m->greet_next = c->now + c->set->report_s;
 		ws_orders_call(c, m);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -118,6 +118,7 @@
 	uint64_t token;	 /* what we give it; its own echo proves that it hears us */
 	double token_at; /* since when */
 	double greet_next;
+	bool mute; /* silent, and a call to it got no answer either */
 	double heard;	    /* when the newest report came in */
 	double alive_until; /* its tasks may live until then, as far as answers given tell */
 	double first_seen, up_at;
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -555,6 +555,9 @@
 		else if (m->noticed && c->now > m->notice_until &&
 			 c->now - m->heard > 1.5 * c->set->report_s && heard * 2 >= up)
 			ws_give_back(c, m, "taken after its notice"); /* to have it confirmed */
+		else if (m->mute && m->reported && heard * 2 >= up &&
+			 c->now - base > 1.3 * c->set->report_s)
+			ws_give_back(c, m, "silent, and no answer to a call");
 		else if ((m->reported || m->on_record) &&
 			 c->set->lease_s * c->pol.silent_ratio < c->now - base && heard * 2 >= up &&
 			 up)
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -364,7 +364,9 @@
 		break;
 	case WS_CALL_ORDERS:
 		to = ws_worker_client(v, call->host, call->port);
-		timeout = v->set->report_s;
+		/* one without orders only asks whether the machine is there */
+		timeout = call->norders ? v->set->report_s
+					: fmin(v->set->report_s, v->set->lease_s / 16);
 		break;
 	case WS_CALL_TXN:
 		if (!call->paced && !ws_write_allowed(v, call->nops)) {
