--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -295,10 +295,10 @@
 
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m)
 {
-	return ws_machine_hears(m) && !m->mute && m->reported && m->type && !m->gone && !m->returning &&
-	       !m->failed && m->tenure && c->now - m->heard < 3 * c->set->report_s &&
-	       c->now < m->alive_until && c->now >= m->quarantine_until &&
-	       c->now >= m->refused_until && !m->noticed;
+	return ws_machine_hears(m) && !m->mute && m->reported && m->type && !m->gone &&
+	       !m->returning && !m->failed && m->tenure &&
+	       c->now - m->heard < 3 * c->set->report_s && c->now < m->alive_until &&
+	       c->now >= m->quarantine_until && c->now >= m->refused_until && !m->noticed;
 }
 
 static void ws_cache_touch(struct ws_core *c, struct ws_machine *m, int image)
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -210,6 +210,18 @@
 	return taken;
 }
 
+/* The paper's W'q: the wait that users are promised within their guarantee. */
+static double ws_bound(const struct ws_core *c)
+{
+	if (c->pol.latency_bound_s > 0)
+		return c->pol.latency_bound_s;
+	for (size_t i = 0; i < c->set->nobjectives; i++)
+		if (!strcmp(c->set->objectives[i].kind, "guarantee") &&
+		    c->set->objectives[i].within_s > 0)
+			return c->set->objectives[i].within_s;
+	return c->set->lease_s / 4;
+}
+
 /* The kind of machine that costs least for what waits. */
 static bool ws_kind_for(struct ws_core *c, const struct ws_lack *l, uint32_t tasks,
 			const struct ws_bins *bins, struct ws_bin *kind)
@@ -217,6 +229,8 @@
 	const struct ws_spec *s = &l->job->spec;
 	double best = 0;
 	bool found = false;
+	/* work that may use spot machines waits for one as long as it may wait for any */
+	bool patient = s->spot && c->now - l->job->lack_since < ws_bound(c);
 
 	for (size_t i = 0; i < c->ntypes; i++) {
 		const struct ws_type *t = &c->types[i];
@@ -231,7 +245,7 @@
 			fit = fmin(fit, floor(t->gpus / s->gpus + 1e-9));
 		fit = fmax(1, fmin(fit, tasks));
 		for (size_t z = 0; z < t->nzones; z++)
-			for (int spot = 0; spot < (s->spot ? 2 : 1); spot++) {
+			for (int spot = patient; spot < (s->spot ? 2 : 1); spot++) {
 				double cost = (spot ? t->spot_price : t->price) / fit;
 				int same = 0;
 
@@ -256,18 +270,6 @@
 	return found;
 }
 
-/* The paper's W'q: the wait that users are promised within their guarantee. */
-static double ws_bound(const struct ws_core *c)
-{
-	if (c->pol.latency_bound_s > 0)
-		return c->pol.latency_bound_s;
-	for (size_t i = 0; i < c->set->nobjectives; i++)
-		if (!strcmp(c->set->objectives[i].kind, "guarantee") &&
-		    c->set->objectives[i].within_s > 0)
-			return c->set->objectives[i].within_s;
-	return c->set->lease_s / 4;
-}
-
 /* Called at the end of a placement pass with all that found no room. */
 void ws_rentals_plan(struct ws_core *c)
 {
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -365,8 +365,8 @@
 	case WS_CALL_ORDERS:
 		to = ws_worker_client(v, call->host, call->port);
 		/* one without orders only asks whether the machine is there */
-		timeout = call->norders ? v->set->report_s
-					: fmin(v->set->report_s, v->set->lease_s / 16);
+		timeout =
+		    call->norders ? v->set->report_s : fmin(v->set->report_s, v->set->lease_s / 16);
 		break;
 	case WS_CALL_TXN:
 		if (!call->paced && !ws_write_allowed(v, call->nops)) {
