--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -390,6 +390,7 @@
 	uint32_t zones;
 };
 void ws_rentals_want(struct ws_core *c, struct ws_job *j, uint32_t tasks, uint32_t zones);
+double ws_bound(const struct ws_core *c);
 void ws_rentals_plan(struct ws_core *c);
 void ws_rental_dirty(struct ws_core *c, struct ws_rental *r);
 void ws_rental_written(struct ws_core *c, struct ws_rental *r, bool deleted);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -433,6 +433,22 @@
 	return true;
 }
 
+/*
+ * Half of what is promised, to work within its guarantee or to its class if that is less, once the
+ * image's fetch is taken off.
+ */
+static double ws_patience(const struct ws_core *c, const struct ws_job *j, double within)
+{
+	double bound = ws_bound(c), fetch = 0;
+
+	for (size_t i = 0; i < c->ntypes; i++)
+		if (c->types[i].fetch_gb_s > 0)
+			fetch += j->spec.image_gb / c->types[i].fetch_gb_s / (double)c->ntypes;
+	if (within > 0 && within < bound)
+		bound = within;
+	return bound > fetch ? (bound - fetch) / 2 : 0;
+}
+
 static uint32_t ws_next_waiting(struct ws_job *j)
 {
 	uint32_t t = j->scan;
@@ -578,7 +594,11 @@
 			want -= n;
 		}
 	}
-	if (want)
+	/* others' work ends all the time: it is stopped only when waiting for that takes too long
+	 */
+	if (want &&
+	    (j->spec.tier == WS_PRODUCTION ||
+	     c->now - (j->lack_since > 0 ? j->lack_since : c->now) >= ws_patience(c, j, within)))
 		want -= ws_preempt(p, j, want, j->prompt && !j->guaranteed);
 	lack = want;
 	if (!lack) {
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -211,7 +211,7 @@
 }
 
 /* The paper's W'q: the wait that users are promised within their guarantee. */
-static double ws_bound(const struct ws_core *c)
+double ws_bound(const struct ws_core *c)
 {
 	if (c->pol.latency_bound_s > 0)
 		return c->pol.latency_bound_s;
