--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -279,6 +279,7 @@
 	struct ws_bin *first = NULL;
 	uint32_t wanted[WS_MAX_TYPES][WS_MAX_ZONES][2] = {0};
 	int held, booting, limit, gang = 0;
+	uint32_t most = 0;
 	double allowed;
 	double waited = 0, tasks = 0;
 
@@ -325,7 +326,7 @@
 			gang = c->loads - before;
 	}
 	c->nlacks = 0;
-	/* the first kind asked for goes first: its tasks are served first */
+	/* one request a second: the kind most are wanted of goes first */
 	limit = c->k < 0 ? c->pol.rental_ceiling : c->k;
 	/* while the wait as it is exceeds the bound, k rises further, whatever the queue says */
 	if (tasks > 0 && waited / tasks > ws_bound(c))
@@ -333,10 +334,15 @@
 	if (gang > limit) /* k is at least what the largest waiting gang lacks */
 		limit = gang < c->pol.rental_ceiling ? gang : c->pol.rental_ceiling;
 	allowed = limit - ws_rentals_held(c, &held, &booting);
-	for (int b = 0; b < bins.n && !first; b++)
-		if (bins.b[b].zi >= 0 &&
-		    wanted[bins.b[b].type - c->types][bins.b[b].zi][bins.b[b].spot])
-			first = &bins.b[b];
+	for (int b = 0; b < bins.n; b++) {
+		struct ws_bin *x = &bins.b[b];
+		uint32_t n = x->zi < 0 ? 0 : wanted[x->type - c->types][x->zi][x->spot];
+
+		if (n > most) {
+			first = x;
+			most = n;
+		}
+	}
 	/* machines that are well get a report period to make themselves known to a new leader */
 	if (first && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next &&
 	    c->now - c->elected_at > c->set->report_s) {
