--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -178,6 +178,9 @@
 	return fit > 0 ? (uint32_t)fit : 0;
 }
 
+/* More machines than this are not all looked at for work to stop. */
+#define WS_VICTIMS 64
+
 /* What one pass goes by. */
 struct ws_pass {
 	struct ws_core *c;
@@ -186,6 +189,7 @@
 	struct ws_machine **fit; /* scratch, of the same size */
 	struct ws_victim {
 		double cost;
+		size_t at; /* its place in first fit's order */
 		struct ws_machine *m;
 	} * victims;
 	int lowest; /* rank of what runs */
@@ -242,7 +246,9 @@
 {
 	const struct ws_victim *a = pa, *b = pb;
 
-	return a->cost < b->cost ? -1 : a->cost > b->cost;
+	if (a->cost != b->cost)
+		return a->cost < b->cost ? -1 : 1;
+	return a->at < b->at ? -1 : a->at > b->at;
 }
 
 /* Stops what loses least to make room on each machine; the number of tasks with room to come. */
@@ -261,7 +267,8 @@
 	    !(zones & ~p->vain_zones))
 		return 0;
 	/* the cheapest of some, looked for from another machine on each time */
-	for (size_t k = 0, from = c->pass; k < p->n && n < 2 * (size_t)want + 16; k++) {
+	for (size_t k = 0, from = p->n > WS_VICTIMS ? c->pass : 0;
+	     k < p->n && n < 2 * (size_t)want + WS_VICTIMS; k++) {
 		struct ws_machine *m = p->ms[(k + from) % p->n];
 		double cost;
 
@@ -271,7 +278,7 @@
 			continue;
 		cost = ws_preempt_on(c, j, m, false);
 		if (cost >= 0)
-			p->victims[n++] = (struct ws_victim){cost, m};
+			p->victims[n++] = (struct ws_victim){cost, k, m};
 	}
 	if (!n && !cached) {
 		p->vain = true;
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -621,12 +621,14 @@
 	if (!ws_entitled(c) || c->in_outage || c->now < c->rent_next)
 		return;
 	c->rent_next = c->now + ws_sweep_every(c);
-	/* records of rentals need not be newer than lists of machines are */
+	/* records of rentals need not be newer than lists of machines are, if changes are short */
 	bool tidy = c->rentals_stale && c->now >= c->tidy_next;
 
 	if (tidy) {
 		c->rentals_stale = false;
-		c->tidy_next = c->now + c->set->list_lag_s;
+		c->tidy_next = c->now + (c->flush_tokens > c->flush_rate / 4
+						 ? fmin(c->set->lease_s / 32, c->set->list_lag_s)
+						 : c->set->list_lag_s);
 	}
 	if (c->owned_known) { /* else rentals could not be told from what was here before */
 		HASH_ITER (hh, c->rentals, r, rt) {
