Twelve images a machine on the fleet's record, by number

Cause: a new leader knew four images of a machine where it knew eight before, half a lease old at most times; it placed and consolidated worse after each failover.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -79,7 +79,7 @@
 /* Machines a record holds: an entry with its images takes less than this many bytes. */
 int ws_chunk_size(const struct ws_core *c)
 {
-	int n = (int)(c->set->value_kb * 1024 / 160);
+	int n = (int)(c->set->value_kb * 1024 / 192);
 
 	return n < 1 ? 1 : n;
 }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -15,7 +15,7 @@
 #define WS_ATTEMPT_SHIFT 24
 #define WS_CACHE_MAX 24
 #define WS_MAX_CHUNKS 100000
-#define WS_CACHE_KEPT 4 /* of them in the fleet's record */
+#define WS_CACHE_KEPT 12 /* of them in the fleet's record */
 /* Clocks of two machines drift apart by this share at most (the protocol's figure, doubled). */
 #define WS_DRIFT 0.001
 
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -330,39 +330,55 @@
 	return json_object_set_new(v, "ph", json_string(phases[WS_CANCELLED])) == 0;
 }
 
-/* Machines with their addresses and newest images, so that the next leader can greet them. */
+/*
+ * Machines with their addresses and newest images, so that the next leader can greet them and place
+ * as well as the last one: {"im": images, "m": [[name, host, port, type, zone, spot, tenure, which
+ * of the images], ...]}.
+ */
 json_t *ws_record_chunk(struct ws_core *c, int chunk)
 {
-	json_t *a = json_array();
+	json_t *a = json_array(), *names = json_array();
 	struct ws_machine *m, *t;
 	size_t size = 64, limit = (size_t)(c->set->value_kb * 1024);
+	int *at = calloc((size_t)c->nimages + 1, sizeof(*at)); /* place among the names, from 1 */
 
+	if (!at)
+		abort();
 	HASH_ITER (hh, c->machines, m, t) {
 		json_t *im;
 
 		if (m->chunk != chunk || m->gone || !m->port)
 			continue;
 		size += strlen(m->name) + strlen(m->host) + strlen(m->type_name) + strlen(m->zone) +
-			60 + 19 * WS_CACHE_KEPT;
+			60 + 4 * WS_CACHE_KEPT;
 		if (size > limit) /* names longer than reckoned: the rest will not be greeted */
 			break;
 		im = json_array();
-		for (int i = 0; i < m->ncache && i < WS_CACHE_KEPT; i++)
-			if (strlen(c->image_names[m->cache[i]]) < 16)
-				json_array_append_new(im, json_string(c->image_names[m->cache[i]]));
+		for (int i = 0; i < m->ncache && i < WS_CACHE_KEPT; i++) {
+			const char *name = c->image_names[m->cache[i]];
+
+			if (!at[m->cache[i]] && size + strlen(name) + 3 < limit) {
+				size += strlen(name) + 3;
+				json_array_append_new(names, json_string(name));
+				at[m->cache[i]] = (int)json_array_size(names);
+			}
+			if (at[m->cache[i]])
+				json_array_append_new(im, json_integer(at[m->cache[i]] - 1));
+		}
 		json_array_append_new(a, json_pack("[s,s,i,s,s,b,I,o]", m->name, m->host, m->port,
 						   m->type_name, m->zone, m->spot,
 						   (json_int_t)m->tenure, im));
 	}
-	return a;
+	free(at);
+	return json_pack("{s:o,s:o}", "im", names, "m", a);
 }
 
 void ws_record_read_chunk(struct ws_core *c, json_t *v, int chunk)
 {
-	json_t *e, *im, *x;
+	json_t *e, *im, *x, *names = json_object_get(v, "im");
 	size_t i, k;
 
-	json_array_foreach (v, i, e) {
+	json_array_foreach (json_object_get(v, "m"), i, e) {
 		const char *name, *host, *type, *zone;
 		int port, spot;
 		json_int_t tenure;
@@ -384,8 +400,11 @@
 		if ((uint64_t)tenure > m->tenure)
 			m->tenure = (uint64_t)tenure;
 		json_array_foreach (im, k, x) {
-			if (json_is_string(x) && m->ncache < WS_CACHE_KEPT)
-				m->cache[m->ncache++] = ws_image_id(c, json_string_value(x));
+			const char *image = json_string_value(
+			    json_array_get(names, (size_t)json_integer_value(x)));
+
+			if (image && m->ncache < WS_CACHE_KEPT)
+				m->cache[m->ncache++] = ws_image_id(c, image);
 		}
 	}
 }
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -921,7 +921,8 @@
 		char name[16];
 
 		if (k->writing || !((k->dirty && c->now - k->dirty_at > c->set->lease_s / 32) ||
-				    (k->images && c->now - k->written_at > c->set->lease_s)))
+				    (k->images && c->now - k->written_at > c->set->lease_s / 2 &&
+				     c->flush_tokens > c->flush_rate / 4)))
 			continue;
 		k->dirty = k->images = false;
 		k->writing = true;
