--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -524,7 +524,6 @@
 	size_t nfit = 0, room;
 	int zone = -1;
 
-	ws_job_fits(c, j);
 	j->prompt = within > 0;
 	if (!team)
 		return;
@@ -657,6 +656,7 @@
 			all[n++] = j;
 	ws_mark_guaranteed(c, all, n);
 	for (size_t i = 0; i < n; i++) {
+		ws_job_fits(c, all[i]); /* also of those that only run: they may have to move */
 		if (all[i]->nslots && ws_rank(all[i]) < p.lowest)
 			p.lowest = ws_rank(all[i]);
 		all[i]->aged = all[i]->waiting && ws_aged(c, all[i]);
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -400,8 +400,8 @@
 		if ((uint64_t)tenure > m->tenure)
 			m->tenure = (uint64_t)tenure;
 		json_array_foreach (im, k, x) {
-			const char *image = json_string_value(
-			    json_array_get(names, (size_t)json_integer_value(x)));
+			const char *image =
+			    json_string_value(json_array_get(names, (size_t)json_integer_value(x)));
 
 			if (image && m->ncache < WS_CACHE_KEPT)
 				m->cache[m->ncache++] = ws_image_id(c, image);
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -627,8 +627,8 @@
 	if (tidy) {
 		c->rentals_stale = false;
 		c->tidy_next = c->now + (c->flush_tokens > c->flush_rate / 4
-						 ? fmin(c->set->lease_s / 32, c->set->list_lag_s)
-						 : c->set->list_lag_s);
+					     ? fmin(c->set->lease_s / 32, c->set->list_lag_s)
+					     : c->set->list_lag_s);
 	}
 	if (c->owned_known) { /* else rentals could not be told from what was here before */
 		HASH_ITER (hh, c->rentals, r, rt) {
