--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -118,7 +118,7 @@
 	uint64_t token;	 /* what we give it; its own echo proves that it hears us */
 	double token_at; /* since when */
 	double greet_next;
-	bool mute; /* silent, and a call to it got no answer either */
+	bool mute;	    /* silent, and a call to it got no answer either */
 	double heard;	    /* when the newest report came in */
 	double alive_until; /* its tasks may live until then, as far as answers given tell */
 	double first_seen, up_at;
@@ -233,6 +233,7 @@
 	bool seen_ready, seen_inflight;
 	uint64_t seen_rev;
 	double seen_next, seen_at;
+	struct ws_final *finals;
 	struct ws_poll *polls; /* waiting for the copy to be found current */
 	struct ws_redirect *redirects;
 	double redirects_next;
@@ -272,8 +273,8 @@
 	struct ws_job *dirty_jobs;
 	struct ws_rental *dirty_rentals;
 	double sweep_next, rent_next;
-	bool rentals_stale; /* a machine went: records of rentals may be out of date */
-	uint64_t steps;	    /* of work in placement, for tests */
+	bool rentals_stale;	/* a machine went: records of rentals may be out of date */
+	uint64_t steps, passes; /* of work in placement, for tests */
 	bool flushing;
 	double flush_next, chunk_next;
 	int flush_fails;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -550,8 +550,9 @@
 	want = (uint32_t)most;
 	room = ws_record_room(c, j);
 	attempt = ((c->epoch >> WS_EPOCH_SHIFT) << WS_ATTEMPT_SHIFT) + ++c->attempt_seq;
-	/* machines with room, those preferred first: 0 to 3 by owner and image */
-	for (size_t i = 0; i < p->n; i++) {
+	/* machines with room, those preferred first: 0 to 3 by owner and image; no more than needed
+	 */
+	for (size_t i = 0, sure = 0; i < p->n && sure < want; i++) {
 		struct ws_machine *m = p->ms[i];
 
 		c->steps++;
@@ -562,6 +563,8 @@
 			m->rank = here ? 0 : 1;
 			if (!j->prompt && !m->owned)
 				m->rank += 2;
+			if (!m->rank)
+				sure += ws_fit(j, m, want, true);
 			p->fit[nfit++] = m;
 		}
 	}
@@ -650,6 +653,7 @@
 	if (!all || !p.ms || !p.victims)
 		abort();
 	c->place_wanted = false;
+	c->passes++;
 	c->place_next = c->now + ws_sweep_every(c) / 2;
 	HASH_ITER (hh, c->jobs, j, jt)
 		if (!ws_job_over(j))
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -23,6 +23,13 @@
 	UT_hash_handle hh;
 };
 
+struct ws_final { /* the answer about a job that is over: it never changes */
+	char id[WS_ID_MAX];
+	enum ws_phase phase;
+	uint32_t done;
+	UT_hash_handle hh;
+};
+
 struct ws_poll {
 	char id[WS_ID_MAX];
 	uint64_t token;
@@ -275,10 +282,40 @@
 
 /* ---- poll ---- */
 
+/* Some thousands are kept, the newest, so that asking again costs the state service nothing. */
+#define WS_FINALS 4096
+
+static void ws_final_keep(struct ws_core *c, const char *id, json_t *value)
+{
+	struct ws_final *f;
+	enum ws_phase phase;
+	uint32_t done, running;
+
+	HASH_FIND_STR(c->finals, id, f);
+	if (f || !ws_record_read_phase(value, &phase, &done, &running) ||
+	    (phase != WS_DONE && phase != WS_CANCELLED))
+		return;
+	if (HASH_COUNT(c->finals) >= WS_FINALS) {
+		f = c->finals; /* the oldest: the table keeps the order of adding */
+		HASH_DEL(c->finals, f);
+	} else {
+		f = malloc(sizeof(*f));
+	}
+	if (!f)
+		return;
+	memset(f, 0, sizeof(*f));
+	snprintf(f->id, sizeof(f->id), "%s", id);
+	f->phase = phase;
+	f->done = done;
+	HASH_ADD_STR(c->finals, id, f);
+}
+
 static void ws_poll_old(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
 	struct ws_ask *ask = call->ctx;
 
+	if (r->status == 200 && r->nkvs == 1)
+		ws_final_keep(c, call->ctx_name, r->kvs[0].value);
 	if (r->status == 200)
 		ws_state_answer(c, call, r, true);
 	else if (r->status == 404)
@@ -481,9 +518,15 @@
 void ws_core_poll(struct ws_core *c, double now, uint64_t token, const char *id, bool relayed)
 {
 	struct ws_poll *p;
+	struct ws_final *f;
 
 	if (now > c->now)
 		c->now = now;
+	HASH_FIND_STR(c->finals, id, f);
+	if (f) {
+		ws_known_answer(c, token, id, f->phase, f->done, 0, true);
+		return;
+	}
 	if (!relayed && ws_state_refuses(c)) {
 		ws_cannot(c, token, id, relayed, 503);
 		return;
@@ -646,11 +689,17 @@
 	struct ws_redirect *d, *t;
 	struct ws_poll *p, *n;
 
+	struct ws_final *f, *fn;
+
 	ws_seen_clear(c);
 	DL_FOREACH_SAFE (c->polls, p, n) {
 		DL_DELETE(c->polls, p);
 		free(p);
 	}
+	HASH_ITER (hh, c->finals, f, fn) {
+		HASH_DEL(c->finals, f);
+		free(f);
+	}
 
 	HASH_ITER (hh, c->redirects, d, t) {
 		HASH_DEL(c->redirects, d);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -86,7 +86,7 @@
 	int cap_limit;
 	struct sim_worker *w;
 	int nw, vms;
-	struct sim_job *jobs;
+	struct sim_job *jobs, *by_id;
 	int njobs;
 	struct sim_kv *kv;
 	struct sim_event *hist;
@@ -117,7 +117,7 @@
 	int late_orders;
 	double late_orders_by;
 	double copies_by, copies_until; /* reports arrive once more, up to so much later */
-	uint64_t commands, requests, changes;
+	uint64_t commands, starts, polls, asked, changes; /* counts, for their ratios */
 	enum ws_call_kind crash_kind;
 	enum sim_crash crash;
 	int crash_skip;
@@ -243,6 +243,8 @@
 	size_t n;
 
 	r->status = 200;
+	s->asked += c->kind == WS_CALL_GET;
+	s->changes += c->kind == WS_CALL_TXN && c->paced ? c->nops : 0;
 	switch (c->kind) {
 	case WS_CALL_GET:
 		HASH_FIND_STR(s->kv, c->key, k);
@@ -330,10 +332,10 @@
 
 static struct sim_job *job_of(struct sim *s, const char *id)
 {
-	for (int i = 0; i < s->njobs; i++)
-		if (!strcmp(s->jobs[i].spec.id, id))
-			return &s->jobs[i];
-	return NULL;
+	struct sim_job *j;
+
+	HASH_FIND(hh, s->by_id, id, strlen(id), j);
+	return j;
 }
 
 static bool on_machine(const struct sim_task *t)
@@ -376,6 +378,7 @@
 		fail(s, "wrong_place: %s/%u on type %s", t->job, t->task, s->types[w->type].t.name);
 	if (j->told_cancelled > 0 && s->now > j->told_cancelled + s->cancel_s)
 		fail(s, "ran_cancelled: %s/%u starts on %s", t->job, t->task, w->name);
+	s->starts++;
 	if (!j->started_at)
 		j->started_at = s->now;
 }
@@ -917,6 +920,7 @@
 		return;
 	}
 	if (c->kind == WS_CALL_WATCH) {
+		s->asked += !c->ms;
 		bool blind =
 		    s->now < s->state_down || s->now < nd->refused || s->now < nd->cut_state;
 
@@ -1051,6 +1055,7 @@
 		ws_core_submit(nd->core, s->now * (1 + nd->skew), s->now + 1e9, j->pending,
 			       &j->spec, false);
 	} else if (kind == ASK_POLL) {
+		s->polls++;
 		ws_core_poll(nd->core, s->now * (1 + nd->skew), j->pending, j->spec.id, false);
 	} else {
 		ws_core_abort(nd->core, s->now * (1 + nd->skew), j->pending, j->spec.id, false);
@@ -1290,6 +1295,7 @@
 	j->submit_at = at;
 	j->node = s->njobs;
 	j->task_done = calloc(p->tasks, sizeof(bool));
+	HASH_ADD_KEYPTR(hh, s->by_id, p->id, strlen(p->id), j);
 }
 
 bool sim_line(struct sim *s, char *line, char *err, size_t n)
@@ -1489,6 +1495,20 @@
 		i = atoi(a) % s->nnodes;
 		if (!s->nodes[i].up || ws_core_ready(s->nodes[i].core) != !strcmp(what, "healthy"))
 			fail(s, "node %d: not %s", i, what);
+	} else if (!strcmp(what, "per-start") || !strcmp(what, "per-poll")) {
+		/* of changes, of commands or of steps in placement; of requests */
+		double of = !strcmp(what, "per-poll") ? (double)s->polls : (double)s->starts, v = 0;
+
+		if (!strcmp(a, "requests"))
+			v = (double)s->asked;
+		else if (!strcmp(a, "changes"))
+			v = (double)s->changes;
+		else if (!strcmp(a, "commands"))
+			v = (double)s->commands;
+		else if (leader(s) >= 0)
+			v = (double)s->nodes[leader(s)].core->steps;
+		if (!of || v / of > atof(b))
+			fail(s, "%.3f %s %s", of ? v / of : -1, a, what);
 	} else if (!strcmp(what, "started-within")) { /* job seconds */
 		if (!j || !j->started_at || j->started_at - j->submit_at > atof(b))
 			fail(s, "%s began after %.1f s", a,
@@ -1824,6 +1844,7 @@
 	}
 	for (size_t i = 0; i < s->nhist; i++)
 		json_decref(s->hist[i].value);
+	HASH_CLEAR(hh, s->by_id);
 	for (int i = 0; i < s->njobs; i++)
 		free(s->jobs[i].task_done);
 	free(s->hist);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -55,6 +55,7 @@
 	double pending_at;
 	double started_at;
 	int finishes;
+	UT_hash_handle hh;
 };
 
 struct sim_node {
