--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -380,6 +380,13 @@
 	if (!strcmp(kv->key, "owned")) {
 		const char *n = json_string_value(json_object_get(kv->value, "upto"));
 
+		/* the first version listed them all: the last one counts */
+		for (size_t i = 0; i < json_array_size(kv->value); i++) {
+			const char *x = json_string_value(json_array_get(kv->value, i));
+
+			if (x && (!n || strcmp(x, n) > 0))
+				n = x;
+		}
 		c->owned_seen = true;
 		snprintf(c->owned_upto, sizeof(c->owned_upto), "%s", n ? n : "");
 		c->owned_known = true;
