Records name machines by the rest of their names, so that large jobs fit

Ruled out: room, team limits, stops. Now the beginning that names share, the term and the zone are written once, numbers when they change: about 9 bytes.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -37,6 +37,7 @@
 	m->token_at = c->now;
 	m->owned = c->owned_seen && strcmp(name, c->owned_upto) <= 0;
 	m->zi = m->chunk = -1;
+	m->odd = strpbrk(name, "/#=;,") != NULL;
 	HASH_ADD_STR(c->machines, name, m);
 	c->order_stale = true;
 	return m;
@@ -295,7 +296,7 @@
 
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m)
 {
-	return ws_machine_hears(m) && !m->mute && m->reported && m->type && !m->gone &&
+	return ws_machine_hears(m) && !m->mute && !m->odd && m->reported && m->type && !m->gone &&
 	       !m->returning && !m->failed && m->tenure &&
 	       c->now - m->heard < 3 * c->set->report_s && c->now < m->alive_until &&
 	       c->now >= m->quarantine_until && c->now >= m->refused_until && !m->noticed;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -118,6 +118,7 @@
 	uint64_t token;	 /* what we give it; its own echo proves that it hears us */
 	double token_at; /* since when */
 	double greet_next;
+	bool odd;	    /* its name has what a job's record parts names with: never used */
 	bool mute;	    /* silent, and a call to it got no answer either */
 	double heard;	    /* when the newest report came in */
 	double alive_until; /* its tasks may live until then, as far as answers given tell */
@@ -268,6 +269,7 @@
 	struct ws_machine **order; /* all machines as first fit takes them */
 	size_t norder;
 	bool order_stale;
+	size_t name_shared; /* what the names of all machines begin with */
 	struct ws_chunk *chunks;
 	int nchunks;
 	struct ws_job *dirty_jobs;
@@ -313,7 +315,7 @@
 void ws_state_seen(struct ws_core *c, int status);
 
 /* record.c: records of the state service to JSON and back */
-json_t *ws_record_job(const struct ws_job *j, size_t limit);
+json_t *ws_record_job(const struct ws_core *c, const struct ws_job *j, size_t limit);
 struct ws_job *ws_record_read_job(const char *id, json_t *v);
 json_t *ws_record_final(const struct ws_job *j);
 bool ws_record_read_phase(json_t *v, enum ws_phase *phase, uint32_t *done, uint32_t *running);
@@ -325,7 +327,8 @@
 	uint32_t task;
 };
 size_t ws_record_read_assigned(json_t *v, struct ws_assigned **list);
-size_t ws_record_assign_size(const struct ws_slot *before, const struct ws_slot *s);
+size_t ws_record_assign_size(const struct ws_core *c, const struct ws_slot *before,
+			     const struct ws_slot *s);
 json_t *ws_record_chunk(struct ws_core *c, int chunk);
 void ws_record_read_chunk(struct ws_core *c, json_t *v, int chunk);
 json_t *ws_record_rental(const struct ws_rental *r);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -480,7 +480,7 @@
 		if (t == j->spec.tasks)
 			break;
 		s = ws_slot_add(c, m, j->spec.id, t, attempt);
-		size = ws_record_assign_size(s->jprev != s ? s->jprev : NULL, s);
+		size = ws_record_assign_size(c, s->jprev != s ? s->jprev : NULL, s);
 		if (size > *room) { /* the record holds no more: in slices, then */
 			ws_slot_count(c, s, -1);
 			ws_slot_free(c, s);
@@ -508,7 +508,7 @@
 	room = room * 3 / 4;
 	DL_FOREACH2 (j->slots, s, jnext)
 		if (s->state != WS_SLOT_LEAVING && !s->orphan) {
-			used += (double)ws_record_assign_size(before, s);
+			used += (double)ws_record_assign_size(c, before, s);
 			before = s;
 		}
 	return room > used ? (size_t)(room - used) : 0;
@@ -637,6 +637,12 @@
 	HASH_ITER (hh, c->machines, m, mt)
 		c->order[c->norder++] = m;
 	qsort(c->order, c->norder, sizeof(*c->order), ws_machine_cmp);
+	c->name_shared = c->norder ? strlen(c->order[0]->name) - 1 : 0;
+	for (size_t i = 1; i < c->norder; i++)
+		for (size_t k = 0; k < c->name_shared; k++)
+			if (c->order[i]->name[k] != c->order[0]->name[k] ||
+			    !c->order[i]->name[k + 1])
+				c->name_shared = k;
 	c->order_stale = false;
 }
 
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -69,76 +69,164 @@
 	t->len += (size_t)n;
 }
 
+static size_t ws_digits(uint64_t n)
+{
+	size_t d = 1;
+
+	while (n >= 10) {
+		n /= 10;
+		d++;
+	}
+	return d;
+}
+
+static uint64_t ws_attempt_number(const struct ws_slot *s)
+{
+	return s->attempt & ((1ULL << WS_ATTEMPT_SHIFT) - 1);
+}
+
+/* Told in the same breath: one machine, one attempt's number. */
+static bool ws_same_run(const struct ws_slot *a, const struct ws_slot *b)
+{
+	return a && a->machine == b->machine && a->attempt == b->attempt && a->tenure == b->tenure;
+}
+
 /*
  * What an attempt adds to its job's record at the most, behind 'before', the live one before it in
  * the job's list. When others of the list go, the record never grows by it.
  */
-size_t ws_record_assign_size(const struct ws_slot *before, const struct ws_slot *s)
+size_t ws_record_assign_size(const struct ws_core *c, const struct ws_slot *before,
+			     const struct ws_slot *s)
+{
+	size_t n = ws_digits(s->task) + 1;
+	bool same = before && before->machine->zi == s->machine->zi;
+
+	if (ws_same_run(before, s))
+		return n;
+	/* a name that shares less with the others than all did makes each of them longer by one */
+	n += strlen(s->machine->name) - c->name_shared + 2;
+	if (s->tenure != 1)
+		n += 1 + ws_digits(s->tenure);
+	if (!same || before->attempt != s->attempt)
+		n += 1 + ws_digits(ws_attempt_number(s));
+	if (!same || before->attempt >> WS_ATTEMPT_SHIFT != s->attempt >> WS_ATTEMPT_SHIFT)
+		n += strlen(s->machine->zone) + c->name_shared + 32;
+	return n;
+}
+
+/* What all names of those with this zone and term begin with, short of the whole name. */
+static size_t ws_names_share(const struct ws_job *j, int zi, uint64_t term)
 {
-	if (before && before->machine == s->machine && before->attempt == s->attempt &&
-	    before->tenure == s->tenure)
-		return 6; /* ",12345" */
-	if (before && before->attempt >> WS_ATTEMPT_SHIFT == s->attempt >> WS_ATTEMPT_SHIFT &&
-	    before->machine->zi == s->machine->zi)
-		return strlen(s->machine->name) + 20;
-	return strlen(s->machine->name) + strlen(s->machine->zone) + 48;
+	const struct ws_slot *s;
+	const char *first = NULL;
+	size_t n = 0;
+
+	DL_FOREACH2 (j->slots, s, jnext)
+		if (s->state != WS_SLOT_LEAVING && !s->orphan && s->machine->zi == zi &&
+		    s->attempt >> WS_ATTEMPT_SHIFT == term) {
+			const char *name = s->machine->name;
+
+			if (!first) {
+				first = name;
+				n = strlen(name) - 1;
+			}
+			for (size_t i = 0; i < n; i++)
+				if (name[i] != first[i] || !name[i + 1])
+					n = i;
+		}
+	return n;
+}
+
+static void ws_assigned_close(json_t *a, const struct ws_slot *last, const struct ws_text *t,
+			      size_t share)
+{
+	if (last)
+		json_array_append_new(
+		    a, json_pack("[I,s,s#,s]", (json_int_t)(last->attempt >> WS_ATTEMPT_SHIFT),
+				 last->machine->zone, last->machine->name, (int)share, t->p));
 }
 
 /*
- * Attempts that may be alive: [[term, zone, "machine/tenure/number=0-5,7;machine/..."], ...]. The
- * attempt is the term, shifted, plus the number. Those of one pass share the number and follow each
- * other by machine.
+ * Attempts that may be alive: [[term, zone, beginning of names, "231=0-5,7;232/2#9=8"], ...]: the
+ * rest of the machine's name, its tenure unless 1, the number unless it is the one before, and the
+ * tasks. The attempt is the term, shifted, plus the number; those of one pass share it. Zone by
+ * zone, since it is the names and zones that take the room.
  */
-static json_t *ws_record_assigned(const struct ws_job *j)
+static json_t *ws_record_assigned(const struct ws_core *c, const struct ws_job *j)
 {
 	json_t *a = json_array();
 	struct ws_slot *s;
 	struct ws_text t = {0};
-	const struct ws_slot *last = NULL; /* the one written before */
-
-	for (s = j->slots; s;) {
-		const struct ws_slot *from = s;
-		uint64_t term = s->attempt >> WS_ATTEMPT_SHIFT;
 
+	DL_FOREACH2 (j->slots, s, jnext)
 		s->writing = false;
-		if (s->state == WS_SLOT_LEAVING || s->orphan) {
-			s = s->jnext;
+	for (int zi = -1; zi < c->nzones; zi++) {
+		const struct ws_slot *last = NULL; /* the one written before */
+		size_t share = 0;
+
+		if (zi >= 0 && !j->zone_n[zi])
 			continue;
+		for (s = j->slots; s; s = s->jnext) {
+			uint64_t term = s->attempt >> WS_ATTEMPT_SHIFT;
+			uint32_t from = s->task;
+
+			if (s->state == WS_SLOT_LEAVING || s->orphan || s->machine->zi != zi)
+				continue;
+			if (last && last->attempt >> WS_ATTEMPT_SHIFT != term) {
+				ws_assigned_close(a, last, &t, share);
+				last = NULL;
+				t.len = 0;
+			}
+			if (!last)
+				share = ws_names_share(j, zi, term);
+			if (ws_same_run(last, s)) {
+				ws_text_add(&t, ",%u", from);
+			} else {
+				ws_text_add(&t, "%s%.130s", t.len ? ";" : "",
+					    s->machine->name + share);
+				if (s->tenure != 1)
+					ws_text_add(&t, "/%llu", (unsigned long long)s->tenure);
+				if (!last || last->attempt != s->attempt)
+					ws_text_add(&t, "#%llu",
+						    (unsigned long long)ws_attempt_number(s));
+				ws_text_add(&t, "=%u", from);
+			}
+			for (s->writing = true;
+			     s->jnext && s->jnext->state != WS_SLOT_LEAVING && !s->jnext->orphan &&
+			     ws_same_run(s, s->jnext) && s->jnext->task == s->task + 1;
+			     s->writing = true)
+				s = s->jnext;
+			if (s->task != from)
+				ws_text_add(&t, "-%u", s->task);
+			last = s;
 		}
-		if (last && (last->attempt >> WS_ATTEMPT_SHIFT != term ||
-			     last->machine->zi != s->machine->zi)) {
-			json_array_append_new(
-			    a, json_pack("[I,s,s]", (json_int_t)(last->attempt >> WS_ATTEMPT_SHIFT),
-					 last->machine->zone, t.p));
-			last = NULL;
-			t.len = 0;
-		}
-		if (last && last->machine == s->machine && last->attempt == s->attempt &&
-		    last->tenure == s->tenure)
-			ws_text_add(&t, ",");
-		else
-			ws_text_add(
-			    &t, "%s%.130s/%llu/%llu=", t.len ? ";" : "", s->machine->name,
-			    (unsigned long long)s->tenure,
-			    (unsigned long long)(s->attempt & ((1ULL << WS_ATTEMPT_SHIFT) - 1)));
-		ws_text_add(&t, "%u", s->task);
-		for (last = s, s->writing = true, s = s->jnext;
-		     s && s->state != WS_SLOT_LEAVING && !s->orphan &&
-		     s->machine == from->machine && s->attempt == from->attempt &&
-		     s->tenure == from->tenure && s->task == last->task + 1;
-		     last = s, s = s->jnext)
-			s->writing = true;
-		if (last != from)
-			ws_text_add(&t, "-%u", last->task);
+		ws_assigned_close(a, last, &t, share);
+		t.len = 0;
 	}
-	if (last)
-		json_array_append_new(a, json_pack("[I,s,s]",
-						   (json_int_t)(last->attempt >> WS_ATTEMPT_SHIFT),
-						   last->machine->zone, t.p));
 	free(t.p);
 	return a;
 }
 
+/* One machine's part; what follows it, or NULL where it can't be read. */
+static const char *ws_read_machine(const char *p, const char *shared, uint64_t term,
+				   uint64_t *number, struct ws_assigned *x)
+{
+	size_t n = strcspn(p, "/#=;");
+	char *end = (char *)p + n;
+
+	memset(x, 0, sizeof(*x));
+	if (strlen(shared) + n >= sizeof(x->machine) || !n)
+		return NULL;
+	snprintf(x->machine, sizeof(x->machine), "%s%.*s", shared, (int)n, p);
+	x->tenure = 1;
+	if (*end == '/')
+		x->tenure = strtoull(end + 1, &end, 10);
+	if (*end == '#')
+		*number = strtoull(end + 1, &end, 10);
+	x->attempt = (term << WS_ATTEMPT_SHIFT) + *number;
+	return *end == '=' ? end : NULL;
+}
+
 /* The attempts that a record names; as many as could be read. */
 size_t ws_record_read_assigned(json_t *v, struct ws_assigned **list)
 {
@@ -148,43 +236,33 @@
 	*list = NULL;
 	json_array_foreach (a, i, e) {
 		json_int_t term;
-		const char *zone, *p;
+		const char *zone, *shared, *p;
+		uint64_t number = 0;
 
-		if (json_unpack(e, "[I,s,s]", &term, &zone, &p))
+		if (json_unpack(e, "[I,s,s,s]", &term, &zone, &shared, &p))
 			continue;
 		while (*p) {
-			const char *slash = strchr(p, '/');
-			char *end;
-			unsigned long long tenure, number, from, to;
+			struct ws_assigned x;
+			char *end = (char *)ws_read_machine(p, shared, (uint64_t)term, &number, &x);
 
-			if (!slash || slash == p || slash - p >= WS_NAME_MAX)
-				break;
-			tenure = strtoull(slash + 1, &end, 10);
-			if (*end != '/')
-				break;
-			number = strtoull(end + 1, &end, 10);
-			if (*end != '=')
+			if (!end)
 				break;
+			ws_copy(x.zone, sizeof(x.zone), zone);
 			do {
+				unsigned long long from, to;
+
 				from = to = strtoull(end + 1, &end, 10);
 				if (*end == '-')
 					to = strtoull(end + 1, &end, 10);
 				for (; from <= to && to < WS_MAX_SHARDS; from++) {
-					struct ws_assigned *x;
-
 					if (n == cap) {
 						cap = cap ? 2 * cap : 64;
 						*list = realloc(*list, cap * sizeof(**list));
 						if (!*list)
 							abort();
 					}
-					x = &(*list)[n++];
-					memset(x, 0, sizeof(*x));
-					memcpy(x->machine, p, (size_t)(slash - p));
-					ws_copy(x->zone, sizeof(x->zone), zone);
-					x->tenure = tenure;
-					x->attempt = ((uint64_t)term << WS_ATTEMPT_SHIFT) + number;
-					x->task = (uint32_t)from;
+					x.task = (uint32_t)from;
+					(*list)[n++] = x;
 				}
 			} while (*end == ',');
 			p = *end == ';' ? end + 1 : "";
@@ -198,10 +276,10 @@
  * they not fit the value's limit, the rest stays out: those tasks are not marked saved and so not
  * reaped, and their results wait on their machines. NULL: not even the attempts fit.
  */
-json_t *ws_record_job(const struct ws_job *j, size_t limit)
+json_t *ws_record_job(const struct ws_core *c, const struct ws_job *j, size_t limit)
 {
 	json_t *v = ws_record_spec(&j->spec, j->phase, j->submitted_wall);
-	json_object_set_new(v, "p", ws_record_assigned(j));
+	json_object_set_new(v, "p", ws_record_assigned(c, j));
 	char *text = json_dumps(v, JSON_COMPACT);
 	size_t room = limit, used = 0;
 	char *ranges;
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -850,7 +850,7 @@
 		ws_put(t, "job/", j->spec.id, j->stamp, NULL);
 		*bytes += 256;
 	} else {
-		v = ws_record_job(j, (size_t)(c->set->value_kb * 1024) - 64);
+		v = ws_record_job(c, j, (size_t)(c->set->value_kb * 1024) - 64);
 		if (!v) { /* more planned than the record holds: what was not sent is taken back */
 			struct ws_slot *s, *n;
 
@@ -858,7 +858,7 @@
 				if (s->state == WS_SLOT_PLANNED)
 					ws_slot_release(c, s);
 			ws_log(c, WS_LOG_INFO, "job %s: its record is full", j->spec.id);
-			v = ws_record_job(j, (size_t)(c->set->value_kb * 1024) - 64);
+			v = ws_record_job(c, j, (size_t)(c->set->value_kb * 1024) - 64);
 		}
 		if (!v) {
 			j->writing = false;
