A report that can't be passed on for lost packets goes to the next node

Now only a connection refused at once names the leader; silence, or a worker that came back, gets 503 and so the next node.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -202,6 +202,7 @@
 	enum ws_phase phase;
 	uint32_t done, running;
 	bool counts; /* the answer carries done and running */
+	bool pinned; /* of a report to pass on: its worker was named the leader and came back */
 	uint64_t epoch;
 	struct ws_order *orders;
 	size_t norders;
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -749,6 +749,7 @@
 	}
 	a = ws_act(c, WS_ACT_RELAY);
 	a->token = token;
+	a->pinned = d->seen > 2;
 	snprintf(a->name, sizeof(a->name), "%s", c->leader);
 }
 
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -34,7 +34,9 @@
 struct ws_flight { /* a call on its way, or a request passed on */
 	struct ws_service *service;
 	struct ws_call *call;
-	char node[WS_NAME_MAX]; /* of a report passed on: to whom */
+	char node[WS_NAME_MAX]; /* of a report passed on: to whom, and since when */
+	double began;
+	bool pinned;
 };
 
 struct ws_service {
@@ -138,12 +140,17 @@
 	uint64_t token = (uint64_t)(uintptr_t)x->call;
 	char node[WS_NAME_MAX];
 
+	bool pinned = x->pinned;
+	double began = x->began;
+
 	snprintf(node, sizeof(node), "%s", x->node);
 	free(x);
 	if (node[0])
 		v->relays--;
-	if (!f && node[0]) { /* no answer, or no connection */
-		v->peers_bad = ws_now() + v->set->report_s;
+	if (!f && node[0] && !pinned && ws_now() - began < v->set->lease_s / 32) {
+		/* peers refuse each other, the worker may well reach it. Where packets are lost, or
+		 * the worker was there in vain, it must go on to another node instead */
+		v->peers_bad = ws_now() + v->set->lease_s / 32;
 		ws_name_leader(v, token, node);
 	} else if (!f || f->status < 200 || f->status > 599)
 		ws_reply_plain(v, token, 503);
@@ -152,7 +159,7 @@
 			 (int)f->retry_after);
 }
 
-static void ws_relay(struct ws_service *v, uint64_t token, const char *node)
+static void ws_relay(struct ws_service *v, uint64_t token, const char *node, bool pinned)
 {
 	struct ws_pending *p;
 	Ws__PeerFrame f = WS__PEER_FRAME__INIT;
@@ -168,13 +175,17 @@
 		return;
 	}
 	if (p->kind == WS_ASK_REPORT) {
-		/* few at a time: when hundreds come at once, naming the leader is quicker */
-		if (ws_now() < v->peers_bad || v->relays >= v->set->max_sockets / 32 + 1) {
+		/* few at a time: when hundreds come at once, naming the leader is quicker, but not
+		 * for those who can't reach it */
+		if (!pinned &&
+		    (ws_now() < v->peers_bad || v->relays >= v->set->max_sockets / 32 + 1)) {
 			free(x);
 			ws_name_leader(v, token, node);
 			return;
 		}
 		snprintf(x->node, sizeof(x->node), "%s", node);
+		x->began = ws_now();
+		x->pinned = pinned;
 		v->relays++;
 	}
 	x->service = v;
@@ -415,7 +426,7 @@
 			 body ? strlen(body) : 2, 0);
 		free(body);
 		break;
-	case WS_ACT_RELAY: ws_relay(v, a->token, a->name); break;
+	case WS_ACT_RELAY: ws_relay(v, a->token, a->name, a->pinned); break;
 	case WS_ACT_ANSWER_TESTIFY: ws_reply(v, a->token, a->status, "{}", 2, 0); break;
 	}
 }
