--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1084,6 +1084,7 @@
 		fail(s, "invented: %s", j->spec.id);
 	if (a->status != 200 && a->status != 201)
 		return;
+	j->answered_at = s->now;
 	if (strcmp(a->name, j->spec.id))
 		fail(s, "%s is answered for %s", a->name, j->spec.id);
 	if (a->phase == WS_DONE && j->completed < j->spec.tasks)
@@ -1470,6 +1471,11 @@
 		for (i = 0; i < s->njobs; i++)
 			if (!s->jobs[i].done && !s->jobs[i].spec.service)
 				fail(s, "%s is not done", s->jobs[i].spec.id);
+	} else if (!strcmp(what, "all-answered")) { /* within so many seconds */
+		for (i = 0; i < s->njobs; i++)
+			if (s->jobs[i].accepted && s->now - s->jobs[i].answered_at > atof(a))
+				fail(s, "forgotten: no answer about %s for %.0f s",
+				     s->jobs[i].spec.id, s->now - s->jobs[i].answered_at);
 	} else if (!strcmp(what, "gone")) {
 		for (i = 0; i < s->nw; i++)
 			if (!strcmp(s->w[i].name, a) && !s->w[i].deleted)
@@ -1601,7 +1607,7 @@
 		s->zone_cut = s->now + span;
 	} else if (!strcmp(verb, "hang") || !strcmp(verb, "cut-machine") || !strcmp(verb, "die") ||
 		   !strcmp(verb, "fail-tasks") || !strcmp(verb, "pin") || !strcmp(verb, "notice") ||
-		   !strcmp(verb, "take") || !strcmp(verb, "deaf")) {
+		   !strcmp(verb, "take") || !strcmp(verb, "deaf") || !strcmp(verb, "reboot")) {
 		if (!(w = machine_named(s, who))) {
 			fail(s, "no machine %s", who);
 			return;
@@ -1610,7 +1616,13 @@
 			w->hang_until = s->now + span;
 		else if (!strcmp(verb, "pin"))
 			w->pin = leader(s) + 1, w->pin_until = s->now + span;
-		else if (!strcmp(verb, "deaf"))
+		else if (!strcmp(verb, "reboot")) { /* an empty worker under the same name */
+			w->ntasks = w->nimages = 0;
+			w->counter = w->epoch = 0;
+			w->tenure = 1;
+			w->waiting = false;
+			w->answered_sent = w->next_report = s->now;
+		} else if (!strcmp(verb, "deaf"))
 			w->deaf_until = s->now + span;
 		else if (!strcmp(verb, "cut-machine"))
 			w->cut_until = s->now + span;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -53,7 +53,7 @@
 	uint64_t pending; /* token of the request out */
 	int pending_kind;
 	double pending_at;
-	double started_at;
+	double started_at, answered_at;
 	int finishes;
 	UT_hash_handle hh;
 };
