--- a/tests/sim.c
+++ b/tests/sim.c
@@ -627,8 +627,6 @@
 {
 	struct sim_worker *w = &s->w[a->token & (SIM_WORKERS - 1)];
 
-	if (a->status == 200 && s->now < w->deaf_until && a->norders)
-		w->told_deaf = true;
 	if (a->token >> 60 == 1 || a->token != w->report_id || !w->waiting || !worker_live(s, w) ||
 	    s->now < w->deaf_until || apart(s, w, &s->nodes[w->node]))
 		return;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -33,7 +33,6 @@
 	double next_report, sent_at;
 	int pin; /* reaches this node alone, if above 0: node + 1 */
 	double pin_until;
-	bool told_deaf; /* orders were given while it could not hear them */
 	bool waiting;	/* a report is out */
 	uint64_t report_id;
 	int node;
