--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -205,11 +205,10 @@
 }
 
 /* Off its machine's list and its job's; it counts no more. */
-void ws_slot_free(struct ws_core *c, struct ws_slot *s)
+void ws_slot_free(struct ws_slot *s)
 {
 	struct ws_slot **p = &s->machine->slots;
 
-	(void)c;
 	while (*p && *p != s)
 		p = &(*p)->next;
 	if (*p)
@@ -232,7 +231,7 @@
 		m->empty_since = c->now;
 	c->place_wanted = true;
 	if (s->orphan || !j) {
-		ws_slot_free(c, s);
+		ws_slot_free(s);
 	} else {
 		s->state = WS_SLOT_LEAVING;
 		ws_job_dirty(c, j, false);
@@ -285,6 +284,12 @@
 	return m->reported && m->epoch >= m->token;
 }
 
+/* Longer ago than a report period with its quarter, and some more. */
+bool ws_overdue(const struct ws_core *c, double since)
+{
+	return c->now - since > 1.3 * c->set->report_s;
+}
+
 static void ws_machine_doubt(struct ws_core *c, struct ws_machine *m, uint64_t known)
 {
 	if (m->token <= known) {
@@ -631,7 +636,7 @@
 			ws_fleet_read(c, m, r->report);
 		}
 	} else if (!call->norders) {
-		if (c->now - m->heard > 1.3 * c->set->report_s)
+		if (ws_overdue(c, m->heard))
 			m->mute = true;
 		return; /* a greeting: nothing of it can do harm; its token may be met again */
 	} else {
@@ -694,9 +699,8 @@
 
 	HASH_ITER (hh, c->machines, m, t) {
 		/* so is one that has not reported for longer than it may take to */
-		if ((ws_machine_hears(m) && c->now - m->heard < 1.3 * c->set->report_s) ||
-		    !m->port || !m->host[0] || m->gone || m->returning || m->commands ||
-		    c->now < m->greet_next)
+		if ((ws_machine_hears(m) && !ws_overdue(c, m->heard)) || !m->port || !m->host[0] ||
+		    m->gone || m->returning || m->commands || c->now < m->greet_next)
 			continue;
 		m->greet_next = c->now + c->set->report_s;
 		ws_orders_call(c, m);
@@ -720,18 +724,17 @@
 		return;
 	ws_log(c, WS_LOG_INFO, "machine %s is gone: %s", m->name, why);
 	m->gone = true;
-	ws_bury(c, &c->tombs, m->name, c->now + c->set->lease_s + 4 * c->set->list_lag_s);
+	ws_bury(&c->tombs, m->name, c->now + c->set->lease_s + 4 * c->set->list_lag_s);
 	ws_machine_clear(c, m);
 	c->rentals_stale = true;
 	if (m->chunk >= 0)
 		ws_chunk_dirty(c, m->chunk);
 }
 
-void ws_bury(struct ws_core *c, struct ws_tomb **tombs, const char *name, double until)
+void ws_bury(struct ws_tomb **tombs, const char *name, double until)
 {
 	struct ws_tomb *t;
 
-	(void)c;
 	HASH_FIND_STR(*tombs, name, t);
 	if (!t) {
 		t = calloc(1, sizeof(*t));
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -218,7 +218,7 @@
 	char zones[WS_MAX_ZONES][WS_NAME_MAX]; /* those of the settings first */
 	int nzones;
 	struct ws_image *images;
-	char (*image_names)[WS_NAME_MAX];
+	const char **image_names; /* by number */
 	int nimages;
 	bool types_asked;
 	double types_next;
@@ -275,8 +275,8 @@
 	struct ws_job *dirty_jobs;
 	struct ws_rental *dirty_rentals;
 	double sweep_next, rent_next;
-	bool rentals_stale;	/* a machine went: records of rentals may be out of date */
-	uint64_t steps, passes; /* of work in placement, for tests */
+	bool rentals_stale; /* a machine went: records of rentals may be out of date */
+	uint64_t steps;	    /* of work in placement, for tests */
 	bool flushing;
 	double flush_next, chunk_next;
 	int flush_fails;
@@ -350,6 +350,8 @@
 void ws_job_check_end(struct ws_core *c, struct ws_job *j);
 struct ws_team *ws_team_of(struct ws_core *c, const char *name);
 bool ws_type_fits(const struct ws_type *t, const struct ws_spec *s);
+double ws_mean_cpus(const struct ws_core *c);
+void ws_job_push(struct ws_core *c, struct ws_job *j);
 double ws_load_of(const struct ws_core *c, const struct ws_spec *s);
 bool ws_job_over(const struct ws_job *j);
 
@@ -363,8 +365,8 @@
 struct ws_chunk *ws_chunk_at(struct ws_core *c, int i);
 void ws_chunk_dirty(struct ws_core *c, int i);
 bool ws_buried(struct ws_core *c, struct ws_tomb *const *tombs, const char *name);
-void ws_bury(struct ws_core *c, struct ws_tomb **tombs, const char *name, double until);
-void ws_slot_free(struct ws_core *c, struct ws_slot *s);
+void ws_bury(struct ws_tomb **tombs, const char *name, double until);
+void ws_slot_free(struct ws_slot *s);
 void ws_slot_count(struct ws_core *c, struct ws_slot *s, int sign);
 void ws_machine_gone(struct ws_core *c, struct ws_machine *m, const char *why);
 void ws_tombs_clear(struct ws_core *c, bool all);
@@ -378,12 +380,14 @@
 double ws_sweep_every(const struct ws_core *c);
 void ws_fleet_push(struct ws_core *c, struct ws_machine *m);
 bool ws_machine_hears(const struct ws_machine *m);
+bool ws_overdue(const struct ws_core *c, double since);
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m);
 void ws_machine_host(struct ws_core *c, const struct ws_host *h);
 const struct ws_type *ws_type_find(const struct ws_core *c, const char *name);
 double ws_lease_out(const struct ws_core *c, double from);
 
 /* placement.c */
+uint32_t ws_tasks_fit(const struct ws_spec *s, double cpus, double gpus, double mem, uint32_t most);
 void ws_place(struct ws_core *c);
 
 /* rentals.c */
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -58,7 +58,7 @@
 	if (!i || !c->image_names)
 		abort();
 	snprintf(i->name, sizeof(i->name), "%s", name);
-	memcpy(c->image_names[c->nimages], i->name, sizeof(i->name));
+	c->image_names[c->nimages] = i->name;
 	i->id = c->nimages++;
 	HASH_ADD_STR(c->images, name, i);
 	return i->id;
@@ -92,7 +92,7 @@
 			s->stop = s->orphan = true;
 			ws_slot_count(c, s, 1);
 		} else {
-			ws_slot_free(c, s);
+			ws_slot_free(s);
 		}
 	}
 	if (j->dirty)
@@ -140,25 +140,40 @@
 			s->machine->push = true;
 			ws_slot_stop(c, s, 0, NULL);
 		}
-	/* one command to each machine with all that is to end there */
-	DL_FOREACH2 (j->slots, s, jnext)
-		if (s->machine->push) {
-			s->machine->push = false;
-			ws_fleet_push(c, s->machine);
-		}
+	ws_job_push(c, j);
 	ws_job_check_end(c, j);
 }
 
-/* A task as a share of one machine of middling size. */
-double ws_load_of(const struct ws_core *c, const struct ws_spec *s)
+/* CPUs of a machine of middling size; 0 while no type is known. */
+double ws_mean_cpus(const struct ws_core *c)
 {
 	double size = 0;
 
 	for (size_t i = 0; i < c->ntypes; i++)
 		size += c->types[i].cpus / (double)c->ntypes;
+	return size;
+}
+
+/* A task as a share of one machine of middling size. */
+double ws_load_of(const struct ws_core *c, const struct ws_spec *s)
+{
+	double size = ws_mean_cpus(c);
+
 	return size > 0 ? s->cpus / size : 0;
 }
 
+/* One command to each machine marked for it, with all that is to start or end there. */
+void ws_job_push(struct ws_core *c, struct ws_job *j)
+{
+	struct ws_slot *s;
+
+	DL_FOREACH2 (j->slots, s, jnext)
+		if (s->machine->push) {
+			s->machine->push = false;
+			ws_fleet_push(c, s->machine);
+		}
+}
+
 /* A job record as read at recovery or seen by the watch. */
 void ws_job_event(struct ws_core *c, const char *id, json_t *value, uint64_t stamp)
 {
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -159,23 +159,31 @@
 	       (j->guaranteed && !o->guaranteed && o->team != j->team);
 }
 
+/* How many such tasks a room takes, up to so many. */
+uint32_t ws_tasks_fit(const struct ws_spec *s, double cpus, double gpus, double mem, uint32_t most)
+{
+	double fit = most;
+
+	if (s->cpus > 0)
+		fit = fmin(fit, floor((cpus + 1e-9) / s->cpus));
+	if (s->gpus > 0)
+		fit = fmin(fit, floor((gpus + 1e-9) / s->gpus));
+	if (s->mem > 0)
+		fit = fmin(fit, floor((mem + 1e-9) / s->mem));
+	return fit > 0 ? (uint32_t)fit : 0;
+}
+
 /* Tasks that fit a machine by what it has free and by what it will have. */
 static uint32_t ws_fit(const struct ws_job *j, const struct ws_machine *m, uint32_t most, bool now)
 {
-	double cpus = m->virt_cpus, gpus = m->virt_gpus, mem = m->virt_mem, fit = most;
+	double cpus = m->virt_cpus, gpus = m->virt_gpus, mem = m->virt_mem;
 
 	if (now) {
 		cpus = fmin(cpus, m->type->cpus - m->used_cpus);
 		gpus = fmin(gpus, m->type->gpus - m->used_gpus);
 		mem = fmin(mem, m->type->mem - m->used_mem);
 	}
-	if (j->spec.cpus > 0)
-		fit = fmin(fit, floor((cpus + 1e-9) / j->spec.cpus));
-	if (j->spec.gpus > 0)
-		fit = fmin(fit, floor((gpus + 1e-9) / j->spec.gpus));
-	if (j->spec.mem > 0)
-		fit = fmin(fit, floor((mem + 1e-9) / j->spec.mem));
-	return fit > 0 ? (uint32_t)fit : 0;
+	return ws_tasks_fit(&j->spec, cpus, gpus, mem, most);
 }
 
 /* More machines than this are not all looked at for work to stop. */
@@ -483,7 +491,7 @@
 		size = ws_record_assign_size(c, s->jprev != s ? s->jprev : NULL, s);
 		if (size > *room) { /* the record holds no more: in slices, then */
 			ws_slot_count(c, s, -1);
-			ws_slot_free(c, s);
+			ws_slot_free(s);
 			*room = 0;
 			break;
 		}
@@ -659,7 +667,6 @@
 	if (!all || !p.ms || !p.victims)
 		abort();
 	c->place_wanted = false;
-	c->passes++;
 	c->place_next = c->now + ws_sweep_every(c) / 2;
 	HASH_ITER (hh, c->jobs, j, jt)
 		if (!ws_job_over(j))
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -593,14 +593,13 @@
 }
 
 /* What a job's record held is on record now: its starts may go out. */
-static void ws_job_written(struct ws_core *c, struct ws_job *j)
+static void ws_job_written(struct ws_job *j)
 {
 	struct ws_slot *s, *n;
 
-	(void)c;
 	DL_FOREACH_SAFE2 (j->slots, s, n, jnext) {
 		if (s->state == WS_SLOT_LEAVING && !s->writing) {
-			ws_slot_free(c, s); /* what was just written no longer names it */
+			ws_slot_free(s); /* what was just written no longer names it */
 			continue;
 		}
 		if (s->writing && s->state == WS_SLOT_PLANNED) {
@@ -637,13 +636,13 @@
 	} else if (!strncmp(op->key, "job/", 4) && (j = ws_job_find(c, op->key + 4))) {
 		j->writing = false;
 		if (!op->value) {
-			ws_bury(c, &c->ended, j->spec.id, c->now + c->set->lease_s);
+			ws_bury(&c->ended, j->spec.id, c->now + c->set->lease_s);
 			ws_job_free(c, j);
 			return;
 		}
 		if (rev > j->stamp)
 			j->stamp = rev;
-		ws_job_written(c, j);
+		ws_job_written(j);
 	} else if (!strcmp(op->key, "owned")) {
 		c->owned_known = true;
 		c->owned_writing = false;
@@ -696,20 +695,15 @@
 	}
 }
 
-/* One command to each machine with all that may start there now. */
+/* Starts that are on record now go out. */
 static void ws_flush_push(struct ws_core *c, const struct ws_call *call)
 {
 	struct ws_job *j;
-	struct ws_slot *s;
 
 	for (size_t i = 0; i < call->nops; i++)
 		if (!strncmp(call->ops[i].key, "job/", 4) &&
 		    (j = ws_job_find(c, call->ops[i].key + 4)))
-			DL_FOREACH2 (j->slots, s, jnext)
-				if (s->machine->push) {
-					s->machine->push = false;
-					ws_fleet_push(c, s->machine);
-				}
+			ws_job_push(c, j);
 }
 
 static void ws_flushed(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -56,10 +56,8 @@
 /* A machine in machine-loads: its size over that of a middling one. */
 static double ws_load_size(const struct ws_core *c, const struct ws_type *t)
 {
-	double size = 0;
+	double size = ws_mean_cpus(c);
 
-	for (size_t i = 0; i < c->ntypes; i++)
-		size += c->types[i].cpus / (double)c->ntypes;
 	return t && size > 0 ? t->cpus / size : 1;
 }
 
@@ -149,37 +147,21 @@
 	c->lacks[c->nlacks++] = (struct ws_lack){j, tasks, zones};
 }
 
-static bool ws_zone_in(const struct ws_core *c, uint32_t zones, const char *zone)
-{
-	for (int i = 0; i < c->nzones; i++)
-		if (!strcmp(c->zones[i], zone))
-			return zones >> i & 1;
-	return false;
-}
-
 /* How many such tasks one of these machines still takes. */
-static uint32_t ws_bin_fit(const struct ws_bin *b, const struct ws_lack *l)
+static uint32_t ws_bin_fit(const struct ws_core *c, const struct ws_bin *b, const struct ws_lack *l)
 {
-	const struct ws_spec *s = &l->job->spec;
-	double fit = l->tasks;
-
-	if (!b->n || (b->spot && !s->spot) || !ws_type_fits(b->type, s) || b->zi < 0 ||
-	    !(l->zones >> b->zi & 1))
+	if (!b->n || (b->spot && !l->job->spec.spot) || b->zi < 0 || !(l->zones >> b->zi & 1) ||
+	    !(l->job->fits >> (b->type - c->types) & 1))
 		return 0;
-	if (s->cpus > 0)
-		fit = fmin(fit, floor(b->cpus / s->cpus + 1e-9));
-	if (s->gpus > 0)
-		fit = fmin(fit, floor(b->gpus / s->gpus + 1e-9));
-	if (s->mem > 0)
-		fit = fmin(fit, floor(b->mem / s->mem + 1e-9));
-	return fit > 0 ? (uint32_t)fit : 0;
+	return ws_tasks_fit(&l->job->spec, b->cpus, b->gpus, b->mem, l->tasks);
 }
 
 /* Puts tasks on machines of a bin; those touched go to bins of their own. Tasks taken. */
-static uint32_t ws_bin_take(struct ws_bins *all, int i, const struct ws_lack *l, uint32_t left)
+static uint32_t ws_bin_take(const struct ws_core *c, struct ws_bins *all, int i,
+			    const struct ws_lack *l, uint32_t left)
 {
 	const struct ws_spec *s = &l->job->spec;
-	uint32_t fit = ws_bin_fit(&all->b[i], l), whole, taken = 0;
+	uint32_t fit = ws_bin_fit(c, &all->b[i], l), whole, taken = 0;
 
 	if (!fit)
 		return 0;
@@ -236,35 +218,27 @@
 		const struct ws_type *t = &c->types[i];
 		double fit;
 
-		if (!ws_type_fits(t, s))
+		if (!(l->job->fits >> i & 1))
 			continue;
-		fit = s->cpus > 0 ? floor(t->cpus / s->cpus + 1e-9) : tasks;
-		if (s->mem > 0)
-			fit = fmin(fit, floor(t->mem / s->mem + 1e-9));
-		if (s->gpus > 0)
-			fit = fmin(fit, floor(t->gpus / s->gpus + 1e-9));
-		fit = fmax(1, fmin(fit, tasks));
+		fit = fmax(1, ws_tasks_fit(s, t->cpus, t->gpus, t->mem, tasks));
 		for (size_t z = 0; z < t->nzones; z++)
 			for (int spot = patient; spot < (s->spot ? 2 : 1); spot++) {
 				double cost = (spot ? t->spot_price : t->price) / fit;
-				int same = 0;
+				int same = 0, zi = ws_zone_id(c, t->zones[z]);
 
-				if (!ws_zone_in(c, l->zones, t->zones[z]) ||
+				if (zi < 0 || !(l->zones >> zi & 1) ||
 				    ws_refused(c, t->name, t->zones[z], spot))
 					continue;
 				for (int k = 0; k < bins->n; k++)
-					if (bins->b[k].type == t &&
-					    !strcmp(bins->b[k].zone, t->zones[z]))
+					if (bins->b[k].type == t && bins->b[k].zi == zi)
 						same += (int)bins->b[k].n;
 				cost *= 1 + same * 1e-4; /* even zones, among equals */
 				if (found && cost >= best)
 					continue;
 				found = true;
 				best = cost;
-				*kind = (struct ws_bin){
-				    t,	     t->zones[z], ws_zone_id(c, t->zones[z]),
-				    spot,    1,		  t->cpus,
-				    t->gpus, t->mem};
+				*kind = (struct ws_bin){t, t->zones[z], zi,	 spot,
+							1, t->cpus,	t->gpus, t->mem};
 			}
 	}
 	return found;
@@ -304,12 +278,13 @@
 		waited += (c->now - l->job->lack_since) * ws_load_of(c, &l->job->spec) * left;
 		tasks += ws_load_of(c, &l->job->spec) * left;
 		for (int b = 0; b < bins.n && left; b++)
-			left -= ws_bin_take(&bins, b, l, left);
+			left -= ws_bin_take(c, &bins, b, l, left);
 		while (left) {
 			struct ws_bin kind;
 			uint32_t fit;
 
-			if (!ws_kind_for(c, l, left, &bins, &kind) || !(fit = ws_bin_fit(&kind, l)))
+			if (!ws_kind_for(c, l, left, &bins, &kind) ||
+			    !(fit = ws_bin_fit(c, &kind, l)))
 				break;
 			/* as many as hold the rest, but few enough for zones to stay even */
 			kind.n = (left + fit - 1) / fit / (uint32_t)kind.type->nzones;
@@ -319,8 +294,8 @@
 				kind.n = 1;
 			wanted[kind.type - c->types][kind.zi][kind.spot] += kind.n;
 			c->loads += (int)kind.n;
-			*ws_bin_add(&bins, kind) = kind;
-			left -= ws_bin_take(&bins, bins.n - 1, l, left);
+			ws_bin_add(&bins, kind);
+			left -= ws_bin_take(c, &bins, bins.n - 1, l, left);
 		}
 		if (l->job->spec.gang && c->loads - before > gang)
 			gang = c->loads - before;
@@ -563,8 +538,7 @@
 		else if (m->noticed && c->now > m->notice_until &&
 			 c->now - m->heard > 1.5 * c->set->report_s && heard * 2 >= up)
 			ws_give_back(c, m, "taken after its notice"); /* to have it confirmed */
-		else if (m->mute && m->reported && heard * 2 >= up &&
-			 c->now - base > 1.3 * c->set->report_s)
+		else if (m->mute && m->reported && heard * 2 >= up && ws_overdue(c, base))
 			ws_give_back(c, m, "silent, and no answer to a call");
 		else if ((m->reported || m->on_record) &&
 			 c->set->lease_s * c->pol.silent_ratio < c->now - base && heard * 2 >= up &&
@@ -610,12 +584,10 @@
 
 	if (c->pol.rental_ceiling < 0 && c->ntypes) {
 		/* enough machines of the middling type to honour every guarantee at once */
-		double cpus = 0, size = 0;
+		double cpus = 0, size = ws_mean_cpus(c);
 
 		for (size_t i = 0; i < c->set->nteams; i++)
 			cpus += c->set->teams[i].cpus;
-		for (size_t i = 0; i < c->ntypes; i++)
-			size += c->types[i].cpus / (double)c->ntypes;
 		c->pol.rental_ceiling = size > 0 ? (int)ceil(cpus / size) : 1;
 	}
 	if (!ws_entitled(c) || c->in_outage || c->now < c->rent_next)
@@ -681,7 +653,7 @@
 bool ws_core_measure(struct ws_core *c, double now, struct ws_measure *m)
 {
 	struct ws_machine *x, *xt;
-	double span, services = 0, size = 0, boot = 0;
+	double span, services = 0, size = ws_mean_cpus(c), boot = 0;
 	double owned = 0;
 
 	if (c->role != WS_LEADER || c->pol.rental_ceiling < 0 || now < c->size_next || !c->ntypes)
@@ -692,10 +664,8 @@
 		return false;
 	}
 	span = now - c->measured_at;
-	for (size_t i = 0; i < c->ntypes; i++) {
-		size += c->types[i].cpus / (double)c->ntypes;
+	for (size_t i = 0; i < c->ntypes; i++)
 		boot += c->types[i].boot_s / (double)c->ntypes;
-	}
 	HASH_ITER (hh, c->machines, x, xt) {
 		if (x->owned && ws_machine_hears(x) && c->now - x->heard < 3 * c->set->report_s)
 			owned += ws_load_size(c, x->type);
