--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -8,7 +8,6 @@
 
 struct ws_bin { /* machines alike that are booting, or that ought to be rented, equally full */
 	const struct ws_type *type;
-	const char *zone;
 	int zi;
 	bool spot;
 	uint32_t n;
@@ -18,6 +17,8 @@
 struct ws_bins {
 	struct ws_bin *b;
 	int n, cap;
+	uint32_t same[WS_MAX_TYPES][WS_MAX_ZONES]; /* machines in them, by type and zone */
+	double least;				   /* CPUs of the smallest task that waits */
 };
 
 static struct ws_bin *ws_bin_add(struct ws_bins *all, struct ws_bin b)
@@ -38,12 +39,14 @@
 {
 	int zi = ws_zone_id(c, zone);
 
+	if (zi >= 0)
+		all->same[t - c->types][zi] += n;
 	for (int i = 0; i < all->n; i++)
 		if (all->b[i].type == t && all->b[i].zi == zi && all->b[i].spot == spot) {
 			all->b[i].n += n;
 			return;
 		}
-	ws_bin_add(all, (struct ws_bin){t, zone, zi, spot, n, t->cpus, t->gpus, t->mem});
+	ws_bin_add(all, (struct ws_bin){t, zi, spot, n, t->cpus, t->gpus, t->mem});
 }
 
 bool ws_boot_late(const struct ws_core *c, const struct ws_machine *m)
@@ -150,8 +153,8 @@
 /* How many such tasks one of these machines still takes. */
 static uint32_t ws_bin_fit(const struct ws_core *c, const struct ws_bin *b, const struct ws_lack *l)
 {
-	if (!b->n || (b->spot && !l->job->spec.spot) || b->zi < 0 || !(l->zones >> b->zi & 1) ||
-	    !(l->job->fits >> (b->type - c->types) & 1))
+	if (!b->n || b->cpus + 1e-9 < l->job->spec.cpus || (b->spot && !l->job->spec.spot) ||
+	    b->zi < 0 || !(l->zones >> b->zi & 1) || !(l->job->fits >> (b->type - c->types) & 1))
 		return 0;
 	return ws_tasks_fit(&l->job->spec, b->cpus, b->gpus, b->mem, l->tasks);
 }
@@ -224,38 +227,43 @@
 		for (size_t z = 0; z < t->nzones; z++)
 			for (int spot = patient; spot < (s->spot ? 2 : 1); spot++) {
 				double cost = (spot ? t->spot_price : t->price) / fit;
-				int same = 0, zi = ws_zone_id(c, t->zones[z]);
+				int zi = ws_zone_id(c, t->zones[z]);
 
 				if (zi < 0 || !(l->zones >> zi & 1) ||
 				    ws_refused(c, t->name, t->zones[z], spot))
 					continue;
-				for (int k = 0; k < bins->n; k++)
-					if (bins->b[k].type == t && bins->b[k].zi == zi)
-						same += (int)bins->b[k].n;
-				cost *= 1 + same * 1e-4; /* even zones, among equals */
+				cost *= 1 + bins->same[i][zi] * 1e-4; /* even zones, among equals */
 				if (found && cost >= best)
 					continue;
 				found = true;
 				best = cost;
-				*kind = (struct ws_bin){t, t->zones[z], zi,	 spot,
-							1, t->cpus,	t->gpus, t->mem};
+				*kind = (struct ws_bin){t, zi, spot, 1, t->cpus, t->gpus, t->mem};
 			}
 	}
 	return found;
 }
 
+/* Machines that are full, for any task that waits, need not be looked at again. */
+static void ws_bins_tidy(struct ws_bins *all)
+{
+	int kept = 0;
+
+	for (int i = 0; i < all->n; i++)
+		if (all->b[i].n && all->b[i].cpus + 1e-9 >= all->least)
+			all->b[kept++] = all->b[i];
+	all->n = kept;
+}
+
 /* Called at the end of a placement pass with all that found no room. */
 void ws_rentals_plan(struct ws_core *c)
 {
 	struct ws_bins bins = {0};
 	struct ws_machine *m, *mt;
 	struct ws_rental *r, *rt;
-	struct ws_bin *first = NULL;
-	uint32_t wanted[WS_MAX_TYPES][WS_MAX_ZONES][2] = {0};
-	int held, booting, limit, gang = 0;
-	uint32_t most = 0;
-	double allowed;
-	double waited = 0, tasks = 0;
+	uint32_t wanted[WS_MAX_TYPES][WS_MAX_ZONES][2] = {0}, most = 0;
+	const struct ws_type *type = NULL;
+	int zi = -1, spot = 0, held, booting, limit, gang = 0, enough;
+	double allowed, waited = 0, tasks = 0;
 
 	c->loads = 0;
 	if (c->nlacks) {
@@ -270,13 +278,30 @@
 				ws_bin_whole(c, &bins, t, r->zone, r->spot, r->count);
 		}
 	}
+	for (size_t i = 0; i < c->nlacks; i++) {
+		const struct ws_lack *l = &c->lacks[i];
+
+		waited += (c->now - l->job->lack_since) * ws_load_of(c, &l->job->spec) * l->tasks;
+		tasks += ws_load_of(c, &l->job->spec) * l->tasks;
+		if (!i || l->job->spec.cpus < bins.least)
+			bins.least = l->job->spec.cpus;
+	}
+	limit = c->k < 0 ? c->pol.rental_ceiling : c->k;
+	/* while the wait as it is exceeds the bound, k rises further, whatever the queue says */
+	if (tasks > 0 && waited / tasks > ws_bound(c))
+		limit = c->pol.rental_ceiling;
+	allowed = limit - ws_rentals_held(c, &held, &booting);
+	/* in a backlog of thousands of loads those that come first decide: no more are packed than
+	 * the next requests could ask for */
+	enough = 2 * WS_RENT_HOSTS + (allowed > 0 ? (int)allowed : 0);
 	for (size_t i = 0; i < c->nlacks; i++) {
 		struct ws_lack *l = &c->lacks[i];
 		uint32_t left = l->tasks;
 		int before = c->loads;
 
-		waited += (c->now - l->job->lack_since) * ws_load_of(c, &l->job->spec) * left;
-		tasks += ws_load_of(c, &l->job->spec) * left;
+		if (c->loads >= enough && !l->job->spec.gang)
+			continue;
+		ws_bins_tidy(&bins);
 		for (int b = 0; b < bins.n && left; b++)
 			left -= ws_bin_take(c, &bins, b, l, left);
 		while (left) {
@@ -293,6 +318,7 @@
 			if (!kind.n)
 				kind.n = 1;
 			wanted[kind.type - c->types][kind.zi][kind.spot] += kind.n;
+			bins.same[kind.type - c->types][kind.zi] += kind.n;
 			c->loads += (int)kind.n;
 			ws_bin_add(&bins, kind);
 			left -= ws_bin_take(c, &bins, bins.n - 1, l, left);
@@ -301,31 +327,29 @@
 			gang = c->loads - before;
 	}
 	c->nlacks = 0;
-	/* one request a second: the kind most are wanted of goes first */
-	limit = c->k < 0 ? c->pol.rental_ceiling : c->k;
-	/* while the wait as it is exceeds the bound, k rises further, whatever the queue says */
-	if (tasks > 0 && waited / tasks > ws_bound(c))
-		limit = c->pol.rental_ceiling;
-	if (gang > limit) /* k is at least what the largest waiting gang lacks */
-		limit = gang < c->pol.rental_ceiling ? gang : c->pol.rental_ceiling;
-	allowed = limit - ws_rentals_held(c, &held, &booting);
-	for (int b = 0; b < bins.n; b++) {
-		struct ws_bin *x = &bins.b[b];
-		uint32_t n = x->zi < 0 ? 0 : wanted[x->type - c->types][x->zi][x->spot];
+	if (gang > limit) { /* k is at least what the largest waiting gang lacks */
+		int more = gang < c->pol.rental_ceiling ? gang : c->pol.rental_ceiling;
 
-		if (n > most) {
-			first = x;
-			most = n;
-		}
+		allowed += more - limit;
 	}
+	/* one request a second: the kind most are wanted of goes first */
+	for (size_t i = 0; i < c->ntypes; i++)
+		for (int z = 0; z < c->nzones; z++)
+			for (int k = 0; k < 2; k++)
+				if (wanted[i][z][k] > most) {
+					most = wanted[i][z][k];
+					type = &c->types[i];
+					zi = z;
+					spot = k;
+				}
 	/* machines that are well get a report period to make themselves known to a new leader */
-	if (first && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next &&
+	if (type && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next &&
 	    c->now - c->elected_at > c->set->report_s) {
 		/* as many of one kind as the loads ask for, in one request */
-		uint32_t count = wanted[first->type - c->types][first->zi][first->spot];
+		uint32_t count = most;
 		struct ws_rental *x;
 
-		double room = ceil(allowed / ws_load_size(c, first->type));
+		double room = ceil(allowed / ws_load_size(c, type));
 
 		if (count > room)
 			count = (uint32_t)room;
@@ -337,9 +361,9 @@
 		snprintf(x->booking, sizeof(x->booking), "r-%llu-%llu",
 			 (unsigned long long)(c->epoch >> WS_EPOCH_SHIFT),
 			 (unsigned long long)++c->rental_seq);
-		snprintf(x->type, sizeof(x->type), "%s", first->type->name);
-		snprintf(x->zone, sizeof(x->zone), "%s", first->zone);
-		x->spot = first->spot;
+		snprintf(x->type, sizeof(x->type), "%s", type->name);
+		snprintf(x->zone, sizeof(x->zone), "%s", c->zones[zi]);
+		x->spot = spot;
 		x->count = count;
 		x->made = c->now;
 		HASH_ADD_STR(c->rentals, booking, x);
