Attempts of tenures that are over are let go wherever that is learned

By the log of one of them: its record named an attempt of tenure 1, the fleet's record (or another job's) tenure 2 of the same machine, since the leader ended between the two writes. The next leader took tenure 2 from the records, so no report began a tenure, and the attempt was neither released nor started again, for ever and by every leader after it. Ruled out: lost writes, records that are full, back-off. Conclusion: slots are compared with the tenure at every word.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -428,14 +428,16 @@
 		if (m->tenure) /* its lease ran out: did it hear our answers? */
 			ws_machine_doubt(c, m, r->epoch > m->token ? r->epoch : m->token);
 		m->tenure = r->tenure;
-		for (s = m->slots; s; s = n) {
-			n = s->next;
-			if (s->tenure < r->tenure)
-				ws_slot_release(c, s);
-		}
 		m->fence = 0; /* a command for an earlier tenure is refused */
 		ws_machine_dirty(c, m);
 	}
+	/* also where we did not see the tenure begin: one job's record may name an attempt of a
+	 * tenure that another's, or the fleet's, knows to be over */
+	for (s = m->slots; s; s = n) {
+		n = s->next;
+		if (s->tenure < r->tenure)
+			ws_slot_release(c, s);
+	}
 	m->counter = r->counter;
 	m->epoch = r->epoch;
 	if (m->fence && r->epoch > m->fence)
