Passes leave out machines that are full for any task that waits

Machines without room for the smallest waiting task drop out, and those on which something ends are kept in a list.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -194,7 +194,12 @@
 	struct ws_core *c;
 	struct ws_machine **ms; /* usable ones, in first fit's order */
 	size_t n;
+	struct ws_machine **open; /* those with room for the smallest task that waits */
+	size_t nopen;
+	struct ws_machine **ending; /* those on which something was told to stop */
+	size_t nending;
 	struct ws_machine **fit; /* scratch, of the same size */
+	double least;		 /* CPUs of the smallest task that waits */
 	struct ws_victim {
 		double cost;
 		size_t at; /* its place in first fit's order */
@@ -302,6 +307,8 @@
 	for (size_t i = 0; i < n && got < want; i++) {
 		struct ws_machine *m = p->victims[i].m;
 
+		if (m->stop_cpus <= 0 && m->stop_mem <= 0 && p->nending < p->n)
+			p->ending[p->nending++] = m;
 		ws_preempt_on(c, j, m, true);
 		/* what is stopped often leaves room for more than one */
 		for (uint32_t fit = ws_fit(j, m, want - got, false); fit; fit--) {
@@ -522,6 +529,20 @@
 	return room > used ? (size_t)(room - used) : 0;
 }
 
+/* A machine that is full for any task that waits need not be looked at again in this pass. */
+static void ws_open_tidy(struct ws_pass *p)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < p->nopen; i++) {
+		struct ws_machine *m = p->open[i];
+
+		if (fmin(m->virt_cpus, m->type->cpus - m->used_cpus) + 1e-9 >= p->least)
+			p->open[kept++] = m;
+	}
+	p->nopen = kept;
+}
+
 static void ws_place_job(struct ws_pass *p, struct ws_job *j)
 {
 	struct ws_core *c = p->c;
@@ -560,8 +581,9 @@
 	attempt = ((c->epoch >> WS_EPOCH_SHIFT) << WS_ATTEMPT_SHIFT) + ++c->attempt_seq;
 	/* machines with room, those preferred first: 0 to 3 by owner and image; no more than needed
 	 */
-	for (size_t i = 0, sure = 0; i < p->n && sure < want; i++) {
-		struct ws_machine *m = p->ms[i];
+	ws_open_tidy(p);
+	for (size_t i = 0, sure = 0; i < p->nopen && sure < want; i++) {
+		struct ws_machine *m = p->open[i];
 
 		c->steps++;
 		if (ws_kind_ok(j, m) && ws_virt_room(j, m) && ws_room(j, m) &&
@@ -598,11 +620,10 @@
 	if (!room)
 		return; /* as many as can be on record: the rest when these are over */
 	/* room that is being made already, or can be made */
-	for (size_t i = 0; i < p->n && want; i++) {
-		struct ws_machine *m = p->ms[i];
+	for (size_t i = 0; i < p->nending && want; i++) {
+		struct ws_machine *m = p->ending[i];
 
-		if (m->stop_cpus <= 0 && m->stop_mem <= 0)
-			continue;
+		c->steps++;
 		if (ws_kind_ok(j, m) && ws_zone_ok(c, j, m->zi)) {
 			uint32_t n = ws_fit(j, m, want, false);
 
@@ -661,8 +682,11 @@
 	struct ws_pass p = {.c = c, .lowest = 1000};
 
 	ws_order(c);
-	p.ms = calloc(2 * c->norder + 1, sizeof(*p.ms));
+	p.ms = calloc(4 * c->norder + 1, sizeof(*p.ms));
 	p.fit = p.ms + c->norder;
+	p.open = p.fit + c->norder;
+	p.ending = p.open + c->norder;
+	p.least = 1e18;
 	p.victims = calloc(c->norder + 1, sizeof(*p.victims));
 	if (!all || !p.ms || !p.victims)
 		abort();
@@ -677,10 +701,12 @@
 		if (all[i]->nslots && ws_rank(all[i]) < p.lowest)
 			p.lowest = ws_rank(all[i]);
 		all[i]->aged = all[i]->waiting && ws_aged(c, all[i]);
-		if (all[i]->waiting)
+		if (all[i]->waiting) {
+			p.least = fmin(p.least, all[i]->spec.cpus);
 			all[nw++] = all[i];
-		else
+		} else {
 			all[i]->lack_since = 0;
+		}
 	}
 	qsort(all, nw, sizeof(*all), ws_want_cmp);
 	for (size_t i = 0; i < c->norder; i++) {
@@ -694,6 +720,9 @@
 		m->virt_cpus = m->type->cpus - m->used_cpus + m->stop_cpus;
 		m->virt_gpus = m->type->gpus - m->used_gpus + m->stop_gpus;
 		m->virt_mem = m->type->mem - m->used_mem + m->stop_mem;
+		p.open[p.nopen++] = m;
+		if (m->stop_cpus > 0 || m->stop_mem > 0)
+			p.ending[p.nending++] = m;
 	}
 	for (size_t w = 0; w < nw; w++) {
 		all[w]->waiting_before = all[w]->waiting;
