Sockets shared out by kind; workers above their part come by new connections

Now users keep 3/16, workers half; above that an answer closes its connection. Requests have a time to arrive whole, idle workers' connections go after 2.5 report periods, descriptors are raised to fit, and a max_sockets too small is named at the start. Chosen over batches by followers: half the work and no new path. Guard: smoke test with 150 workers on 96 sockets.

--- a/src/config.c
+++ b/src/config.c
@@ -168,6 +168,11 @@
 	v = 1000;
 	ws_num(&r, "settings.machine_limits.max_sockets", &v, 16, false);
 	s->max_sockets = v > 1e6 ? 1000000 : (int)v;
+	/* 14 to state service and cloud, 2 to listen on, and those of each peer's few lives */
+	s->sockets = s->max_sockets - 16 - 9 * (int)s->npeers;
+	if (r.ok && s->sockets < 16)
+		ws_bad(&r, "settings.machine_limits.max_sockets",
+		       "leaves no room for users and workers");
 	if (r.ok && s->lease_s <= s->report_s)
 		ws_bad(&r, "settings.workers.lease_s", "must be longer than report_s");
 	ws_toml_close(r.t);
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -47,6 +47,7 @@
 	double cloud_rps, list_lag_s;
 	double core_share, ram_mb;
 	int max_sockets;
+	int sockets; /* of these, what the state service, the cloud and the peers leave */
 };
 
 /* Operators' own settings. A value below 0 means "derive it from the platform's settings". */
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -79,7 +79,9 @@
 	uint64_t token; /* of the request being handled; 0: none */
 	bool busy, close_after, too_large, dead;
 	bool in_handler; /* its read handler is on the stack and will free it */
-	double used;
+	enum ws_conn_kind kind;
+	double used;  /* last time it took part in anything */
+	double began; /* since when a request is arriving; 0: none is */
 	struct ws_conn *next, *prev;
 	struct ws_conn *hash_next;
 };
@@ -88,7 +90,9 @@
 
 struct ws_server {
 	struct ev_loop *loop;
-	int fd, port, max, n;
+	int fd, port;
+	struct ws_server_opts o;
+	int n, kinds[WS_CONN_KINDS];
 	ev_io rd;
 	ev_timer sweep;
 	ws_request_fn fn;
@@ -129,6 +133,7 @@
 	if (c->next)
 		c->next->prev = c->prev;
 	s->n--;
+	s->kinds[c->kind]--;
 	free(c->path.p);
 	free(c->body.p);
 	free(c->out.p);
@@ -187,6 +192,8 @@
 	char head[256], retry[48] = "";
 	int n;
 
+	if (c->server->kinds[c->kind] > c->server->o.keep[c->kind])
+		c->close_after = true;
 	if (retry_after > 0)
 		snprintf(retry, sizeof(retry), "Retry-After: %d\r\n", retry_after);
 	n = snprintf(
@@ -206,6 +213,7 @@
 static void ws_conn_refuse(struct ws_conn *c, int status)
 {
 	c->close_after = true;
+	c->began = 0;
 	ws_conn_answer(c, status, "{}", 2, status == 503 ? 1 : 0);
 }
 
@@ -287,6 +295,8 @@
 		return;
 	}
 	c->used = ws_now();
+	if (!c->began)
+		c->began = c->used;
 	if (c->busy) { /* pipelined: not allowed */
 		ws_conn_close(c);
 		free(c);
@@ -297,6 +307,7 @@
 		ws_conn_refuse(c, c->path.len + 1 > WS_PATH_MAX ? 414 : 413);
 	} else if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
 		http_parser_pause(&c->parser, 0);
+		c->began = 0;
 		if (used + 1 < (size_t)n) /* more than one request's worth: answer, then close */
 			c->close_after = true;
 		ev_io_stop(loop, &c->rd);
@@ -334,9 +345,13 @@
 		int fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC), one = 1;
 		struct ws_conn *c;
 
-		if (fd < 0)
+		if (fd < 0) {
+			/* no descriptor to be had: asked again with the next sweep */
+			if (errno == EMFILE || errno == ENFILE)
+				ev_io_stop(loop, &s->rd);
 			return;
-		if (s->n >= s->max || !(c = calloc(1, sizeof(*c)))) {
+		}
+		if (s->n >= s->o.max || !(c = calloc(1, sizeof(*c)))) {
 			static const char full[] =
 			    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
 			    "Content-Length: 0\r\nConnection: close\r\n\r\n";
@@ -359,29 +374,35 @@
 			s->conns->prev = c;
 		s->conns = c;
 		s->n++;
+		s->kinds[WS_CONN_NEW]++;
 		ev_io_start(loop, &c->rd);
 	}
 }
 
-/* Connections that have been idle for long go when room gets short, half-sent requests always. */
+/* Connections that have been idle for long go, and requests that arrive too slowly. */
 static void ws_sweep(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	struct ws_server *s = w->data;
-	double now = ws_now(), limit = s->n * 4 > s->max * 3 ? 15 : 120;
+	double now = ws_now();
 
-	(void)loop;
 	(void)revents;
+	ev_io_start(loop, &s->rd);
 	for (struct ws_conn *c = s->conns, *n; c; c = n) {
 		n = c->next;
-		if (!c->busy && now - c->used > limit) {
+		if (c->busy)
+			continue;
+		if (c->began > 0 && now - c->began > s->o.slow)
+			ws_conn_refuse(c, 408);
+		else if (now - c->used > s->o.idle[c->kind])
 			ws_conn_close(c);
+		if (c->dead)
 			free(c);
-		}
 	}
 }
 
-struct ws_server *ws_server_new(struct ev_loop *loop, const char *host, int port, int max_conns,
-				ws_request_fn fn, void *ctx, char *err, size_t n)
+struct ws_server *ws_server_new(struct ev_loop *loop, const char *host, int port,
+				const struct ws_server_opts *o, ws_request_fn fn, void *ctx,
+				char *err, size_t n)
 {
 	struct ws_server *s = calloc(1, sizeof(*s));
 	struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
@@ -393,7 +414,8 @@
 	inet_pton(AF_INET, host, &a.sin_addr);
 	s->fd = ws_socket();
 	setsockopt(s->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (s->fd < 0 || bind(s->fd, (struct sockaddr *)&a, sizeof(a)) || listen(s->fd, 512)) {
+	if (s->fd < 0 || bind(s->fd, (struct sockaddr *)&a, sizeof(a)) ||
+	    listen(s->fd, o->backlog)) {
 		snprintf(err, n, "can't listen on %s:%d: %s", host, port, strerror(errno));
 		if (s->fd >= 0)
 			close(s->fd);
@@ -403,25 +425,43 @@
 	getsockname(s->fd, (struct sockaddr *)&a, &len);
 	s->port = ntohs(a.sin_port);
 	s->loop = loop;
-	s->max = max_conns;
+	s->o = *o;
 	s->fn = fn;
 	s->ctx = ctx;
 	ev_io_init(&s->rd, ws_accept, s->fd, EV_READ);
 	s->rd.data = s;
 	ev_io_start(loop, &s->rd);
-	ev_timer_init(&s->sweep, ws_sweep, 5, 5);
+	ev_timer_init(&s->sweep, ws_sweep, o->slow, o->slow);
 	s->sweep.data = s;
 	ev_timer_start(loop, &s->sweep);
 	return s;
 }
 
+static struct ws_conn *ws_conn_find(const struct ws_server *s, uint64_t token)
+{
+	struct ws_conn *c = s->by_token[token % WS_HASH];
+
+	while (c && c->token != token)
+		c = c->hash_next;
+	return c;
+}
+
+void ws_server_kind(struct ws_server *s, uint64_t token, enum ws_conn_kind kind)
+{
+	struct ws_conn *c = ws_conn_find(s, token);
+
+	if (!c)
+		return;
+	s->kinds[c->kind]--;
+	s->kinds[kind]++;
+	c->kind = kind;
+}
+
 void ws_server_answer(struct ws_server *s, uint64_t token, int status, const char *body, size_t len,
 		      int retry_after)
 {
-	struct ws_conn *c;
+	struct ws_conn *c = ws_conn_find(s, token);
 
-	for (c = s->by_token[token % WS_HASH]; c && c->token != token; c = c->hash_next)
-		;
 	if (!c)
 		return;
 	ws_conn_answer(c, status, body, len, retry_after);
@@ -434,9 +474,9 @@
 	return s->port;
 }
 
-int ws_server_conns(const struct ws_server *s)
+int ws_server_conns(const struct ws_server *s, enum ws_conn_kind kind)
 {
-	return s->n;
+	return s->kinds[kind];
 }
 
 void ws_server_free(struct ws_server *s)
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -9,16 +9,34 @@
 #define WS_BODY_MAX (64 * 1024)
 
 struct ws_server;
+
+/*
+ * Whose connections a server holds. Each kind keeps so many open between requests; those above that
+ * are answered all the same and then closed, so that no kind uses up what others need.
+ */
+enum ws_conn_kind { WS_CONN_NEW, WS_CONN_USER, WS_CONN_WORKER };
+#define WS_CONN_KINDS 3
+struct ws_server_opts {
+	int max;		    /* connections at once, 503 above it */
+	int backlog;		    /* those that wait to be taken */
+	int keep[WS_CONN_KINDS];    /* kept open between requests */
+	double idle[WS_CONN_KINDS]; /* unused ones are closed after so many seconds */
+	double slow;		    /* a request has so many to arrive whole */
+};
+
 /* A complete request. It is answered by ws_server_answer with its token, at once or later. */
 typedef void (*ws_request_fn)(void *ctx, uint64_t token, const char *method, const char *path,
 			      const char *body, size_t len);
 
-struct ws_server *ws_server_new(struct ev_loop *loop, const char *host, int port, int max_conns,
-				ws_request_fn fn, void *ctx, char *err, size_t n);
+struct ws_server *ws_server_new(struct ev_loop *loop, const char *host, int port,
+				const struct ws_server_opts *o, ws_request_fn fn, void *ctx,
+				char *err, size_t n);
+/* Says whose connection a request came by. */
+void ws_server_kind(struct ws_server *s, uint64_t token, enum ws_conn_kind kind);
 void ws_server_answer(struct ws_server *s, uint64_t token, int status, const char *body, size_t len,
 		      int retry_after);
 int ws_server_port(const struct ws_server *s);
-int ws_server_conns(const struct ws_server *s);
+int ws_server_conns(const struct ws_server *s, enum ws_conn_kind kind);
 void ws_server_free(struct ws_server *s);
 
 struct ws_client;
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -177,8 +177,7 @@
 	if (p->kind == WS_ASK_REPORT) {
 		/* few at a time: when hundreds come at once, naming the leader is quicker, but not
 		 * for those who can't reach it */
-		if (!pinned &&
-		    (ws_now() < v->peers_bad || v->relays >= v->set->max_sockets / 32 + 1)) {
+		if (!pinned && (ws_now() < v->peers_bad || v->relays >= v->set->sockets / 32 + 1)) {
 			free(x);
 			ws_name_leader(v, token, node);
 			return;
@@ -306,7 +305,7 @@
 		DL_APPEND(v->lately, w);
 		return w->client;
 	}
-	if ((int)HASH_COUNT(v->workers) >= v->set->max_sockets / 8 + 1) {
+	if ((int)HASH_COUNT(v->workers) >= v->set->sockets / 8 + 1) {
 		DL_FOREACH_SAFE (v->lately, w, t)
 			if (ws_client_idle(w->client, ws_now(), 0)) {
 				ws_worker_retire(v, w);
@@ -576,11 +575,13 @@
 		return;
 	}
 	if (report) {
+		ws_server_kind(v->server, token, WS_CONN_WORKER);
 		if (strcmp(method, "POST"))
 			ws_reply_plain(v, token, 405);
 		else
 			ws_report_in(v, token, body, len, false);
 	} else if (!strncmp(path, "/v2/runs", 8) && (!path[8] || path[8] == '/')) {
+		ws_server_kind(v->server, token, WS_CONN_USER);
 		ws_user(v, token, method, path, body, len, false);
 	} else if (!strcmp(path, "/healthz")) {
 		bool ready;
@@ -690,6 +691,13 @@
 		struct ws_worker *x, *t;
 
 		v->sweep_at = now + v->set->lease_s;
+		ws_logf(WS_LOG_INFO,
+			"connections: %d of workers, %d of users, %d others, %u to workers; "
+			"%d requests of users, %d reports passed on under way",
+			ws_server_conns(v->server, WS_CONN_WORKER),
+			ws_server_conns(v->server, WS_CONN_USER),
+			ws_server_conns(v->server, WS_CONN_NEW), HASH_COUNT(v->workers), v->users,
+			v->relays);
 		HASH_ITER (hh, v->workers, x, t)
 			if (ws_client_idle(x->client, now, 4 * v->set->lease_s))
 				ws_worker_retire(v, x);
@@ -712,6 +720,18 @@
 				       .rate = s->cloud_rps,
 				       .burst = fmax(1, s->cloud_rps)};
 
+	/*
+	 * How the sockets are shared out: workers half, users three sixteenths, those that are
+	 * about to be closed and those that wait to be taken one each, and two for commands to
+	 * workers. Workers report so seldom that those above their part may come by a new
+	 * connection each time: so a fleet larger than max_sockets is served.
+	 */
+	struct ws_server_opts server = {.max = s->sockets * 3 / 4,
+					.backlog = s->sockets / 16 + 1,
+					.keep = {s->sockets, s->sockets * 3 / 16, s->sockets / 2},
+					.idle = {s->lease_s / 4, 4 * s->lease_s, 2.5 * s->report_s},
+					.slow = s->lease_s / 4};
+
 	if (!v)
 		return NULL;
 	arc4random_buf(&nonce, sizeof(nonce));
@@ -725,8 +745,7 @@
 	v->state = ws_client_new(loop, s->state.host, s->state.port, &state);
 	v->watch = ws_client_new(loop, s->state.host, s->state.port, &watch);
 	v->cloud = ws_client_new(loop, s->cloud.host, s->cloud.port, &cloud);
-	v->server = ws_server_new(loop, s->bind.host, s->bind.port, s->max_sockets * 4 / 5,
-				  ws_request, v, err, n);
+	v->server = ws_server_new(loop, s->bind.host, s->bind.port, &server, ws_request, v, err, n);
 	if (v->server)
 		v->peers = ws_peers_new(loop, s, ws_peer_ask, v, err, n);
 	if (!v->core || !v->state || !v->watch || !v->cloud || !v->server || !v->peers) {
--- a/src/main.c
+++ b/src/main.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #ifndef WS_VERSION
 #define WS_VERSION "0"
@@ -66,6 +67,21 @@
 	ev_timer_start(loop, &timer);
 }
 
+/* As many descriptors as there may be sockets, and a few for the loop and the log. */
+static void ws_descriptors(int sockets)
+{
+	struct rlimit r;
+	rlim_t need = (rlim_t)sockets + 16;
+
+	if (getrlimit(RLIMIT_NOFILE, &r) || r.rlim_cur >= need)
+		return;
+	r.rlim_cur = r.rlim_max < need ? r.rlim_max : need;
+	if (setrlimit(RLIMIT_NOFILE, &r) || r.rlim_cur < need)
+		ws_logf(WS_LOG_ERROR,
+			"max_sockets is %d, but this process may open %llu descriptors only",
+			sockets, (unsigned long long)r.rlim_cur);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct argp argp = {
@@ -100,6 +116,7 @@
 	}
 	ws_log_open(settings.node, getenv("LOG_LEVEL"));
 	signal(SIGPIPE, SIG_IGN);
+	ws_descriptors(settings.max_sockets);
 	loop = ev_default_loop(EVFLAG_AUTO);
 	if (!loop) {
 		fprintf(stderr, "waystep: no event loop\n");
--- a/tests/smoke_test.c
+++ b/tests/smoke_test.c
@@ -248,6 +248,48 @@
 	return status;
 }
 
+/*
+ * One worker after another reports on a connection that it would keep: more of them than the node
+ * may hold sockets. All must be answered, and users still be served. How many were.
+ */
+#define CROWD 150
+static int crowd(int port, int *kept)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	int fds[CROWD], answered = 0;
+
+	inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+	*kept = 0;
+	for (int i = 0; i < CROWD; i++) {
+		char body[400], text[600], buf[600] = "";
+		int n, status = 0;
+
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+		n = snprintf(body, sizeof(body),
+			     "{\"host\":\"n-%06d\",\"address\":\"127.0.0.1:1\",\"flavour\":\"std\","
+			     "\"hall\":\"a\",\"reclaimable\":false,\"tenure\":1,\"counter\":1,"
+			     "\"epoch\":0,\"warningS\":null,\"shards\":[]}",
+			     100 + i);
+		n = snprintf(text, sizeof(text),
+			     "POST /checkin HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", n,
+			     body);
+		if (connect(fds[i], (struct sockaddr *)&a, sizeof(a)))
+			continue;
+		(void)!send(fds[i], text, (size_t)n, MSG_NOSIGNAL);
+		fcntl(fds[i], F_SETFL, O_NONBLOCK);
+		for (int k = 0; k < 200 && !status; k++) {
+			pause_s(0.005);
+			if (recv(fds[i], buf, sizeof(buf) - 1, 0) > 0)
+				sscanf(buf, "HTTP/1.1 %d", &status);
+		}
+		answered += status == 200;
+		*kept += status == 200 && !strstr(buf, "Connection: close");
+	}
+	for (int i = 0; i < CROWD; i++)
+		close(fds[i]);
+	return answered;
+}
+
 static int free_port(void)
 {
 	struct sockaddr_in a = {.sin_family = AF_INET};
@@ -287,6 +329,9 @@
 	char file[] = "/tmp/waystep-smoke-XXXXXX", err[200], text[600], path[64] = "";
 	int port = free_port(), peer = free_port(), status = 0, fd, tries = 0, counter = 1;
 	struct ws_client_opts o = {.max_conns = 1, .max_queue = 4, .max_reply = 65536};
+	static const struct ws_server_opts stand_in = {
+	    .max = 64, .backlog = 64, .keep = {64, 64, 64}, .idle = {60, 60, 60}, .slow = 60};
+	int kept;
 	struct ws_client *c;
 	ev_timer tick;
 	bool ran = false;
@@ -300,8 +345,8 @@
 	loop = ev_default_loop(0);
 	kv = json_object();
 	gone = json_object();
-	state = ws_server_new(loop, "127.0.0.1", 0, 64, on_state, NULL, err, sizeof(err));
-	cloud = ws_server_new(loop, "127.0.0.1", 0, 64, on_cloud, NULL, err, sizeof(err));
+	state = ws_server_new(loop, "127.0.0.1", 0, &stand_in, on_state, NULL, err, sizeof(err));
+	cloud = ws_server_new(loop, "127.0.0.1", 0, &stand_in, on_cloud, NULL, err, sizeof(err));
 	fd = mkstemp(file);
 	f = fdopen(fd, "w");
 	fprintf(f,
@@ -310,7 +355,8 @@
 		"[settings]\nzones=['a']\n[[settings.teams]]\nname='t'\ncpus=8.0\ncpus_max=16.0\n"
 		"[settings.workers]\nreport_s=0.5\nlease_s=6.0\ncancel_s=20.0\n"
 		"[settings.state]\nrps=200.0\nwrite_rps=100.0\nvalue_kb=4.0\ntxn_ops=12\n"
-		"[settings.cloud]\nrps=5.0\nlist_lag_s=1.0\n",
+		"[settings.cloud]\nrps=5.0\nlist_lag_s=1.0\n"
+		"[settings.machine_limits]\nmax_sockets=96\n",
 		port, peer, ws_server_port(cloud), ws_server_port(state));
 	fclose(f);
 	check("settings that are fine pass --check", run_check(argv[1], "--check", file) == 0);
@@ -319,6 +365,16 @@
 	fprintf(f, "node='n'\nzone='a'\nbind='nowhere'\n");
 	fclose(f);
 	check("settings that are not end the start", run_check(argv[1], "--check", text) == 2);
+	f = fopen(text, "w");
+	fprintf(f, "node='n'\nzone='a'\nbind='127.0.0.1:1'\npeer_bind='127.0.0.1:2'\n"
+		   "[services]\ncloud='127.0.0.1:3'\nstate='127.0.0.1:4'\n"
+		   "[settings]\nzones=['a']\n[[settings.teams]]\nname='t'\ncpus=8.0\n"
+		   "cpus_max=16.0\n[settings.workers]\nreport_s=0.5\nlease_s=6.0\ncancel_s=20.0\n"
+		   "[settings.state]\nrps=200.0\nwrite_rps=100.0\nvalue_kb=4.0\ntxn_ops=12\n"
+		   "[settings.cloud]\nrps=5.0\nlist_lag_s=1.0\n"
+		   "[settings.machine_limits]\nmax_sockets=31\n");
+	fclose(f);
+	check("too few sockets end the start", run_check(argv[1], "--check", text) == 2);
 	unlink(text);
 	pid = fork();
 	if (!pid) {
@@ -403,6 +459,9 @@
 	check("and the job is done",
 	      got_status == 200 && got &&
 		  !strcmp(json_string_value(json_object_get(got, "phase")), "done"));
+	check("more workers than sockets are all answered", crowd(port, &kept) == CROWD);
+	check("and as many connections are kept as are for workers", kept <= 40 && kept > 0);
+	check("and users are served meanwhile", ask(c, "GET", path, "") == 200);
 	check("a done job stays done when aborted",
 	      ask(c, "POST", "/v2/runs/job-000001/abort", "") == 200 &&
 		  !strcmp(json_string_value(json_object_get(got, "phase")), "done"));
