--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -607,12 +607,13 @@
 	struct ws_machine *m;
 
 	if (c->pol.rental_ceiling < 0 && c->ntypes) {
-		/* enough machines of the middling type to honour every guarantee at once */
+		/* enough machines of the middling type to honour every guarantee at once, and
+		 * a quarter more for what is borrowed in rushes */
 		double cpus = 0, size = ws_mean_cpus(c);
 
 		for (size_t i = 0; i < c->set->nteams; i++)
 			cpus += c->set->teams[i].cpus;
-		c->pol.rental_ceiling = size > 0 ? (int)ceil(cpus / size) : 1;
+		c->pol.rental_ceiling = size > 0 ? (int)ceil(1.25 * cpus / size) : 1;
 	}
 	if (!ws_entitled(c) || c->in_outage || c->now < c->rent_next)
 		return;
