Entitlement is judged again right before an answer, command or cloud call leaves

A process may stand still between a decision and its sending. Guard: the smoke test stops the process past its hold with a report waiting; it must get 503, and service goes on.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -169,6 +169,11 @@
 	return c->role == WS_LEADER;
 }
 
+bool ws_core_entitled(const struct ws_core *c, double now)
+{
+	return c->role == WS_LEADER && now < c->entitled_until;
+}
+
 /* Everything that is due; called after each event and by the shell's timer. */
 void ws_core_tick(struct ws_core *c, double now)
 {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -231,6 +231,8 @@
 void ws_core_resign(struct ws_core *c, double now);
 bool ws_core_ready(const struct ws_core *c);
 bool ws_core_leading(const struct ws_core *c);
+/* Whether what only a leader may say may leave now. */
+bool ws_core_entitled(const struct ws_core *c, double now);
 void ws_core_submit(struct ws_core *c, double now, double wall, uint64_t token,
 		    const struct ws_spec *spec, bool relayed);
 void ws_core_poll(struct ws_core *c, double now, uint64_t token, const char *id, bool relayed);
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -10,7 +10,7 @@
 
 bool ws_entitled(const struct ws_core *c)
 {
-	return c->role == WS_LEADER && c->now < c->entitled_until;
+	return ws_core_entitled(c, c->now);
 }
 
 static void ws_follow(struct ws_core *c, double after)
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -407,10 +407,30 @@
 	ws_client_rate(v->state, v->set->state_rps * share * 0.95, v->set->state_rps * share / 2);
 }
 
-static void ws_act_do(struct ws_service *v, struct ws_action *a)
+/* Commands, renewed leases and what is asked of the cloud: only the leader may. */
+static bool ws_leaders_word(const struct ws_action *a)
+{
+	if (a->kind == WS_ACT_ANSWER_REPORT)
+		return a->status == 200;
+	return a->kind == WS_ACT_CALL &&
+	       (a->call->kind == WS_CALL_ORDERS || a->call->kind == WS_CALL_RENT ||
+		a->call->kind == WS_CALL_RETURN);
+}
+
+/*
+ * 'late': it was decided while we were entitled, but the process stood still since, and another
+ * may lead by now.
+ */
+static void ws_act_do(struct ws_service *v, struct ws_action *a, bool late)
 {
 	char *body;
 
+	if (late && a->kind == WS_ACT_CALL) {
+		ws_complete(v, a->call, -1, "", 0);
+		return;
+	}
+	if (late)
+		a->status = 503;
 	switch (a->kind) {
 	case WS_ACT_CALL: ws_call_start(v, a->call); break;
 	case WS_ACT_ANSWER_USER:
@@ -441,12 +461,14 @@
 		pthread_mutex_lock(&v->lock);
 		a = ws_core_pop(v->core);
 		bool leading = ws_core_leading(v->core);
+		/* with the clock as it is now, directly before it leaves */
+		bool late = a && ws_leaders_word(a) && !ws_core_entitled(v->core, ws_now());
 		pthread_mutex_unlock(&v->lock);
 		if (leading != v->leading)
 			ws_shares(v, leading);
 		if (!a)
 			break;
-		ws_act_do(v, a);
+		ws_act_do(v, a, late);
 		ws_action_free(a);
 	}
 	v->draining = false;
--- a/tests/smoke_test.c
+++ b/tests/smoke_test.c
@@ -290,6 +290,31 @@
 	return answered;
 }
 
+/* Sends a request to a process that is stopped, lets it go on after a while; the answer's status.
+ */
+static int frozen(int port, const char *text, pid_t pid)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0), status = 0;
+	char buf[256] = "";
+
+	inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+	if (connect(fd, (struct sockaddr *)&a, sizeof(a)) == 0) {
+		(void)!send(fd, text, strlen(text), MSG_NOSIGNAL);
+		fcntl(fd, F_SETFL, O_NONBLOCK);
+		pause_s(1.5);
+		kill(pid, SIGCONT);
+		for (int i = 0; i < 200 && !status; i++) {
+			pause_s(0.025);
+			if (recv(fd, buf, sizeof(buf) - 1, 0) > 0)
+				sscanf(buf, "HTTP/1.1 %d", &status);
+		}
+	}
+	kill(pid, SIGCONT);
+	close(fd);
+	return status;
+}
+
 static int free_port(void)
 {
 	struct sockaddr_in a = {.sin_family = AF_INET};
@@ -331,6 +356,7 @@
 	struct ws_client_opts o = {.max_conns = 1, .max_queue = 4, .max_reply = 65536};
 	static const struct ws_server_opts stand_in = {
 	    .max = 64, .backlog = 64, .keep = {64, 64, 64}, .idle = {60, 60, 60}, .slow = 60};
+	char held[300];
 	int kept;
 	struct ws_client *c;
 	ev_timer tick;
@@ -462,6 +488,22 @@
 	check("more workers than sockets are all answered", crowd(port, &kept) == CROWD);
 	check("and as many connections are kept as are for workers", kept <= 40 && kept > 0);
 	check("and users are served meanwhile", ask(c, "GET", path, "") == 200);
+	/* it stands still past its hold, with a report waiting: that must not get a 200 */
+	kill(pid, SIGSTOP);
+	snprintf(
+	    held, sizeof(held),
+	    "{\"host\":\"n-000000\",\"address\":\"127.0.0.1:1\",\"flavour\":\"std\",\"hall\":\"a\","
+	    "\"reclaimable\":false,\"tenure\":1,\"counter\":%d,\"epoch\":0,\"warningS\":null,"
+	    "\"shards\":[]}",
+	    counter++);
+	snprintf(text, sizeof(text),
+		 "POST /checkin HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n%s", strlen(held),
+		 held);
+	check("a leader that stood still past its hold renews no lease",
+	      frozen(port, text, pid) == 503);
+	for (int i = 0; i < 100 && ask(c, "GET", path, "") != 200; i++)
+		pause_s(0.1);
+	check("and serves users again", got_status == 200);
 	check("a done job stays done when aborted",
 	      ask(c, "POST", "/v2/runs/job-000001/abort", "") == 200 &&
 		  !strcmp(json_string_value(json_object_get(got, "phase")), "done"));
