Rentals known from their booking alone may be booting still

Now a rental counts as silent only once it was up: heard, with a tenure on record, or listed as running for that long; its boot is counted from the age in the list. Ruled out: refusals, k, the cloud's outage.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -792,7 +792,11 @@
 			ws_log(c, WS_LOG_INFO, "machine %s found in the cloud's list", m->name);
 	}
 	m->listed = true;
+	if (!m->listed_up && h->phase == WS_HOST_RUNNING)
+		m->listed_up = c->now;
 	if (!m->reported) {
+		/* on record by its booking alone: only the list tells since when it boots */
+		m->first_seen = fmin(m->first_seen, c->now - h->age_s);
 		ws_machine_place(c, m, h->type, h->zone, h->spot);
 		if (!m->port && h->port) {
 			snprintf(m->host, sizeof(m->host), "%s", h->host);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -112,6 +112,7 @@
 	bool return_inflight;
 	double return_next;
 	bool on_record;	       /* known from the records at this leader's election */
+	double listed_up;      /* when the cloud's list first told that it runs; 0: not yet */
 	uint64_t least_tenure; /* its lease surely ran out: word of an earlier tenure is stale */
 	uint64_t tenure, counter, epoch; /* of its newest word: a report or a command's answer */
 	uint64_t report_tenure, report_counter; /* of its newest report alone */
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -539,6 +539,15 @@
 	c->place_wanted = true;
 }
 
+/*
+ * It was up once: heard by us, by the leader that wrote down its tenure, or by the cloud's word. A
+ * rental known from its booking alone may well be booting still.
+ */
+static bool ws_was_up(const struct ws_machine *m)
+{
+	return m->reported || m->tenure || m->listed_up > 0;
+}
+
 static void ws_returns(struct ws_core *c)
 {
 	struct ws_machine *m, *mt;
@@ -564,9 +573,10 @@
 			ws_give_back(c, m, "taken after its notice"); /* to have it confirmed */
 		else if (m->mute && m->reported && heard * 2 >= up && ws_overdue(c, base))
 			ws_give_back(c, m, "silent, and no answer to a call");
-		else if ((m->reported || m->on_record) &&
-			 c->set->lease_s * c->pol.silent_ratio < c->now - base && heard * 2 >= up &&
-			 up)
+		else if (ws_was_up(m) &&
+			 c->set->lease_s * c->pol.silent_ratio <
+			     c->now - fmax(base, m->listed_up) &&
+			 heard * 2 >= up && up)
 			ws_give_back(c, m, "silent");
 		else if (m->reported && !ws_machine_hears(m) && heard * 2 >= up && up &&
 			 c->now - fmax(fmax(m->token_at, m->up_at), c->elected_at) >
