Returns and rentals take turns at the cloud

Ruled out: an outage, refusals. Whoever stood still for a quarter of a report period gives machines time to be heard first.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -179,6 +179,10 @@
 {
 	if (now > c->now)
 		c->now = now;
+	/* who was silent meanwhile may have been talking to us all the time */
+	if (c->now - c->ticked_at > c->set->report_s / 4)
+		c->woke_at = c->now;
+	c->ticked_at = c->now;
 	ws_requests_tick(c);
 	ws_leader_tick(c);
 	if (c->role == WS_LEADER) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -107,7 +107,8 @@
 
 /* Outcome of a call. */
 struct ws_result {
-	/* HTTP status; 0: no answer, it may or may not have been carried out; -1: never sent */
+	/* HTTP status; 0: no answer, it may or may not have been carried out; -1: never sent, but
+	 * tried for as long as an answer is waited for, or refused; -2: not even tried */
 	int status;
 	uint64_t rev, hold;
 	struct ws_kv *kvs;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -208,6 +208,7 @@
 	struct ws_policy pol;
 	ws_log_fn log;
 	double now;
+	double ticked_at, woke_at; /* the last tick; when we last went on after standing still */
 	uint64_t nonce;
 	struct ws_action *head, *tail;
 	uint64_t generation; /* rises whenever leadership ends: late completions are told apart */
@@ -291,6 +292,8 @@
 	/* cloud */
 	double cloud_next, hosts_next, tidy_next;
 	bool hosts_inflight, rent_inflight, hosts_known;
+	bool rented_last; /* and not returned: the two take turns while both wait */
+	int returns_wait; /* machines to be returned at the last sweep */
 	char hosts_after[WS_KEY_MAX];
 	struct ws_refusal refusals[64];
 	int nrefusals;
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -344,7 +344,7 @@
 				}
 	/* machines that are well get a report period to make themselves known to a new leader */
 	if (type && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next &&
-	    c->now - c->elected_at > c->set->report_s) {
+	    !(c->returns_wait && c->rented_last) && c->now - c->elected_at > c->set->report_s) {
 		/* as many of one kind as the loads ask for, in one request */
 		uint32_t count = most;
 		struct ws_rental *x;
@@ -368,7 +368,7 @@
 		x->made = c->now;
 		HASH_ADD_STR(c->rentals, booking, x);
 		ws_rental_dirty(c, x);
-		c->rent_inflight = true;
+		c->rent_inflight = c->rented_last = true;
 		c->cloud_next = c->now + 1;
 		ws_log(
 		    c, WS_LOG_INFO,
@@ -539,6 +539,12 @@
 	c->place_wanted = true;
 }
 
+static bool ws_return_due(const struct ws_core *c, const struct ws_machine *m)
+{
+	return m->returning && !m->gone && !m->return_inflight && !m->owned &&
+	       c->now >= m->return_next;
+}
+
 /*
  * It was up once: heard by us, by the leader that wrote down its tenure, or by the cloud's word. A
  * rental known from its booking alone may well be booting still.
@@ -560,7 +566,7 @@
 			heard += c->now - m->heard < 3 * c->set->report_s && ws_machine_hears(m);
 		}
 	HASH_ITER (hh, c->machines, m, mt) {
-		double base = fmax(m->heard, c->elected_at);
+		double base = fmax(m->heard, fmax(c->elected_at, c->woke_at));
 
 		if (m->owned || m->gone || m->returning)
 			continue;
@@ -591,11 +597,13 @@
 		else if (m->strikes >= 3 && !m->nslots)
 			ws_give_back(c, m, "fails its tasks");
 	}
+	c->returns_wait = 0;
+	HASH_ITER (hh, c->machines, m, mt)
+		c->returns_wait += ws_return_due(c, m);
 	if (c->now < c->cloud_next)
 		return;
 	HASH_ITER (hh, c->machines, m, mt) {
-		if (!m->returning || m->gone || m->return_inflight || m->owned ||
-		    c->now < m->return_next)
+		if (!ws_return_due(c, m))
 			continue;
 		if (!call) {
 			call = ws_call(c, WS_CALL_RETURN, ws_return_done);
@@ -603,9 +611,11 @@
 			if (!call->names)
 				abort();
 			c->cloud_next = c->now + 1;
+			c->rented_last = false;
 		}
 		snprintf(call->names[call->nnames++], WS_NAME_MAX, "%s", m->name);
 		m->return_inflight = true;
+		c->returns_wait--;
 		if (call->nnames == 100)
 			break;
 	}
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -712,7 +712,8 @@
 			strcpy(h->zone, w->zone);
 			h->spot = w->spot;
 			h->age_s = s->now - w->rented;
-			h->phase = w->dead ? WS_HOST_FAILED
+			/* the protocol: listed as running for about 30 s longer */
+			h->phase = w->dead && s->now > w->died_at + 30 ? WS_HOST_FAILED
 				   : w->up ? WS_HOST_RUNNING
 					   : WS_HOST_STARTING;
 			r->nhosts++;
@@ -961,6 +962,13 @@
 
 		s->commands++;
 
+		if (w->dead || w->deleted) { /* nobody answers the attempt to connect */
+			f->res.status = -1;
+			f->at = s->now + fmin(s->report, s->lease / 16);
+			f->stage = 1;
+			flight_add(s, f);
+			return;
+		}
 		if (s->now < w->deaf_until) { /* never arrives */
 			f->at = s->now + s->report;
 			f->stage = 1;
@@ -1442,15 +1450,20 @@
 		if (!j || j->status != atoi(b))
 			fail(s, "%s was answered %d", a, j ? j->status : 0);
 	} else if (!strcmp(what, "running") || !strcmp(what, "rented") || !strcmp(what, "held") ||
-		   !strcmp(what, "finishes") || !strcmp(what, "failures")) {
+		   !strcmp(what, "returned") || !strcmp(what, "finishes") ||
+		   !strcmp(what, "failures")) {
 		const char *op = a, *num = b;
 
 		if (!strcmp(what, "running") || !strcmp(what, "finishes")) {
 			op = b;
 			num = c;
 			n = !strcmp(what, "running") ? running(s, a) : j ? j->finishes : 0;
-		} else if (!strcmp(what, "rented") || !strcmp(what, "failures")) {
-			n = !strcmp(what, "rented") ? s->rented : s->failures;
+		} else if (!strcmp(what, "rented")) {
+			n = s->rented;
+		} else if (!strcmp(what, "returned")) {
+			n = s->returned;
+		} else if (!strcmp(what, "failures")) {
+			n = s->failures;
 		} else {
 			for (int i = 0; i < s->nw; i++)
 				n += !s->w[i].owned && !s->w[i].deleted;
@@ -1530,6 +1543,36 @@
 	}
 }
 
+/* What befalls a machine. */
+static void trouble(struct sim *s, struct sim_worker *w, const char *verb, double span)
+{
+	if (!strcmp(verb, "hang"))
+		w->hang_until = s->now + span;
+	else if (!strcmp(verb, "pin"))
+		w->pin = leader(s) + 1, w->pin_until = s->now + span;
+	else if (!strcmp(verb, "reboot")) { /* an empty worker under the same name */
+		w->ntasks = w->nimages = 0;
+		w->counter = w->epoch = 0;
+		w->tenure = 1;
+		w->waiting = false;
+		w->answered_sent = w->next_report = s->now;
+	} else if (!strcmp(verb, "deaf"))
+		w->deaf_until = s->now + span;
+	else if (!strcmp(verb, "cut-machine"))
+		w->cut_until = s->now + span;
+	else if (!strcmp(verb, "die"))
+		w->dead = true, w->died_at = s->now;
+	else if (!strcmp(verb, "fail-tasks"))
+		w->failing = true;
+	else if (!strcmp(verb, "take"))
+		w->deleted = true, w->deleted_at = s->now;
+	else {
+		w->notice_at = s->now;
+		w->take_at = s->now + span;
+		worker_changed(w, s->now);
+	}
+}
+
 static void act(struct sim *s, const struct sim_order *o)
 {
 	char text[256], full[256], *p = text;
@@ -1606,34 +1649,14 @@
 	} else if (!strcmp(verb, "hang") || !strcmp(verb, "cut-machine") || !strcmp(verb, "die") ||
 		   !strcmp(verb, "fail-tasks") || !strcmp(verb, "pin") || !strcmp(verb, "notice") ||
 		   !strcmp(verb, "take") || !strcmp(verb, "deaf") || !strcmp(verb, "reboot")) {
-		if (!(w = machine_named(s, who))) {
-			fail(s, "no machine %s", who);
-			return;
-		}
-		if (!strcmp(verb, "hang"))
-			w->hang_until = s->now + span;
-		else if (!strcmp(verb, "pin"))
-			w->pin = leader(s) + 1, w->pin_until = s->now + span;
-		else if (!strcmp(verb, "reboot")) { /* an empty worker under the same name */
-			w->ntasks = w->nimages = 0;
-			w->counter = w->epoch = 0;
-			w->tenure = 1;
-			w->waiting = false;
-			w->answered_sent = w->next_report = s->now;
-		} else if (!strcmp(verb, "deaf"))
-			w->deaf_until = s->now + span;
-		else if (!strcmp(verb, "cut-machine"))
-			w->cut_until = s->now + span;
-		else if (!strcmp(verb, "die"))
-			w->dead = true;
-		else if (!strcmp(verb, "fail-tasks"))
-			w->failing = true;
-		else if (!strcmp(verb, "take"))
-			w->deleted = true, w->deleted_at = s->now;
-		else {
-			w->notice_at = s->now;
-			w->take_at = s->now + span;
-			worker_changed(w, s->now);
+		/* so many, the one with most on it first; those that are gone are not named again
+		 */
+		for (int k = (int)opt(full, "times", 1); k > 0; k--) {
+			if (!(w = machine_named(s, who))) {
+				fail(s, "no machine %s", who);
+				return;
+			}
+			trouble(s, w, verb, span);
 		}
 	} else if (!strcmp(verb, "lose-answer")) {
 		int k = (int)opt(full, "times", 1);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -26,7 +26,7 @@
 	int type;
 	char zone[32];
 	bool spot, owned, up, dead, deleted, hung, never, failing, slow;
-	double rented, deleted_at, boots, hang_until, cut_until, notice_at, take_at;
+	double rented, deleted_at, died_at, boots, hang_until, cut_until, notice_at, take_at;
 	double deaf_until; /* its reports arrive, no answer or command reaches it */
 	uint64_t tenure, counter, epoch;
 	double answered_sent; /* when the last answered report was sent */
