What the cloud took lifts no refusal; returns wait for company; machines come up once

By the log every request asked a lacking spot kind for 50 and got a handful: each confirmed return lifted the refusal of its kind, and spot machines are taken all the time. (It had been hidden by returns coming late.) Now only machines that heard us and were given back count, a fiftieth of half the fleet at once; returns take a turn when 50 wait or one has waited a report period. Also seen in a scenario's log: a machine that came up counted neither as booting nor as usable until it showed that it hears, and was rented once more; it counts as booting.

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -188,6 +188,7 @@
 	bool spot;
 	double until;
 	int times;
+	int back; /* machines of this kind given back since */
 };
 
 enum ws_role { WS_FOLLOWER, WS_ASKING, WS_LOADING, WS_LEADER };
@@ -277,8 +278,9 @@
 	struct ws_job *dirty_jobs;
 	struct ws_rental *dirty_rentals;
 	double sweep_next, rent_next;
-	bool rentals_stale; /* a machine went: records of rentals may be out of date */
-	uint64_t steps;	    /* of work in placement, for tests */
+	bool rentals_stale;  /* a machine went: records of rentals may be out of date */
+	uint64_t steps;	     /* of work in placement */
+	uint64_t steps_most; /* of any one pass, for tests */
 	bool flushing;
 	double flush_next, chunk_next;
 	int flush_fails;
@@ -287,13 +289,15 @@
 	uint32_t wrote[WS_WROTE_KINDS]; /* records by kind, for the log */
 	bool place_wanted;
 	double place_next, move_next;
+	double pass_at; /* when a pass began that the shell has not told the length of */
 	uint64_t pass;
 
 	/* cloud */
 	double cloud_next, hosts_next, tidy_next;
 	bool hosts_inflight, rent_inflight, hosts_known;
-	bool rented_last; /* and not returned: the two take turns while both wait */
-	int returns_wait; /* machines to be returned at the last sweep */
+	bool rented_last;     /* and not returned: the two take turns while both wait */
+	int returns_wait;     /* machines to be returned at the last sweep */
+	double returns_since; /* none waited then, or some were returned */
 	char hosts_after[WS_KEY_MAX];
 	struct ws_refusal refusals[64];
 	int nrefusals;
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -118,19 +118,27 @@
 		f->spot = r->spot;
 	}
 	f->times = refused ? f->times + 1 : 0;
+	f->back = 0;
 	/* what the cloud lacks may come back: ask again, at growing intervals, since every request
 	 * spent on it is a second that a kind it does have comes later */
 	f->until = refused ? c->now + c->set->list_lag_s * (1 << (f->times < 4 ? f->times : 4)) : 0;
 }
 
-/* One of this kind went back: there is one to be had again. */
+/*
+ * One of this kind that was of use went back, so there is one to be had again; but in a large fleet
+ * a request is not worth one machine. What the cloud took, or what died, it need not have again.
+ */
 static void ws_refusal_lift(struct ws_core *c, const struct ws_machine *m)
 {
+	if (m->noticed || m->failed || !ws_machine_hears(m) ||
+	    c->now - m->heard > 3 * c->set->report_s)
+		return;
 	for (int i = 0; i < c->nrefusals; i++) {
 		struct ws_refusal *f = &c->refusals[i];
 
 		if (f->spot == m->spot && !strcmp(f->type, m->type_name) &&
-		    !strcmp(f->zone, m->zone)) {
+		    !strcmp(f->zone, m->zone) &&
+		    ++f->back > (int)HASH_COUNT(c->machines) / (2 * WS_RENT_HOSTS)) {
 			f->until = 0;
 			f->times = 0;
 		}
@@ -243,6 +251,18 @@
 	return found;
 }
 
+/*
+ * Its room will be there in a moment: it boots, or is up and has yet to show that it hears us.
+ * Without the latter each machine that came up would be rented once more.
+ */
+static bool ws_comes_up(const struct ws_core *c, const struct ws_machine *m)
+{
+	if (!m->reported)
+		return !ws_boot_late(c, m);
+	return !m->nslots && !m->mute && !m->noticed && !ws_machine_hears(m) &&
+	       !ws_overdue(c, fmax(m->up_at, m->token_at));
+}
+
 /* Machines that are full, for any task that waits, need not be looked at again. */
 static void ws_bins_tidy(struct ws_bins *all)
 {
@@ -254,6 +274,16 @@
 	all->n = kept;
 }
 
+/*
+ * Whether returns go before the next rental. In a rush there is something to rent every second, and
+ * spot machines are taken one by one all the time: those wait for company, at most a report period.
+ */
+static bool ws_returns_turn(const struct ws_core *c)
+{
+	return c->returns_wait >= WS_RENT_HOSTS ||
+	       (c->returns_wait && c->now - c->returns_since > c->set->report_s);
+}
+
 /* Called at the end of a placement pass with all that found no room. */
 void ws_rentals_plan(struct ws_core *c)
 {
@@ -268,8 +298,8 @@
 	c->loads = 0;
 	if (c->nlacks) {
 		HASH_ITER (hh, c->machines, m, mt)
-			if (!m->owned && !m->gone && !m->failed && !m->returning && !m->reported &&
-			    m->type && !ws_boot_late(c, m))
+			if (!m->owned && !m->gone && !m->failed && !m->returning && m->type &&
+			    ws_comes_up(c, m))
 				ws_bin_whole(c, &bins, m->type, m->zone, m->spot, 1);
 		HASH_ITER (hh, c->rentals, r, rt) {
 			const struct ws_type *t = ws_type_find(c, r->type);
@@ -302,6 +332,7 @@
 		if (c->loads >= enough && !l->job->spec.gang)
 			continue;
 		ws_bins_tidy(&bins);
+		c->steps += (uint64_t)bins.n;
 		for (int b = 0; b < bins.n && left; b++)
 			left -= ws_bin_take(c, &bins, b, l, left);
 		while (left) {
@@ -344,7 +375,7 @@
 				}
 	/* machines that are well get a report period to make themselves known to a new leader */
 	if (type && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next &&
-	    !(c->returns_wait && c->rented_last) && c->now - c->elected_at > c->set->report_s) {
+	    !(c->rented_last && ws_returns_turn(c)) && c->now - c->elected_at > c->set->report_s) {
 		/* as many of one kind as the loads ask for, in one request */
 		uint32_t count = most;
 		struct ws_rental *x;
@@ -600,6 +631,8 @@
 	c->returns_wait = 0;
 	HASH_ITER (hh, c->machines, m, mt)
 		c->returns_wait += ws_return_due(c, m);
+	if (!c->returns_wait)
+		c->returns_since = c->now;
 	if (c->now < c->cloud_next)
 		return;
 	HASH_ITER (hh, c->machines, m, mt) {
@@ -612,6 +645,7 @@
 				abort();
 			c->cloud_next = c->now + 1;
 			c->rented_last = false;
+			c->returns_since = c->now;
 		}
 		snprintf(call->names[call->nnames++], WS_NAME_MAX, "%s", m->name);
 		m->return_inflight = true;
