Placement passes are bounded and pace themselves

Hundreds of waiting jobs each looked over a full fleet for work to stop, in one pass longer than the hold. A pass now spends at most 100 steps a machine on it, later ones serve the rest; and placement takes a third of the time at most, by the clock after each pass. Ruled out: the state service.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -169,6 +169,18 @@
 	return c->role == WS_LEADER;
 }
 
+void ws_core_spent(struct ws_core *c, double (*clock)(void))
+{
+	double now;
+
+	if (c->pass_at <= 0)
+		return;
+	now = clock();
+	/* placement takes a third of the time at the most, however long what waits */
+	c->place_next = fmax(c->place_next, now + 2 * (now - c->pass_at));
+	c->pass_at = 0;
+}
+
 bool ws_core_entitled(const struct ws_core *c, double now)
 {
 	return c->role == WS_LEADER && now < c->entitled_until;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -229,6 +229,8 @@
 void ws_core_complete(struct ws_core *c, double now, struct ws_call *call,
 		      const struct ws_result *r);
 
+/* After what was asked of the core: how late it is now. Long passes come less often. */
+void ws_core_spent(struct ws_core *c, double (*clock)(void));
 void ws_core_resign(struct ws_core *c, double now);
 bool ws_core_ready(const struct ws_core *c);
 bool ws_core_leading(const struct ws_core *c);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -188,6 +188,12 @@
 
 /* More machines than this are not all looked at for work to stop. */
 #define WS_VICTIMS 64
+/*
+ * Steps a pass may spend for each machine. When a full fleet meets hundreds of jobs that wait, each
+ * looking for work to stop, a pass took longer than the hold lasts and leaders followed one
+ * another. Who comes too late for this pass is served in one of the next.
+ */
+#define WS_PASS_STEPS 100
 
 /* What one pass goes by. */
 struct ws_pass {
@@ -200,6 +206,7 @@
 	size_t nending;
 	struct ws_machine **fit; /* scratch, of the same size */
 	double least;		 /* CPUs of the smallest task that waits */
+	uint64_t steps_end;	 /* beyond these nothing more is stopped in this pass */
 	struct ws_victim {
 		double cost;
 		size_t at; /* its place in first fit's order */
@@ -271,7 +278,7 @@
 	uint32_t got = 0, zones = ws_zones_ok(c, j);
 	size_t n = 0;
 
-	if (ws_rank(j) <= p->lowest ||
+	if (c->steps > p->steps_end || ws_rank(j) <= p->lowest ||
 	    !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
 		return 0;
 	if (p->vain && ws_rank(j) <= p->vain_rank && j->spec.cpus >= p->vain_cpus &&
@@ -281,7 +288,7 @@
 		return 0;
 	/* the cheapest of some, looked for from another machine on each time */
 	for (size_t k = 0, from = p->n > WS_VICTIMS ? c->pass : 0;
-	     k < p->n && n < 2 * (size_t)want + WS_VICTIMS; k++) {
+	     k < p->n && n < 2 * (size_t)want + WS_VICTIMS && c->steps <= p->steps_end; k++) {
 		struct ws_machine *m = p->ms[(k + from) % p->n];
 		double cost;
 
@@ -293,7 +300,7 @@
 		if (cost >= 0)
 			p->victims[n++] = (struct ws_victim){cost, k, m};
 	}
-	if (!n && !cached) {
+	if (!n && !cached && c->steps <= p->steps_end) {
 		p->vain = true;
 		p->vain_rank = ws_rank(j);
 		p->vain_cpus = j->spec.cpus;
@@ -680,6 +687,7 @@
 	size_t nj = HASH_COUNT(c->jobs), n = 0, nw = 0;
 	struct ws_job **all = calloc(nj + 1, sizeof(*all)), *j, *jt;
 	struct ws_pass p = {.c = c, .lowest = 1000};
+	uint64_t began = c->steps;
 
 	ws_order(c);
 	p.ms = calloc(4 * c->norder + 1, sizeof(*p.ms));
@@ -692,6 +700,8 @@
 		abort();
 	c->place_wanted = false;
 	c->place_next = c->now + ws_sweep_every(c) / 2;
+	c->pass_at = c->now;
+	p.steps_end = began + WS_PASS_STEPS * (uint64_t)(c->norder + WS_VICTIMS);
 	HASH_ITER (hh, c->jobs, j, jt)
 		if (!ws_job_over(j))
 			all[n++] = j;
@@ -729,6 +739,7 @@
 		ws_place_job(&p, all[w]);
 	}
 	ws_rentals_plan(c);
+	c->steps_most = c->steps - began > c->steps_most ? c->steps - began : c->steps_most;
 	if (!nw)
 		ws_consolidate(c, p.ms, p.n);
 	free(all);
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -459,6 +459,7 @@
 		struct ws_action *a;
 
 		pthread_mutex_lock(&v->lock);
+		ws_core_spent(v->core, ws_now);
 		a = ws_core_pop(v->core);
 		bool leading = ws_core_leading(v->core);
 		/* with the clock as it is now, directly before it leaves */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -714,8 +714,8 @@
 			h->age_s = s->now - w->rented;
 			/* the protocol: listed as running for about 30 s longer */
 			h->phase = w->dead && s->now > w->died_at + 30 ? WS_HOST_FAILED
-				   : w->up ? WS_HOST_RUNNING
-					   : WS_HOST_STARTING;
+				   : w->up			       ? WS_HOST_RUNNING
+								       : WS_HOST_STARTING;
 			r->nhosts++;
 		}
 		break;
@@ -1512,6 +1512,11 @@
 		i = atoi(a) % s->nnodes;
 		if (!s->nodes[i].up || ws_core_ready(s->nodes[i].core) != !strcmp(what, "healthy"))
 			fail(s, "node %d: not %s", i, what);
+	} else if (!strcmp(what, "per-pass")) { /* steps of the longest pass of this leader */
+		uint64_t most = s->nodes[leader(s)].core->steps_most;
+
+		if (most > (uint64_t)atoll(b))
+			fail(s, "a pass took %llu steps", (unsigned long long)most);
 	} else if (!strcmp(what, "per-start") || !strcmp(what, "per-poll")) {
 		/* of changes, of commands or of steps in placement; of requests */
 		double of = !strcmp(what, "per-poll") ? (double)s->polls : (double)s->starts, v = 0;
