--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -183,9 +183,7 @@
 	double used_cpus, used_gpus;
 };
 
-struct ws_refusal { /* a kind of machine the cloud would not give */
-	char type[WS_NAME_MAX], zone[WS_NAME_MAX];
-	bool spot;
+struct ws_refusal { /* of a kind of machine that the cloud would not give */
 	double until;
 	int times;
 	int back; /* machines of this kind given back since */
@@ -299,8 +297,7 @@
 	int returns_wait;     /* machines to be returned at the last sweep */
 	double returns_since; /* none waited then, or some were returned */
 	char hosts_after[WS_KEY_MAX];
-	struct ws_refusal refusals[64];
-	int nrefusals;
+	struct ws_refusal refusals[WS_MAX_TYPES][WS_MAX_ZONES][2]; /* ordinary, spot */
 	int loads;	       /* waiting machine-loads at the last pass */
 	struct ws_lack *lacks; /* of the pass under way */
 	size_t nlacks, lacks_cap;
@@ -412,7 +409,6 @@
 void ws_rental_written(struct ws_core *c, struct ws_rental *r, bool deleted);
 void ws_rental_free(struct ws_core *c, struct ws_rental *r);
 bool ws_boot_late(const struct ws_core *c, const struct ws_machine *m);
-bool ws_refused(struct ws_core *c, const char *type, const char *zone, bool spot);
 
 /* recovery.c */
 void ws_leader_tick(struct ws_core *c);
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -89,34 +89,22 @@
 	return loads;
 }
 
-bool ws_refused(struct ws_core *c, const char *type, const char *zone, bool spot)
+/* The cloud's answers about a kind of machine; NULL for a type or zone that is not known. */
+static struct ws_refusal *ws_refusal_of(struct ws_core *c, const char *type, const char *zone,
+					bool spot)
 {
-	for (int i = 0; i < c->nrefusals; i++) {
-		struct ws_refusal *f = &c->refusals[i];
+	const struct ws_type *t = ws_type_find(c, type);
+	int zi = ws_zone_id(c, zone);
 
-		if (f->spot == spot && !strcmp(f->type, type) && !strcmp(f->zone, zone))
-			return f->until > c->now;
-	}
-	return false;
+	return t && zi >= 0 ? &c->refusals[t - c->types][zi][spot] : NULL;
 }
 
 static void ws_refuse(struct ws_core *c, const struct ws_rental *r, bool refused)
 {
-	struct ws_refusal *f = NULL;
-
-	for (int i = 0; i < c->nrefusals; i++)
-		if (c->refusals[i].spot == r->spot && !strcmp(c->refusals[i].type, r->type) &&
-		    !strcmp(c->refusals[i].zone, r->zone))
-			f = &c->refusals[i];
-	if (!f) {
-		if (!refused || c->nrefusals == (int)(sizeof(c->refusals) / sizeof(c->refusals[0])))
-			return;
-		f = &c->refusals[c->nrefusals++];
-		memset(f, 0, sizeof(*f));
-		snprintf(f->type, sizeof(f->type), "%s", r->type);
-		snprintf(f->zone, sizeof(f->zone), "%s", r->zone);
-		f->spot = r->spot;
-	}
+	struct ws_refusal *f = ws_refusal_of(c, r->type, r->zone, r->spot);
+
+	if (!f)
+		return;
 	f->times = refused ? f->times + 1 : 0;
 	f->back = 0;
 	/* what the cloud lacks may come back: ask again, at growing intervals, since every request
@@ -130,19 +118,13 @@
  */
 static void ws_refusal_lift(struct ws_core *c, const struct ws_machine *m)
 {
-	if (m->noticed || m->failed || !ws_machine_hears(m) ||
+	struct ws_refusal *f = ws_refusal_of(c, m->type_name, m->zone, m->spot);
+
+	if (!f || m->noticed || m->failed || !ws_machine_hears(m) ||
 	    c->now - m->heard > 3 * c->set->report_s)
 		return;
-	for (int i = 0; i < c->nrefusals; i++) {
-		struct ws_refusal *f = &c->refusals[i];
-
-		if (f->spot == m->spot && !strcmp(f->type, m->type_name) &&
-		    !strcmp(f->zone, m->zone) &&
-		    ++f->back > (int)HASH_COUNT(c->machines) / (2 * WS_RENT_HOSTS)) {
-			f->until = 0;
-			f->times = 0;
-		}
-	}
+	if (++f->back > (int)HASH_COUNT(c->machines) / (2 * WS_RENT_HOSTS))
+		memset(f, 0, sizeof(*f));
 }
 
 void ws_rentals_want(struct ws_core *c, struct ws_job *j, uint32_t tasks, uint32_t zones)
@@ -238,7 +220,7 @@
 				int zi = ws_zone_id(c, t->zones[z]);
 
 				if (zi < 0 || !(l->zones >> zi & 1) ||
-				    ws_refused(c, t->name, t->zones[z], spot))
+				    c->refusals[i][zi][spot].until > c->now)
 					continue;
 				cost *= 1 + bins->same[i][zi] * 1e-4; /* even zones, among equals */
 				if (found && cost >= best)
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -640,13 +640,16 @@
 {
 	(void)call;
 	if (r->status == 200 && r->ntypes) {
-		for (size_t i = 0; i < r->ntypes && i < WS_MAX_TYPES; i++) {
+		for (size_t i = 0; i < r->ntypes; i++) {
 			const struct ws_type *have = ws_type_find(c, r->types[i].name);
 
 			if (have) /* prices move; pointers to types stay good */
 				c->types[have - c->types] = r->types[i];
 			else if (c->ntypes < WS_MAX_TYPES)
 				c->types[c->ntypes++] = r->types[i];
+			else
+				ws_log(c, WS_LOG_ERROR, "machine type %s is left out: %d are kept",
+				       r->types[i].name, WS_MAX_TYPES);
 		}
 		c->types_edition++;
 		c->types_asked = false;
