Failed try: calls that can't connect as a sign of death; rentals kept in a cut of our own

By the log the leader, cut off from workers, called those that were late for their report, could not connect, and returned 350 rentals that were reporting by other nodes. A worker needs up to 5 s to find another node, so a call that fails sooner proves nothing, and later it gains nothing over half a lease. Reverted: such a call says nothing, as before. Kept: rentals go back as silent only while most of the fleet was heard within a report period (it was three), since a cut of our own looks the same at first.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -107,8 +107,7 @@
 
 /* Outcome of a call. */
 struct ws_result {
-	/* HTTP status; 0: no answer, it may or may not have been carried out; -1: never sent, but
-	 * tried for as long as an answer is waited for, or refused; -2: not even tried */
+	/* HTTP status; 0: no answer, it may or may not have been carried out; -1: never sent */
 	int status;
 	uint64_t rev, hold;
 	struct ws_kv *kvs;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -626,7 +626,7 @@
 	if (!m)
 		return;
 	m->commands--;
-	if (r->status == -2 || (r->status < 0 && call->norders))
+	if (r->status < 0)
 		return; /* never left us: the next reply carries it */
 	if (r->report && !strcmp(r->report->machine, m->name)) {
 		c->relay_since = 0; /* it can be reached from here */
@@ -638,7 +638,6 @@
 			ws_fleet_read(c, m, r->report);
 		}
 	} else if (!call->norders) {
-		/* a machine that is no more does not even refuse the connection */
 		if (ws_overdue(c, fmax(m->heard, c->woke_at)))
 			m->mute = true;
 		return; /* a greeting: nothing of it can do harm; its token may be met again */
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -576,7 +576,9 @@
 	HASH_ITER (hh, c->machines, m, mt)
 		if (m->reported && !m->gone && !m->failed) {
 			up++;
-			heard += c->now - m->heard < 3 * c->set->report_s && ws_machine_hears(m);
+			/* within a report period, or a cut of our own would look like theirs for
+			 * as long as it takes to return them all */
+			heard += !ws_overdue(c, m->heard) && ws_machine_hears(m);
 		}
 	HASH_ITER (hh, c->machines, m, mt) {
 		double base = fmax(m->heard, fmax(c->elected_at, c->woke_at));
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -392,7 +392,7 @@
 				  timeout, call->urgent, ws_call_done, x);
 	free(body);
 	if (!ok)
-		ws_call_done(x, call->kind == WS_CALL_ORDERS ? -2 : 429, "", 0);
+		ws_call_done(x, call->kind == WS_CALL_ORDERS ? -1 : 429, "", 0);
 }
 
 /* ---- what the core wants done ---- */
@@ -426,7 +426,7 @@
 	char *body;
 
 	if (late && a->kind == WS_ACT_CALL) {
-		ws_complete(v, a->call, -2, "", 0);
+		ws_complete(v, a->call, -1, "", 0);
 		return;
 	}
 	if (late)
