A standstill is not taken for a long pass; placement's pace ends with the lead

Found on reading the change again: after a freeze of a minute, the time since the pass began would have kept a node that leads again from placing for two. Capped at half the hold, reset when the lead ends.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -176,8 +176,9 @@
 	if (c->pass_at <= 0)
 		return;
 	now = clock();
-	/* placement takes a third of the time at the most, however long what waits */
-	c->place_next = fmax(c->place_next, now + 2 * (now - c->pass_at));
+	/* placement takes a third of the time at the most, however long what waits; if the process
+	 * stood still meanwhile, that was no pass */
+	c->place_next = fmax(c->place_next, now + fmin(2 * (now - c->pass_at), c->ttl / 2));
 	c->pass_at = 0;
 }
 
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -87,6 +87,7 @@
 	c->hosts_next = c->cloud_next = c->flush_next = c->sweep_next = c->rent_next = 0;
 	memset(c->refusals, 0, sizeof(c->refusals));
 	c->returns_wait = 0;
+	c->place_next = c->pass_at = 0;
 	c->measured_at = 0;
 	c->work_arrived = c->work_done = c->busy_time = c->busy = 0;
 	if (c->hold && why) {
