--- a/src/config.c
+++ b/src/config.c
@@ -52,6 +52,15 @@
 	*to = v;
 }
 
+/* A limit that will hold from some later moment on: planned by from the start if it is lower. */
+static void ws_lower(struct ws_reader *r, const char *path, double least, double *to)
+{
+	double next = *to;
+
+	ws_num(r, path, &next, least, false);
+	*to = next < *to ? next : *to;
+}
+
 static void ws_addr(struct ws_reader *r, const char *path, struct ws_endpoint *e)
 {
 	char text[64], *colon, *end;
@@ -155,11 +164,22 @@
 	ws_num(&r, "settings.workers.report_s", &s->report_s, 0.01, true);
 	ws_num(&r, "settings.workers.lease_s", &s->lease_s, 0.1, true);
 	ws_num(&r, "settings.workers.cancel_s", &s->cancel_s, 0, true);
+	s->gang_wait_s = s->lease_s;
+	s->gang_peer_s = s->lease_s / 2;
+	ws_num(&r, "settings.workers.gang_wait_s", &s->gang_wait_s, 0.1, false);
+	ws_num(&r, "settings.workers.gang_peer_s", &s->gang_peer_s, 0, false);
 	ws_num(&r, "settings.state.rps", &s->state_rps, 1, true);
 	ws_num(&r, "settings.state.write_rps", &s->state_write_rps, 1, true);
 	ws_num(&r, "settings.state.value_kb", &s->value_kb, 1, true);
 	v = 0;
 	ws_num(&r, "settings.state.txn_ops", &v, 3, true);
+	if (ws_toml_string(r.t, "settings.state.next", p, sizeof(p)) != WS_TOML_MISSING &&
+	    !ws_toml_table(r.t, "settings.state.next"))
+		ws_bad(&r, "settings.state.next", "must be a table");
+	ws_lower(&r, "settings.state.next.rps", 1, &s->state_rps);
+	ws_lower(&r, "settings.state.next.write_rps", 1, &s->state_write_rps);
+	ws_lower(&r, "settings.state.next.value_kb", 1, &s->value_kb);
+	ws_lower(&r, "settings.state.next.txn_ops", 3, &v);
 	s->txn_ops = v > 1000 ? 1000 : (int)v;
 	ws_num(&r, "settings.cloud.rps", &s->cloud_rps, 0.01, true);
 	ws_num(&r, "settings.cloud.list_lag_s", &s->list_lag_s, 0, true);
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -130,6 +130,8 @@
 	c->log = log;
 	c->now = now;
 	c->nonce = nonce;
+	c->value_most = s->value_kb * 1024;
+	c->ops_most = s->txn_ops;
 	c->state_ok_at = c->state_bad_at = -1e9;
 	c->ttl = s->lease_s * p->leader_ttl_ratio;
 	if (c->ttl < 0.2)
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -46,7 +46,13 @@
 	size_t nzones;
 };
 
-enum ws_task_state { WS_TASK_FETCHING, WS_TASK_RUNNING, WS_TASK_SAVING, WS_TASK_EXITED };
+enum ws_task_state {
+	WS_TASK_FETCHING,
+	WS_TASK_RUNNING,
+	WS_TASK_SAVING,
+	WS_TASK_EXITED,
+	WS_TASK_WAITING, /* of a gang: for the other tasks of its attempt */
+};
 enum ws_why {
 	WS_WHY_NONE,
 	WS_WHY_DONE,
@@ -54,7 +60,9 @@
 	WS_WHY_ERROR,
 	WS_WHY_FULL,
 	WS_WHY_BUSY,
-	WS_WHY_UNKNOWN
+	WS_WHY_UNKNOWN,
+	WS_WHY_MATES, /* of a gang: another of its tasks is gone */
+	WS_WHY_ALONE, /* of a gang: it was not complete in time */
 };
 
 struct ws_task_report {
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -392,7 +392,14 @@
 		if (j && s->why == WS_WHY_UNKNOWN)
 			j->not_before = c->now + c->set->report_s;
 		break;
-	default: break;
+	case WS_WHY_NONE:
+	case WS_WHY_STOPPED:
+	case WS_WHY_MATES:
+	case WS_WHY_ALONE:
+		/* of a gang that broke up; nobody is to blame for that here */
+		if (j && j->spec.gang && !s->orphan)
+			j->gang_over = s->attempt;
+		break;
 	}
 	ws_slot_release(c, s);
 }
@@ -471,6 +478,11 @@
 		}
 		s->pass = c->pass;
 		s->seen = s->sent = true;
+		if (t->state == WS_TASK_WAITING && s->at != WS_TASK_WAITING)
+			s->waiting_at = c->now;
+		if (s->job && s->job->spec.gang && !s->orphan &&
+		    (t->state == WS_TASK_RUNNING || t->state == WS_TASK_SAVING))
+			s->job->gang_over = s->attempt;
 		if (t->state == WS_TASK_RUNNING && s->at != WS_TASK_RUNNING) {
 			s->running_at = c->now;
 			ws_log(c, WS_LOG_DEBUG, "machine %s: %s/%u attempt %llu runs", m->name,
@@ -535,9 +547,10 @@
 		o[n].task = s->task;
 		o[n].attempt = s->attempt;
 		o[n].grace_s = s->grace;
-		if (!stop) {
+		if (stop)
+			s->told = true;
+		else
 			s->sent = true;
-		}
 		n++;
 	}
 	for (size_t i = 0; r && i < r->ntasks && n < max; i++) {
@@ -616,6 +629,13 @@
 	ws_core_tick(c, now);
 }
 
+/* To be stopped, and no command has said so yet: one was on its way when that was decided. */
+static bool ws_slot_untold(const struct ws_slot *s)
+{
+	return s->stop && !s->told && s->state != WS_SLOT_LEAVING &&
+	       s->tenure == s->machine->tenure;
+}
+
 static void ws_push_done(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
 	struct ws_machine *m;
@@ -652,7 +672,7 @@
 		return;
 	}
 	for (struct ws_slot *s = m->slots; s; s = s->next)
-		if (ws_slot_runnable(c, s) && !s->sent) {
+		if ((ws_slot_runnable(c, s) && !s->sent) || ws_slot_untold(s)) {
 			ws_fleet_push(c, m);
 			break;
 		}
@@ -758,9 +778,9 @@
 
 void ws_tombs_clear(struct ws_core *c, bool all)
 {
-	struct ws_tomb **lists[] = {&c->tombs, &c->ended}, *t, *n;
+	struct ws_tomb **lists[] = {&c->tombs, &c->ended, &c->strays}, *t, *n;
 
-	for (size_t i = 0; i < 2; i++)
+	for (size_t i = 0; i < 3; i++)
 		HASH_ITER (hh, *lists[i], t, n)
 			if (all || c->now >= t->until) {
 				HASH_DEL(*lists[i], t);
@@ -817,6 +837,20 @@
 	return fmin(c->set->report_s / 20, c->set->lease_s / 160);
 }
 
+/*
+ * Replicas and what can save move when their machine is about to be taken. A gang saves only if
+ * all of it is told at once and has the time; else it goes on and falls back to its checkpoint.
+ */
+static bool ws_moves_on_notice(const struct ws_core *c, const struct ws_slot *s)
+{
+	const struct ws_spec *p = &s->job->spec;
+
+	if (p->gang)
+		return p->checkpoint_s > 0 && c->now + p->save_s < s->machine->notice_until &&
+		       ws_gang_reachable(c, s->job);
+	return p->service || p->checkpoint_s > 0;
+}
+
 void ws_fleet_tick(struct ws_core *c)
 {
 	struct ws_machine *m, *t;
@@ -844,9 +878,9 @@
 
 			for (struct ws_slot *s = m->slots, *n; s; s = n) {
 				n = s->next;
-				if (s->state != WS_SLOT_LEAVING && !s->stop && s->job &&
-				    (s->job->spec.service || s->job->spec.checkpoint_s > 0)) {
-					ws_slot_stop(c, s, s->job->spec.save_s, "spot notice");
+				if (s->state != WS_SLOT_LEAVING && !s->stop && !s->orphan &&
+				    s->job && ws_moves_on_notice(c, s)) {
+					ws_task_stop(c, s, "spot notice");
 					any = true;
 				}
 			}
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -65,6 +65,9 @@
 	bool aged;		    /* waits too long: see ws_aged */
 	double lack_since;	    /* tasks of it have found no room since then; 0: none */
 	bool guaranteed;	    /* fits its team's guarantee with the team's earlier jobs */
+	uint64_t gang_over;	    /* of a gang: this attempt ran, or broke up */
+	int gang_zone;		    /* of a gang that waits: the zone it gathers room in, from 1 */
+	uint32_t pieces;	    /* records beside its own that name attempts: see record.c */
 	struct ws_job *dprev, *dnext;
 	UT_hash_handle hh;
 };
@@ -86,11 +89,13 @@
 	bool orphan;	       /* reported but on no record */
 	bool seen;	       /* the worker has reported it */
 	bool stop;	       /* is to end */
+	bool told;	       /* and a command said so */
 	bool aged;	       /* its job had waited too long: other arrays leave it its room */
 	bool writing;	       /* is in the record being written */
 	enum ws_task_state at; /* as reported */
 	enum ws_why why;
 	double grace, planned_at, running_at;
+	double waiting_at;	       /* of a gang's task: reported waiting since */
 	uint64_t pass;		       /* mark of the report being read */
 	struct ws_slot *next;	       /* of its machine */
 	struct ws_slot *jprev, *jnext; /* of its job */
@@ -127,9 +132,10 @@
 	double notice_until; /* the cloud takes it then; 0: no notice */
 	bool noticed;
 	double empty_since;
-	uint64_t fence; /* a direct command of this epoch may yet arrive; 0: none */
-	int commands;	/* direct commands on their way */
-	int strikes;	/* failures in a row, of different jobs */
+	double held_until; /* a gang that gathers room counts on it */
+	uint64_t fence;	   /* a direct command of this epoch may yet arrive; 0: none */
+	int commands;	   /* direct commands on their way */
+	int strikes;	   /* failures in a row, of different jobs */
 	char strike_job[WS_ID_MAX];
 	double quarantine_until;
 	double refused_until;
@@ -181,6 +187,7 @@
 struct ws_team {
 	const struct ws_team_setting *set;
 	double used_cpus, used_gpus;
+	double held_cpus, held_gpus; /* for gangs that wait; scratch of one placement pass */
 };
 
 struct ws_refusal { /* of a kind of machine that the cloud would not give */
@@ -202,7 +209,8 @@
 
 struct ws_core {
 	struct ws_tomb *tombs;
-	struct ws_tomb *ended; /* jobs just archived: word of the watch may be older */
+	struct ws_tomb *ended;	/* jobs just archived: word of the watch may be older */
+	struct ws_tomb *strays; /* pieces of records of jobs that are over */
 	const struct ws_settings *set;
 	struct ws_policy pol;
 	ws_log_fn log;
@@ -282,6 +290,8 @@
 	bool flushing;
 	double flush_next, chunk_next;
 	int flush_fails;
+	double value_most; /* bytes of a value, and changes of a transaction, that we plan by: */
+	int ops_most;	   /* less than the settings' once a write was called too large */
 	double flush_rate, flush_tokens, flush_at; /* changes a second that are ours */
 	double wrote_log;
 	uint32_t wrote[WS_WROTE_KINDS]; /* records by kind, for the log */
@@ -322,6 +332,9 @@
 /* record.c: records of the state service to JSON and back */
 json_t *ws_record_job(const struct ws_core *c, const struct ws_job *j, size_t limit);
 struct ws_job *ws_record_read_job(const char *id, json_t *v);
+void ws_record_split(json_t *v, size_t limit, json_t **pieces, size_t most, size_t *n);
+size_t ws_record_size(json_t *v);
+uint32_t ws_record_pieces(json_t *v);
 json_t *ws_record_final(const struct ws_job *j);
 bool ws_record_read_phase(json_t *v, enum ws_phase *phase, uint32_t *done, uint32_t *running);
 json_t *ws_record_spec(const struct ws_spec *s, enum ws_phase phase, double wall);
@@ -331,6 +344,7 @@
 	uint64_t tenure, attempt;
 	uint32_t task;
 };
+size_t ws_record_limit(const struct ws_core *c);
 size_t ws_record_read_assigned(json_t *v, struct ws_assigned **list);
 size_t ws_record_assign_size(const struct ws_core *c, const struct ws_slot *before,
 			     const struct ws_slot *s);
@@ -395,7 +409,15 @@
 uint32_t ws_tasks_fit(const struct ws_spec *s, double cpus, double gpus, double mem, uint32_t most);
 void ws_place(struct ws_core *c);
 
+/* gang.c */
+bool ws_gang_gathers(const struct ws_job *j, uint64_t *attempt, double *since);
+bool ws_gang_reachable(const struct ws_core *c, const struct ws_job *j);
+void ws_gang_stop(struct ws_core *c, struct ws_job *j, double grace, const char *why);
+void ws_gang_tend(struct ws_core *c, struct ws_job *j);
+void ws_task_stop(struct ws_core *c, struct ws_slot *s, const char *why);
+
 /* rentals.c */
+bool ws_rentable(struct ws_core *c, const struct ws_job *j, int zi);
 void ws_rentals_tick(struct ws_core *c);
 struct ws_lack { /* tasks of a job that found no room, and the zones they may be in */
 	struct ws_job *job;
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -117,12 +117,22 @@
 
 void ws_job_task_done(struct ws_core *c, struct ws_job *j, uint32_t task)
 {
+	uint32_t from = task, to = task + 1;
+
 	if (task >= j->spec.tasks || j->tasks[task].done || j->spec.service)
 		return;
-	if (!j->tasks[task].slots)
-		j->waiting--;
-	j->tasks[task].done = true;
-	j->ndone++;
+	if (j->spec.gang) { /* its tasks complete together */
+		from = 0;
+		to = j->spec.tasks;
+	}
+	for (uint32_t t = from; t < to; t++) {
+		if (j->tasks[t].done)
+			continue;
+		if (!j->tasks[t].slots)
+			j->waiting--;
+		j->tasks[t].done = true;
+		j->ndone++;
+	}
 	j->errors = 0;
 	ws_job_dirty(c, j, false);
 	ws_job_check_end(c, j);
@@ -192,6 +202,7 @@
 
 		j->stamp = stamp;
 		j->stale = false;
+		j->pieces = ws_record_pieces(value);
 		if (!ws_record_read_phase(value, &phase, &done, &running))
 			return;
 		if (phase == WS_CANCELLED && !ws_job_over(j)) {
@@ -212,6 +223,7 @@
 		return;
 	}
 	n->stamp = stamp;
+	n->pieces = ws_record_pieces(value);
 	n->team = ws_team_of(c, n->spec.team);
 	n->zone = ws_zone_id(c, n->spec.zone);
 	n->image = ws_image_id(c, n->spec.image);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -146,7 +146,7 @@
 	return false;
 }
 
-static bool ws_may_preempt(const struct ws_job *j, const struct ws_slot *v)
+static bool ws_may_preempt(const struct ws_core *c, const struct ws_job *j, const struct ws_slot *v)
 {
 	if (!v->job || v->stop || v->orphan || v->state == WS_SLOT_LEAVING)
 		return false;
@@ -155,6 +155,8 @@
 	if (ws_rank(j) <= ws_rank(o) || (v->aged && j->spec.tier != WS_PRODUCTION) ||
 	    !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
 		return false;
+	if (o->spec.gang && !ws_gang_reachable(c, o))
+		return false;
 	return o->spec.tier < j->spec.tier ||
 	       (j->guaranteed && !o->guaranteed && o->team != j->team);
 }
@@ -221,6 +223,22 @@
 	uint32_t vain_types, vain_zones;
 };
 
+/*
+ * What stopping a task loses. Of a gang all stop, wherever they are, and what it lost is at most
+ * the work since its last checkpoint.
+ */
+static double ws_stop_costs(const struct ws_core *c, const struct ws_slot *s)
+{
+	const struct ws_spec *o = &s->job->spec;
+	double t = c->now - s->planned_at + 1;
+
+	if (o->gang && o->checkpoint_s > 0)
+		t = fmin(t, o->checkpoint_s + o->save_s + c->set->gang_peer_s);
+	if (o->gang)
+		t *= s->job->nslots;
+	return t * o->cpus * (s->job->guaranteed ? 4 : 1);
+}
+
 /* Makes room for one task on a machine; what that would lose, or below 0 if it can't be. */
 static double ws_preempt_on(struct ws_core *c, struct ws_job *j, struct ws_machine *m, bool act)
 {
@@ -234,10 +252,10 @@
 
 		for (struct ws_slot *s = m->slots; s; s = s->next) {
 			c->steps++;
-			if (s->pass == c->pass || !ws_may_preempt(j, s))
+			if (s->pass == c->pass || !ws_may_preempt(c, j, s))
 				continue;
-			double lost = (c->now - s->planned_at + 1) * s->job->spec.cpus;
-			lost *= s->job->guaranteed ? 4 : 1;
+			double lost = ws_stop_costs(c, s);
+
 			if (!v || lost < least) {
 				v = s;
 				least = lost;
@@ -245,19 +263,24 @@
 		}
 		if (!v)
 			return -1;
-		v->pass = c->pass;
-		cpus += v->job->spec.cpus;
-		gpus += v->job->spec.gpus;
-		mem += v->job->spec.mem;
 		cost += least;
-		if (act) {
-			m->virt_cpus += v->job->spec.cpus;
-			m->virt_gpus += v->job->spec.gpus;
-			m->virt_mem += v->job->spec.mem;
-			ws_slot_stop(c, v, v->job->spec.save_s,
-				     j->guaranteed ? "room for a guarantee"
-						   : "room for production");
+		for (struct ws_slot *s = m->slots; s; s = s->next) {
+			if (s != v && (!v->job->spec.gang || s->job != v->job || s->stop ||
+				       s->orphan || s->state == WS_SLOT_LEAVING))
+				continue;
+			s->pass = c->pass;
+			cpus += s->job->spec.cpus;
+			gpus += s->job->spec.gpus;
+			mem += s->job->spec.mem;
+			if (act) {
+				m->virt_cpus += s->job->spec.cpus;
+				m->virt_gpus += s->job->spec.gpus;
+				m->virt_mem += s->job->spec.mem;
+			}
 		}
+		if (act)
+			ws_task_stop(
+			    c, v, j->guaranteed ? "room for a guarantee" : "room for production");
 	}
 	return cost;
 }
@@ -271,11 +294,15 @@
 	return a->at < b->at ? -1 : a->at > b->at;
 }
 
-/* Stops what loses least to make room on each machine; the number of tasks with room to come. */
-static uint32_t ws_preempt(struct ws_pass *p, struct ws_job *j, uint32_t want, bool cached)
+/*
+ * Stops what loses least to make room on each machine; the number of tasks with room to come. For a
+ * gang nothing is stopped unless that makes room for all that it lacks.
+ */
+static uint32_t ws_preempt(struct ws_pass *p, struct ws_job *j, uint32_t want, uint32_t zones,
+			   bool cached)
 {
 	struct ws_core *c = p->c;
-	uint32_t got = 0, zones = ws_zones_ok(c, j);
+	uint32_t got = 0;
 	size_t n = 0;
 
 	if (c->steps > p->steps_end || ws_rank(j) <= p->lowest ||
@@ -293,7 +320,7 @@
 		double cost;
 
 		c->steps++;
-		if (!m->nslots || !ws_kind_ok(j, m) || !ws_zone_ok(c, j, m->zi) ||
+		if (!m->nslots || !ws_kind_ok(j, m) || m->zi < 0 || !(zones >> m->zi & 1) ||
 		    (cached && !ws_cached(m, j->image)))
 			continue;
 		cost = ws_preempt_on(c, j, m, false);
@@ -310,6 +337,8 @@
 		p->vain_types = j->fits;
 		p->vain_zones = zones;
 	}
+	if (j->spec.gang && n < want)
+		return 0;
 	qsort(p->victims, n, sizeof(*p->victims), ws_victim_cmp);
 	for (size_t i = 0; i < n && got < want; i++) {
 		struct ws_machine *m = p->victims[i].m;
@@ -327,60 +356,6 @@
 	return got;
 }
 
-/*
- * A gang starts whole or not at all: tried first on what the machines would have left. For a gang
- * that must share a zone, the zone where it fits is handed back.
- */
-static bool ws_gang_fits(struct ws_core *c, struct ws_job *j, uint32_t waiting,
-			 struct ws_machine **ms, size_t n, int *zone)
-{
-	double(*keep)[3] = calloc(n + 1, sizeof(*keep));
-	size_t rounds = j->spec.one_zone ? (size_t)c->nzones : 1;
-	bool fits = false;
-
-	if (!keep)
-		abort();
-	*zone = -1;
-	for (size_t r = 0; r < rounds && !fits; r++) {
-		uint32_t placed = 0;
-
-		for (size_t i = 0; i < n; i++) {
-			keep[i][0] = ms[i]->virt_cpus;
-			keep[i][1] = ms[i]->virt_gpus;
-			keep[i][2] = ms[i]->virt_mem;
-		}
-		for (size_t i = 0; i < n && placed < waiting; i++) {
-			double used = ms[i]->used_cpus, gpus = ms[i]->used_gpus,
-			       mem = ms[i]->used_mem;
-
-			if (!ws_kind_ok(j, ms[i]) || !ws_zone_ok(c, j, ms[i]->zi) ||
-			    (j->spec.one_zone && ms[i]->zi != (int)r))
-				continue;
-			while (placed < waiting && ws_virt_room(j, ms[i]) && ws_room(j, ms[i])) {
-				ws_virt_take(j, ms[i]);
-				ms[i]->used_cpus += j->spec.cpus;
-				ms[i]->used_gpus += j->spec.gpus;
-				ms[i]->used_mem += j->spec.mem;
-				placed++;
-			}
-			ms[i]->used_cpus = used;
-			ms[i]->used_gpus = gpus;
-			ms[i]->used_mem = mem;
-		}
-		for (size_t i = 0; i < n; i++) {
-			ms[i]->virt_cpus = keep[i][0];
-			ms[i]->virt_gpus = keep[i][1];
-			ms[i]->virt_mem = keep[i][2];
-		}
-		if (placed == waiting) {
-			fits = true;
-			*zone = j->spec.one_zone ? (int)r : -1;
-		}
-	}
-	free(keep);
-	return fits;
-}
-
 /* The protocol counts a start only if the task is not stopped by command for this long. */
 #define WS_START_COUNTS_S 30
 
@@ -435,8 +410,7 @@
 		}
 		if (!all || !first)
 			continue;
-		ws_slot_stop(c, first, first->job->spec.save_s,
-			     "moved so that its rental can go back");
+		ws_task_stop(c, first, "moved so that its rental can go back");
 		ws_fleet_push(c, m);
 		return;
 	}
@@ -522,12 +496,13 @@
 /* Bytes left for attempts in a job's record: three quarters of what its description leaves. */
 static size_t ws_record_room(const struct ws_core *c, const struct ws_job *j)
 {
-	double room = c->set->value_kb * 1024 - 640 - strlen(j->spec.image) - strlen(j->spec.team) -
+	double room = c->value_most - 640 - strlen(j->spec.image) - strlen(j->spec.team) -
 		      strlen(j->spec.job_class) - WS_NAME_MAX / 4.0 * (double)j->spec.ntypes;
 	double used = 0;
 	const struct ws_slot *s, *before = NULL;
 
-	room = room * 3 / 4;
+	/* a gang's tasks are done together, in one range */
+	room = j->spec.gang ? room - 64 : room * 3 / 4;
 	DL_FOREACH2 (j->slots, s, jnext)
 		if (s->state != WS_SLOT_LEAVING && !s->orphan) {
 			used += (double)ws_record_assign_size(c, before, s);
@@ -536,6 +511,194 @@
 	return room > used ? (size_t)(room - used) : 0;
 }
 
+/* Machines that a gang may be on: one that failed a task of late, or is silent, ends the whole. */
+static bool ws_gang_ok(const struct ws_core *c, const struct ws_job *j, const struct ws_machine *m,
+		       uint32_t zones)
+{
+	return ws_kind_ok(j, m) && m->zi >= 0 && (zones >> m->zi & 1) && !m->strikes &&
+	       !ws_overdue(c, m->heard);
+}
+
+static int ws_gang_cmp(const void *pa, const void *pb)
+{
+	const struct ws_machine *a = *(struct ws_machine *const *)pa,
+				*b = *(struct ws_machine *const *)pb;
+
+	if (a->rank != b->rank)
+		return a->rank < b->rank ? -1 : 1;
+	return strcmp(a->name, b->name);
+}
+
+/*
+ * Plans what a gang lacks, all of it or nothing: where the image is first, then where most of it
+ * fits on one machine, since it starts with its last fetch and ends with its first loss.
+ */
+static bool ws_gang_put(struct ws_pass *p, struct ws_job *j, uint32_t zones, uint64_t attempt)
+{
+	struct ws_core *c = p->c;
+	uint32_t want = j->waiting;
+	size_t n = 0, room = ws_record_room(c, j);
+	struct ws_slot *s, *sn;
+
+	for (size_t i = 0; i < p->n; i++) {
+		struct ws_machine *m = p->ms[i];
+		uint32_t fit;
+
+		if (!ws_virt_room(j, m) || !ws_gang_ok(c, j, m, zones) ||
+		    !(fit = ws_fit(j, m, want, true)))
+			continue;
+		m->rank = (ws_cached(m, j->image) ? 0 : 2000) + (j->prompt || m->owned ? 0 : 1000) -
+			  (int)(fit < 999 ? fit : 999);
+		p->fit[n++] = m;
+	}
+	c->steps += n;
+	qsort(p->fit, n, sizeof(*p->fit), ws_gang_cmp);
+	for (size_t i = 0; i < n && want && room; i++)
+		want -= ws_place_on(c, j, p->fit[i], want, attempt, &room);
+	if (!want) {
+		j->placed_at = c->now;
+		j->lack_since = 0;
+		ws_job_dirty(c, j, true);
+		return true;
+	}
+	if (!room)
+		ws_why_waits(c, j, "its record can't name so many machines");
+	DL_FOREACH_SAFE2 (j->slots, s, sn, jnext)
+		if (s->state == WS_SLOT_PLANNED && s->planned_at == c->now && !s->writing) {
+			s->machine->virt_cpus += j->spec.cpus;
+			s->machine->virt_gpus += j->spec.gpus;
+			s->machine->virt_mem += j->spec.mem;
+			ws_slot_count(c, s, -1);
+			ws_slot_free(s);
+		}
+	return false;
+}
+
+/* The zones in which a gang gathers room: one, if its tasks must share it, and that for long. */
+static uint32_t ws_gang_zones(struct ws_pass *p, struct ws_job *j, uint32_t zones,
+			      const uint32_t *later)
+{
+	uint32_t best = 0, want = j->waiting;
+	int at = -1;
+
+	if (!j->spec.one_zone)
+		return zones;
+	for (int z = 0; z < p->c->nzones; z++) {
+		uint32_t score;
+
+		if (!(zones >> z & 1))
+			continue;
+		score = 1 + 2 * (later[z] < want ? later[z] : want) +
+			(ws_rentable(p->c, j, z) ? 2 * want : 0) +
+			(j->gang_zone == z + 1 ? want : 0);
+		if (score > best) {
+			best = score;
+			at = z;
+		}
+	}
+	if (at < 0)
+		return 0;
+	j->gang_zone = at + 1;
+	return 1u << at;
+}
+
+/*
+ * A gang is placed whole. What it lacks is gathered: what is free in its zone, or will be, is kept
+ * from those that come after it, for good if it is enough for the whole and else half of the time,
+ * so that neither can starve the other; the rest is rented, or made free if all of it can be.
+ */
+static void ws_place_gang(struct ws_pass *p, struct ws_job *j, double within)
+{
+	struct ws_core *c = p->c;
+	struct ws_team *team = j->team;
+	uint32_t want = j->waiting, zones = ws_zones_ok(c, j), put = 0;
+	uint32_t now[WS_MAX_ZONES] = {0}, later[WS_MAX_ZONES] = {0}, have[WS_MAX_ZONES] = {0};
+	uint32_t all = 0, coming = 0;
+	uint64_t attempt = 0;
+	double since, most = want;
+	bool holds;
+
+	if (j->nslots && !ws_gang_gathers(j, &attempt, &since)) {
+		j->lack_since = 0; /* it waits for its last attempt to end, not for room */
+		return;
+	}
+	if (!j->lack_since)
+		j->lack_since = c->now;
+	holds = fmod(c->now - j->lack_since, 2 * c->set->gang_wait_s) < c->set->gang_wait_s;
+	if (j->spec.cpus > 0)
+		most = fmin(most, (team->set->cpus_max + 1e-9 - team->used_cpus - team->held_cpus) /
+				      j->spec.cpus);
+	if (j->spec.gpus > 0)
+		most = fmin(most, (team->set->gpus_max + 1e-9 - team->used_gpus - team->held_gpus) /
+				      j->spec.gpus);
+	if (most < want) {
+		ws_why_waits(c, j, "its team is at its limit");
+		if (holds) {
+			team->held_cpus += want * j->spec.cpus;
+			team->held_gpus += want * j->spec.gpus;
+		}
+		return;
+	}
+	for (size_t i = 0; i < p->n; i++) {
+		struct ws_machine *m = p->ms[i];
+		uint32_t fit;
+
+		if (!ws_virt_room(j, m) || !ws_gang_ok(c, j, m, zones))
+			continue;
+		later[m->zi] += ws_fit(j, m, want, false);
+		now[m->zi] += fit = ws_fit(j, m, want, true);
+		if (fit && ws_cached(m, j->image))
+			have[m->zi] += fit;
+	}
+	c->steps += p->n;
+	for (int z = 0; z < c->nzones; z++) {
+		uint32_t part = j->spec.spread ? (j->spec.tasks + 1) / 2 - j->zone_n[z] : want;
+
+		if (!(zones >> z & 1))
+			continue;
+		now[z] = now[z] < part ? now[z] : part;
+		later[z] = later[z] < part ? later[z] : part;
+		all += now[z];
+		if (j->spec.one_zone && now[z] >= want &&
+		    (!put || have[z] > have[__builtin_ctz(put)]))
+			put = 1u << z;
+	}
+	if (!j->spec.one_zone && all >= want)
+		put = zones;
+	if (!attempt)
+		attempt = ((c->epoch >> WS_EPOCH_SHIFT) << WS_ATTEMPT_SHIFT) + ++c->attempt_seq;
+	if (put && ws_gang_put(p, j, put, attempt))
+		return;
+	if (j->nslots) {
+		if (c->now - since > c->set->gang_wait_s / 4)
+			ws_gang_stop(c, j, 0, "no room for what it lost before it ran");
+		return;
+	}
+	zones = ws_gang_zones(p, j, zones, later);
+	for (int z = 0; z < c->nzones; z++)
+		coming += zones >> z & 1 ? later[z] : 0;
+	if (coming < want && !j->spec.spread &&
+	    (j->spec.tier == WS_PRODUCTION || c->now - j->lack_since >= ws_patience(c, j, within)))
+		want -= ws_preempt(p, j, want - coming, zones, false);
+	holds |= coming >= want;
+	for (size_t i = 0; i < p->n && want; i++) {
+		struct ws_machine *m = p->ms[i];
+		uint32_t n;
+
+		if (!ws_virt_room(j, m) || !ws_gang_ok(c, j, m, zones))
+			continue;
+		n = ws_fit(j, m, want, false);
+		want -= n;
+		if (!m->nslots && n)
+			m->held_until = c->now + c->set->report_s;
+		while (holds && n--)
+			ws_virt_take(j, m);
+	}
+	if (want)
+		ws_rentals_want(c, j, want, zones);
+	ws_why_waits(c, j, "a gang, for room for all of its tasks");
+}
+
 /* A machine that is full for any task that waits need not be looked at again in this pass. */
 static void ws_open_tidy(struct ws_pass *p)
 {
@@ -558,7 +721,6 @@
 	uint32_t want = j->waiting, lack;
 	uint64_t attempt;
 	size_t nfit = 0, room;
-	int zone = -1;
 
 	j->prompt = within > 0;
 	if (!team)
@@ -567,18 +729,20 @@
 		ws_why_waits(c, j, "held back after failures");
 		return;
 	}
-	if (j->spec.gang && !ws_gang_fits(c, j, want, p->ms, p->n, &zone)) {
-		ws_rentals_want(c, j, want, ws_zones_ok(c, j));
+	if (j->spec.gang) {
+		ws_place_gang(p, j, within);
 		return;
 	}
 	/* no more than the team's limit allows: more machines would not help */
 	double most = want;
 	if (j->spec.cpus > 0)
 		most = fmin(most,
-			    floor((team->set->cpus_max + 1e-9 - team->used_cpus) / j->spec.cpus));
+			    floor((team->set->cpus_max + 1e-9 - team->used_cpus - team->held_cpus) /
+				  j->spec.cpus));
 	if (j->spec.gpus > 0)
 		most = fmin(most,
-			    floor((team->set->gpus_max + 1e-9 - team->used_gpus) / j->spec.gpus));
+			    floor((team->set->gpus_max + 1e-9 - team->used_gpus - team->held_gpus) /
+				  j->spec.gpus));
 	if (most < want)
 		ws_why_waits(c, j, "its team is at its limit");
 	if (most <= 0)
@@ -594,7 +758,7 @@
 
 		c->steps++;
 		if (ws_kind_ok(j, m) && ws_virt_room(j, m) && ws_room(j, m) &&
-		    (zone < 0 || zone == m->zi) && ws_zone_ok(c, j, m->zi)) {
+		    ws_zone_ok(c, j, m->zi)) {
 			bool here = ws_cached(m, j->image);
 
 			m->rank = here ? 0 : 1;
@@ -614,7 +778,7 @@
 				slow = p->fit[i]->type->fetch_gb_s > 0 &&
 				       j->spec.image_gb / p->fit[i]->type->fetch_gb_s > within;
 			if (slow)
-				want -= ws_preempt(p, j, want, true);
+				want -= ws_preempt(p, j, want, ws_zones_ok(c, j), true);
 		}
 		for (size_t i = 0; i < nfit && want && room; i++)
 			if (p->fit[i]->rank == rank)
@@ -644,7 +808,7 @@
 	if (want &&
 	    (j->spec.tier == WS_PRODUCTION ||
 	     c->now - (j->lack_since > 0 ? j->lack_since : c->now) >= ws_patience(c, j, within)))
-		want -= ws_preempt(p, j, want, j->prompt && !j->guaranteed);
+		want -= ws_preempt(p, j, want, ws_zones_ok(c, j), j->prompt && !j->guaranteed);
 	lack = want;
 	if (!lack) {
 		j->lack_since = 0;
@@ -706,7 +870,11 @@
 		if (!ws_job_over(j))
 			all[n++] = j;
 	ws_mark_guaranteed(c, all, n);
+	for (size_t i = 0; i < c->set->nteams; i++)
+		c->teams[i].held_cpus = c->teams[i].held_gpus = 0;
 	for (size_t i = 0; i < n; i++) {
+		if (all[i]->spec.gang && all[i]->nslots)
+			ws_gang_tend(c, all[i]);
 		ws_job_fits(c, all[i]); /* also of those that only run: they may have to move */
 		if (all[i]->nslots && ws_rank(all[i]) < p.lowest)
 			p.lowest = ws_rank(all[i]);
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -114,6 +114,12 @@
 	return n;
 }
 
+/* Bytes that a job's record may have, with some to spare. */
+size_t ws_record_limit(const struct ws_core *c)
+{
+	return c->value_most > 128 ? (size_t)c->value_most - 64 : 64;
+}
+
 /* What all names of those with this zone and term begin with, short of the whole name. */
 static size_t ws_names_share(const struct ws_job *j, int zi, uint64_t term)
 {
@@ -384,6 +390,104 @@
 	return j;
 }
 
+size_t ws_record_size(json_t *v)
+{
+	return json_dumpb(v, NULL, 0, JSON_COMPACT);
+}
+
+/*
+ * Compatibility: a record may be larger than the limit that holds by now, if it was written under a
+ * higher one, as the version before gangs did. Its job's attempts end by and by, and once those
+ * that are left fit it is written again; it can end at any time. Only a withdrawal can't wait: then
+ * the attempts that don't fit go to records of their own, `more/<job>/<number>`, in the same
+ * transaction, and "mo" tells how many these are. Versions that don't know them can lead no more
+ * when the limit is lowered. This may go when no limit will be lowered again.
+ */
+void ws_record_split(json_t *v, size_t limit, json_t **pieces, size_t most, size_t *n)
+{
+	struct ws_assigned *list;
+	size_t count = ws_record_read_assigned(v, &list), i = 0;
+	size_t share = count ? strlen(list[0].machine) - 1 : 0;
+	json_t *at = v;
+
+	for (size_t k = 1; k < count; k++)
+		for (size_t x = 0; x < share; x++)
+			if (list[k].machine[x] != list[0].machine[x] || !list[k].machine[x + 1])
+				share = x;
+
+	*n = 0;
+	json_object_set_new(v, "d", json_string(""));
+	json_object_set_new(v, "p", json_array());
+	json_object_set_new(v, "mo", json_integer((json_int_t)most));
+	while (at && i < count) {
+		json_t *p = json_object_get(at, "p");
+		size_t used = ws_record_size(at) + 16, from = i;
+
+		/* one entry a term and zone, in the form of ws_record_assigned */
+		while (i < count) {
+			const struct ws_assigned *a = &list[i];
+			struct ws_text t = {0};
+			size_t k = i, cost = strlen(a->zone) + share + 40;
+
+			while (k < count && !strcmp(list[k].zone, a->zone) &&
+			       list[k].attempt >> WS_ATTEMPT_SHIFT ==
+				   a->attempt >> WS_ATTEMPT_SHIFT) {
+				const struct ws_assigned *x = &list[k];
+				size_t e = k, len;
+				char part[WS_NAME_MAX + 96], tenure[24] = "", number[24] = "",
+							     to[16] = "";
+
+				while (e + 1 < count &&
+				       !strcmp(list[e + 1].machine, list[k].machine) &&
+				       list[e + 1].attempt == list[k].attempt &&
+				       list[e + 1].tenure == list[k].tenure &&
+				       list[e + 1].task == list[e].task + 1)
+					e++;
+				if (x->tenure != 1)
+					snprintf(tenure, sizeof(tenure), "/%llu",
+						 (unsigned long long)x->tenure);
+				if (k == i || list[k - 1].attempt != x->attempt)
+					snprintf(
+					    number, sizeof(number), "#%llu",
+					    (unsigned long long)(x->attempt &
+								 ((1ULL << WS_ATTEMPT_SHIFT) - 1)));
+				if (e > k)
+					snprintf(to, sizeof(to), "-%u", list[e].task);
+				len = (size_t)snprintf(part, sizeof(part), "%s%s%s%s=%u%s",
+						       t.len ? ";" : "", x->machine + share, tenure,
+						       number, x->task, to);
+				if (used + cost + len > limit)
+					break;
+				cost += len;
+				ws_text_add(&t, "%s", part);
+				k = e + 1;
+			}
+			if (k > i) {
+				json_array_append_new(
+				    p, json_pack("[I,s,s#,s]",
+						 (json_int_t)(a->attempt >> WS_ATTEMPT_SHIFT),
+						 a->zone, a->machine, (int)share, t.p));
+				used += cost;
+			}
+			free(t.p);
+			if (k == i)
+				break;
+			i = k;
+		}
+		if (i == count || *n == most || (i == from && at != v))
+			break;
+		at = pieces[(*n)++] = json_pack("{s:[]}", "p");
+	}
+	json_object_set_new(v, "mo", json_integer((json_int_t)*n));
+	free(list);
+}
+
+/* How many records beside its own name attempts of this job. */
+uint32_t ws_record_pieces(json_t *v)
+{
+	return (uint32_t)json_integer_value(json_object_get(v, "mo"));
+}
+
 json_t *ws_record_final(const struct ws_job *j)
 {
 	return json_pack("{s:s,s:I,s:i}", "ph", phases[j->phase], "nd", (json_int_t)j->ndone, "nr",
@@ -417,7 +521,7 @@
 {
 	json_t *a = json_array(), *names = json_array();
 	struct ws_machine *m, *t;
-	size_t size = 64, limit = (size_t)(c->set->value_kb * 1024);
+	size_t size = 64, limit = (size_t)c->value_most;
 	int *at = calloc((size_t)c->nimages + 1, sizeof(*at)); /* place among the names, from 1 */
 
 	if (!at)
@@ -469,8 +573,12 @@
 		m = ws_machine_get(c, name);
 		if (m->chunk >= 0)
 			continue;
-		m->chunk = chunk;
-		ws_chunk_at(c, chunk)->n++;
+		if (ws_chunk_at(c, chunk)->n < ws_chunk_size(c)) {
+			m->chunk = chunk;
+			ws_chunk_at(c, chunk)->n++;
+		} else { /* written under a higher limit: the rest goes to others */
+			ws_chunk_dirty(c, chunk);
+		}
 		m->on_record = true;
 		ws_machine_place(c, m, type, zone, spot);
 		ws_copy(m->host, sizeof(m->host), host);
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -55,6 +55,8 @@
 		free(r);
 	}
 	ws_tombs_clear(c, true);
+	c->value_most = c->set->value_kb * 1024;
+	c->ops_most = c->set->txn_ops;
 	c->dirty_jobs = NULL;
 	c->dirty_rentals = NULL;
 	free(c->order);
@@ -346,7 +348,7 @@
 	call->urgent = true;
 }
 
-static const char *const ws_load_order[] = {"owned", "rental/", "fleet/", "job/", NULL};
+static const char *const ws_load_order[] = {"owned", "rental/", "fleet/", "job/", "more/", NULL};
 
 static void ws_load(struct ws_core *c)
 {
@@ -371,12 +373,46 @@
 			else if (s->job && s->task < s->job->spec.tasks &&
 				 s->job->tasks[s->task].slot != s)
 				ws_slot_ends(s); /* an older attempt of a task placed anew */
+	HASH_ITER (hh, c->machines, m, mt)
+		if (m->chunk < 0 && m->port)
+			ws_machine_dirty(c, m);
 	HASH_ITER (hh, c->jobs, j, jt)
 		ws_job_check_end(c, j);
 	ws_log(c, WS_LOG_INFO, "leading: %u jobs, %u machines, %u rentals on record",
 	       HASH_COUNT(c->jobs), HASH_COUNT(c->machines), HASH_COUNT(c->rentals));
 }
 
+/* The attempts that a job's record, or a piece of it, names. */
+static void ws_load_attempts(struct ws_core *c, const char *id, json_t *value)
+{
+	struct ws_assigned *list;
+	size_t n = ws_record_read_assigned(value, &list);
+
+	for (size_t i = 0; i < n; i++) {
+		struct ws_machine *m = ws_machine_get(c, list[i].machine);
+		struct ws_slot *x;
+
+		m->on_record = true;
+		if (!m->zone[0])
+			ws_machine_place(c, m, "", list[i].zone, false);
+		if (list[i].tenure > m->tenure)
+			m->tenure = list[i].tenure;
+		for (x = m->slots; x; x = x->next)
+			if (x->attempt == list[i].attempt && x->task == list[i].task &&
+			    !strcmp(x->job_id, id))
+				break;
+		if (x) /* named by both: withdrawn while we read */
+			continue;
+		x = ws_slot_add(c, m, id, list[i].task, list[i].attempt);
+		x->tenure = list[i].tenure;
+		x->state = WS_SLOT_WRITTEN;
+		x->sent = true; /* for all we know */
+		if (!x->job || (x->task < x->job->spec.tasks && x->job->tasks[x->task].done))
+			ws_slot_ends(x);
+	}
+	free(list);
+}
+
 static void ws_load_kv(struct ws_core *c, const struct ws_kv *kv)
 {
 	if (!strcmp(kv->key, "owned")) {
@@ -421,28 +457,16 @@
 			ws_record_read_chunk(c, kv->value, i);
 		}
 	} else if (!strncmp(kv->key, "job/", 4)) {
-		struct ws_assigned *list;
-		size_t n = ws_record_read_assigned(kv->value, &list);
-
 		ws_job_event(c, kv->key + 4, kv->value, kv->stamp);
-		for (size_t i = 0; i < n; i++) {
-			struct ws_machine *m = ws_machine_get(c, list[i].machine);
-			struct ws_slot *x;
+		ws_load_attempts(c, kv->key + 4, kv->value);
+	} else if (!strncmp(kv->key, "more/", 5)) {
+		char id[WS_ID_MAX];
 
-			m->on_record = true;
-			if (!m->zone[0])
-				ws_machine_place(c, m, "", list[i].zone, false);
-			if (list[i].tenure > m->tenure)
-				m->tenure = list[i].tenure;
-			x = ws_slot_add(c, m, kv->key + 4, list[i].task, list[i].attempt);
-			x->tenure = list[i].tenure;
-			x->state = WS_SLOT_WRITTEN;
-			x->sent = true; /* for all we know */
-			if (!x->job ||
-			    (x->task < x->job->spec.tasks && x->job->tasks[x->task].done))
-				ws_slot_ends(x);
-		}
-		free(list);
+		snprintf(id, sizeof(id), "%.*s", (int)strcspn(kv->key + 5, "/"), kv->key + 5);
+		if (ws_job_find(c, id))
+			ws_load_attempts(c, id, kv->value);
+		else if (strlen(kv->key) < WS_NAME_MAX) /* its job is over */
+			ws_bury(&c->strays, kv->key, 1e18);
 	}
 }
 
@@ -708,6 +732,34 @@
 			ws_job_push(c, j);
 }
 
+/*
+ * Too much for the state service, by limits lower than those we plan by. It was not carried out;
+ * what it held is written anew in smaller transactions, then in smaller records, never unchanged.
+ */
+static void ws_flush_refused(struct ws_core *c, const struct ws_call *call)
+{
+	size_t most = 0, all = 0, which = 0;
+
+	for (size_t i = 0; i < call->nops; i++) {
+		size_t n = call->ops[i].value ? ws_record_size(call->ops[i].value) : 0;
+
+		all += n;
+		if (n > most) {
+			most = n;
+			which = i;
+		}
+	}
+	if (call->nops > 2)
+		c->ops_most = (int)(call->nops / 2 > 2 ? call->nops / 2 : 2);
+	else if (most > 512)
+		c->value_most = fmax(512, (double)most * 3 / 4);
+	ws_log(c, WS_LOG_ERROR,
+	       "a write of %zu records, %zu bytes, was refused; the largest is %s with %zu: from "
+	       "now on "
+	       "%d changes a transaction, values of %.0f bytes",
+	       call->nops, all, call->ops[which].key, most, c->ops_most, c->value_most);
+}
+
 static void ws_flushed(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
 	if (call->generation != c->generation)
@@ -743,29 +795,8 @@
 		}
 		return;
 	}
-	if (r->status == 400) {
-		size_t most = 0, all = 0, which = 0;
-
-		for (size_t i = 0; i < call->nops; i++) {
-			char *text = call->ops[i].value
-					 ? json_dumps(call->ops[i].value, JSON_COMPACT)
-					 : NULL;
-			size_t n = text ? strlen(text) : 0;
-
-			all += n;
-			if (n > most) {
-				most = n;
-				which = i;
-			}
-			free(text);
-		}
-		ws_log(c, WS_LOG_ERROR,
-		       "a write of %zu records, %zu bytes, was called malformed; the largest is %s "
-		       "with %zu",
-		       call->nops, all, call->ops[which].key, most);
-		ws_lead_end(c, "a write was refused");
-		return;
-	}
+	if (r->status == 400)
+		ws_flush_refused(c, call);
 	for (size_t i = 0; i < call->nops; i++)
 		ws_flush_undo(c, &call->ops[i], false);
 	if (r->status == 429) { /* others write as well: less for a while */
@@ -844,9 +875,12 @@
 		snprintf(t->ops[t->nops].key, WS_KEY_MAX, "old/%s", j->spec.id);
 		t->ops[t->nops++].value = ws_record_final(j);
 		ws_put(t, "job/", j->spec.id, j->stamp, NULL);
+		/* pieces for which there is no room now are found as strays by the next leader */
+		for (uint32_t i = 0; i < j->pieces && t->nops < (size_t)c->ops_most; i++)
+			snprintf(t->ops[t->nops++].key, WS_KEY_MAX, "more/%s/%u", j->spec.id, i);
 		*bytes += 256;
 	} else {
-		v = ws_record_job(c, j, (size_t)(c->set->value_kb * 1024) - 64);
+		v = ws_record_job(c, j, ws_record_limit(c));
 		if (!v) { /* more planned than the record holds: what was not sent is taken back */
 			struct ws_slot *s, *n;
 
@@ -854,7 +888,7 @@
 				if (s->state == WS_SLOT_PLANNED)
 					ws_slot_release(c, s);
 			ws_log(c, WS_LOG_INFO, "job %s: its record is full", j->spec.id);
-			v = ws_record_job(c, j, (size_t)(c->set->value_kb * 1024) - 64);
+			v = ws_record_job(c, j, ws_record_limit(c));
 		}
 		if (!v) {
 			j->writing = false;
@@ -870,7 +904,7 @@
 void ws_flush(struct ws_core *c)
 {
 	struct ws_call *t;
-	size_t max = (size_t)c->set->txn_ops, bytes = 0;
+	size_t max = (size_t)c->ops_most, bytes = 0;
 	struct ws_job *j, *jn;
 	struct ws_rental *r, *rn;
 
@@ -894,8 +928,22 @@
 		c->owned_writing = true;
 	}
 	if (!c->types_saved && c->ntypes) {
-		snprintf(t->ops[t->nops].key, WS_KEY_MAX, "types");
-		t->ops[t->nops++].value = ws_record_types(c->types, c->ntypes);
+		json_t *v = ws_record_types(c->types, c->ntypes);
+
+		if (ws_record_size(v) < c->value_most) {
+			snprintf(t->ops[t->nops].key, WS_KEY_MAX, "types");
+			t->ops[t->nops++].value = v;
+		} else { /* one written under a higher limit stays readable */
+			ws_log(c, WS_LOG_ERROR, "the record of machine types does not fit a value");
+			json_decref(v);
+			c->types_saved = true;
+		}
+	}
+	for (struct ws_tomb *s = c->strays, *n; s && t->nops < max; s = n) {
+		n = s->hh.next;
+		snprintf(t->ops[t->nops++].key, WS_KEY_MAX, "%s", s->name);
+		HASH_DEL(c->strays, s);
+		free(s);
 	}
 	/* room is left below the transaction's 64 KiB */
 	DL_FOREACH_SAFE2 (c->dirty_rentals, r, rn, dnext) {
@@ -903,13 +951,21 @@
 			break;
 		if (r->writing)
 			continue;
+		json_t *v = r->state == WS_RENTAL_DROP ? NULL : ws_record_rental(r);
+
+		if (v && ws_record_size(v) >=
+			     c->value_most) { /* of a higher limit: when it is shorter */
+			json_decref(v);
+			DL_DELETE2(c->dirty_rentals, r, dprev, dnext);
+			r->dirty = false;
+			continue;
+		}
 		DL_DELETE2(c->dirty_rentals, r, dprev, dnext);
 		r->dirty = false;
 		r->writing = true;
 		c->wrote[WS_WROTE_RENTALS]++;
 		bytes += 512 + r->nhosts * 64;
-		ws_put(t, "rental/", r->booking, r->stamp,
-		       r->state == WS_RENTAL_DROP ? NULL : ws_record_rental(r));
+		ws_put(t, "rental/", r->booking, r->stamp, v);
 	}
 	for (int urgent = 1; urgent >= 0; urgent--)
 		DL_FOREACH_SAFE2 (c->dirty_jobs, j, jn, dnext) {
@@ -931,7 +987,7 @@
 		k->writing = true;
 		c->wrote[WS_WROTE_FLEET]++;
 		c->chunk_next = c->now + 8 / c->set->state_write_rps;
-		bytes += (size_t)(c->set->value_kb * 1024);
+		bytes += (size_t)c->value_most;
 		snprintf(name, sizeof(name), "%d", i);
 		ws_put(t, "fleet/", name, k->stamp, ws_record_chunk(c, i));
 		break; /* one at a time: what users wait for goes before */
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -233,6 +233,21 @@
 	return found;
 }
 
+/* Whether machines for it can be asked for in a zone, as far as the cloud's answers tell. */
+bool ws_rentable(struct ws_core *c, const struct ws_job *j, int zi)
+{
+	for (size_t i = 0; i < c->ntypes; i++) {
+		const struct ws_type *t = &c->types[i];
+
+		for (size_t z = 0; j->fits >> i & 1 && z < t->nzones; z++)
+			for (int spot = 0; spot <= j->spec.spot; spot++)
+				if (ws_zone_id(c, t->zones[z]) == zi &&
+				    c->refusals[i][zi][spot].until <= c->now)
+					return true;
+	}
+	return false;
+}
+
 /*
  * Its room will be there in a moment: it boots, or is up and has yet to show that it hears us.
  * Without the latter each machine that came up would be rented once more.
@@ -266,6 +281,15 @@
 	       (c->returns_wait && c->now - c->returns_since > c->set->report_s);
 }
 
+/* Machines of one booking: no more than its record can name. */
+static uint32_t ws_rent_most(const struct ws_core *c)
+{
+	size_t name = c->norder ? strlen(c->order[0]->name) + 4 : 16;
+	double n = (c->value_most - 256) / (double)(name + 3);
+
+	return n > WS_RENT_HOSTS ? WS_RENT_HOSTS : n < 1 ? 1 : (uint32_t)n;
+}
+
 /* Called at the end of a placement pass with all that found no room. */
 void ws_rentals_plan(struct ws_core *c)
 {
@@ -366,8 +390,8 @@
 
 		if (count > room)
 			count = (uint32_t)room;
-		if (count > WS_RENT_HOSTS)
-			count = WS_RENT_HOSTS;
+		if (count > ws_rent_most(c))
+			count = ws_rent_most(c);
 		x = calloc(1, sizeof(*x));
 		if (!x)
 			abort();
@@ -603,7 +627,7 @@
 			 c->now - fmax(fmax(m->token_at, m->up_at), c->elected_at) >
 			     c->set->lease_s * c->pol.silent_ratio + c->set->report_s)
 			ws_give_back(c, m, "no answer reaches it");
-		else if (m->reported && !m->nslots && !m->noticed &&
+		else if (m->reported && !m->nslots && !m->noticed && c->now >= m->held_until &&
 			 c->now - m->empty_since > c->pol.empty_wait_s &&
 			 c->now - m->up_at > c->pol.empty_wait_s &&
 			 /* what waits had its time to be placed on it */
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -40,6 +40,7 @@
 
 struct ws_ask { /* a user's request under way */
 	bool relayed;
+	bool split; /* the record is too large to be written whole */
 	int tries;
 };
 
@@ -141,6 +142,21 @@
 	       s->mem <= t->mem + 1e-9;
 }
 
+/* Whether the attempts of a whole gang can be on record at all, as closely packed as may be. */
+static bool ws_gang_recordable(const struct ws_core *c, const struct ws_spec *s)
+{
+	uint32_t most = 0, n;
+
+	for (size_t i = 0; i < c->ntypes; i++)
+		if (ws_type_fits(&c->types[i], s)) {
+			const struct ws_type *t = &c->types[i];
+
+			n = ws_tasks_fit(s, t->cpus, t->gpus, t->mem, s->tasks);
+			most = n > most ? n : most;
+		}
+	return most && c->set->value_kb * 1024 - 1024 >= 8.0 * ceil((double)s->tasks / most);
+}
+
 static bool ws_can_ever_run(struct ws_core *c, const struct ws_spec *s)
 {
 	struct ws_team *team = ws_team_of(c, s->team);
@@ -149,6 +165,8 @@
 
 	for (size_t i = 0; i < c->ntypes; i++)
 		fits |= ws_type_fits(&c->types[i], s);
+	if (fits && s->gang)
+		fits = ws_gang_recordable(c, s);
 	return team && fits && n * s->cpus <= team->set->cpus_max + 1e-9 &&
 	       n * s->gpus <= team->set->gpus_max + 1e-9;
 }
@@ -559,7 +577,9 @@
 
 	if (r->status == 200) {
 		ws_answer(c, call->ctx_n, 200, call->ctx_name, WS_CANCELLED);
-	} else if (r->status == 409 && ++ask->tries < 8) { /* changed meanwhile: read it again */
+	} else if ((r->status == 409 || r->status == 400) && ++ask->tries < 8) {
+		/* changed meanwhile, or larger than the limit of now: read it again */
+		ask->split |= r->status == 400;
 		call->ctx = NULL;
 		ws_get(c, "job", call->ctx_name, call->ctx_n, ask, ws_abort_got);
 		return;
@@ -568,6 +588,25 @@
 	}
 }
 
+/* The record as it is was refused: what does not fit goes to records of its own. */
+static void ws_abort_split(struct ws_core *c, struct ws_call *w)
+{
+	size_t most = (size_t)c->set->txn_ops - 1, n, before = ws_record_size(w->ops[0].value);
+	json_t **pieces = calloc(most + 1, sizeof(*pieces));
+
+	if (!pieces)
+		abort();
+	ws_record_split(w->ops[0].value, ws_record_limit(c), pieces, most, &n);
+	for (size_t i = 0; i < n; i++) {
+		snprintf(w->ops[w->nops].key, WS_KEY_MAX, "more/%s/%zu", w->ctx_name, i);
+		w->ops[w->nops++].value = pieces[i];
+	}
+	free(pieces);
+	ws_log(c, WS_LOG_INFO,
+	       "job %s: its record of %zu bytes was refused, withdrawn in %zu parts", w->ctx_name,
+	       before, n + 1);
+}
+
 static void ws_abort_got(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
 	struct ws_ask *ask = call->ctx;
@@ -596,7 +635,7 @@
 	w->ctx_n = call->ctx_n;
 	snprintf(w->ctx_name, sizeof(w->ctx_name), "%s", call->ctx_name);
 	w->conds = calloc(1, sizeof(*w->conds));
-	w->ops = calloc(1, sizeof(*w->ops));
+	w->ops = calloc((size_t)c->set->txn_ops, sizeof(*w->ops));
 	if (!w->conds || !w->ops)
 		abort();
 	w->nconds = w->nops = 1;
@@ -605,6 +644,8 @@
 	snprintf(w->ops[0].key, WS_KEY_MAX, "%s", call->key);
 	w->ops[0].value = json_deep_copy(r->kvs[0].value);
 	ws_record_withdraw(w->ops[0].value);
+	if (ask->split)
+		ws_abort_split(c, w);
 }
 
 void ws_core_abort(struct ws_core *c, double now, uint64_t token, const char *id, bool relayed)
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -47,7 +47,9 @@
 	double cloud_rps, list_lag_s;
 	double core_share, ram_mb;
 	int max_sockets;
-	int sockets; /* of these, what the state service, the cloud and the peers leave */
+	int sockets;	    /* of these, what the state service, the cloud and the peers leave */
+	double gang_wait_s; /* a gang's task waits so long for the others */
+	double gang_peer_s; /* and notices within this that another is gone */
 };
 
 /* Operators' own settings. A value below 0 means "derive it from the platform's settings". */
--- a/src/io/codec.c
+++ b/src/io/codec.c
@@ -1,4 +1,5 @@
 #include "codec.h"
+#include "../log.h"
 #include <ctype.h>
 #include <math.h>
 #include <stdio.h>
@@ -84,7 +85,7 @@
 	    !ws_str(o, "shape", text, sizeof(text), false))
 		return false;
 	s->service = !strcmp(text, "daemon");
-	s->gang = !strcmp(text, "gang"); /* the bench's real processes send it: docs/questions.md */
+	s->gang = !strcmp(text, "gang");
 	if (!s->service && !s->gang && strcmp(text, "sweep"))
 		return false;
 	if (!ws_str(o, "tier", text, sizeof(text), false))
@@ -161,11 +162,30 @@
 	return true;
 }
 
+/* A word of a later protocol is named once; the machine is served all the same. */
+static void ws_unknown_word(const char *field, const char *word)
+{
+	static char seen[16][32];
+	char text[32];
+	size_t i;
+
+	snprintf(text, sizeof(text), "%s %s", field, word);
+	for (i = 0; i < 16 && seen[i][0]; i++)
+		if (!strcmp(seen[i], text))
+			return;
+	if (i == 16)
+		return;
+	strcpy(seen[i], text);
+	ws_logf(WS_LOG_ERROR, "a report has the unknown word \"%s\" as its %s", word, field);
+}
+
 static bool ws_decode_task(json_t *o, struct ws_task_report *t)
 {
-	static const char *const states[] = {"pulling", "running", "flushing", "exited"};
-	static const char *const whys[] = {"",	   "done", "stopped", "error",
-					   "full", "busy", "no_such"};
+	static const char *const states[] = {"pulling", "running", "flushing", "exited", "waiting"};
+	static const char *const whys[] = {"",	   "done",    "stopped",    "error",	 "full",
+					   "busy", "no_such", "mates_gone", "incomplete"};
+	const int nstates = sizeof(states) / sizeof(states[0]);
+	const int nwhys = sizeof(whys) / sizeof(whys[0]);
 	char text[WS_NAME_MAX], *slash, *end;
 	unsigned long n;
 	int i;
@@ -184,19 +204,23 @@
 	strcpy(t->job, text);
 	if (!ws_str(o, "phase", text, sizeof(text), false))
 		return false;
-	for (i = 0; i < 4 && strcmp(text, states[i]); i++)
+	for (i = 0; i < nstates && strcmp(text, states[i]); i++)
 		;
-	if (i == 4)
+	if (i == nstates) {
+		ws_unknown_word("phase", text);
 		i = WS_TASK_FETCHING; /* a state we do not know is at any rate alive */
+	}
 	t->state = (enum ws_task_state)i;
 	t->why = WS_WHY_NONE;
 	if (t->state == WS_TASK_EXITED) {
 		if (!ws_str(o, "cause", text, sizeof(text), true))
 			return false;
-		t->why = WS_WHY_STOPPED; /* a cause we do not know blames nobody */
-		for (i = 1; i < 7; i++)
-			if (!strcmp(text, whys[i]))
-				t->why = (enum ws_why)i;
+		for (i = 1; i < nwhys && strcmp(text, whys[i]); i++)
+			;
+		if (i == nwhys && text[0])
+			ws_unknown_word("cause", text);
+		/* a cause we do not know blames nobody */
+		t->why = i < nwhys ? (enum ws_why)i : WS_WHY_STOPPED;
 	}
 	return true;
 }
--- a/src/main.c
+++ b/src/main.c
@@ -129,6 +129,9 @@
 	}
 	ws_logf(WS_LOG_INFO, "waystep %s on %s:%d, %zu peers", WS_VERSION, settings.bind.host,
 		settings.bind.port, settings.npeers);
+	ws_logf(WS_LOG_INFO,
+		"planned by: values of %g KiB, %d changes a transaction, %g changes a second",
+		settings.value_kb, settings.txn_ops, settings.state_write_rps);
 	ev_signal_init(&term, ws_stop, SIGTERM);
 	term.data = service;
 	ev_signal_start(loop, &term);
--- a/src/toml.cpp
+++ b/src/toml.cpp
@@ -55,6 +55,11 @@
 	return WS_TOML_OK;
 }
 
+extern "C" bool ws_toml_table(struct ws_toml *t, const char *path)
+{
+	return t->root.at_path(path).is_table();
+}
+
 extern "C" long ws_toml_length(struct ws_toml *t, const char *path)
 {
 	auto v = t->root.at_path(path);
--- a/src/toml.h
+++ b/src/toml.h
@@ -15,6 +15,7 @@
 /* Paths as toml++ has them: "settings.workers.lease_s", "seeds[0].node". */
 enum ws_toml_got ws_toml_string(struct ws_toml *t, const char *path, char *to, size_t n);
 enum ws_toml_got ws_toml_number(struct ws_toml *t, const char *path, double *to);
+bool ws_toml_table(struct ws_toml *t, const char *path);
 /* Length of an array; -1 if there is none. */
 long ws_toml_length(struct ws_toml *t, const char *path);
 /* Name of the i-th key of the root table; NULL behind the last. */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1,8 +1,38 @@
 #include "sim.h"
+#include <dlfcn.h>
 #include <stdarg.h>
 
 bool sim_verbose;
 
+static const struct sim_version this_version = {
+    ws_core_new,    ws_core_free,   ws_core_tick,    ws_core_pop,    ws_core_complete,
+    ws_core_resign, ws_core_ready,  ws_core_leading, ws_core_submit, ws_core_poll,
+    ws_core_abort,  ws_core_report, ws_core_testify};
+
+/* The version in production; NULL where it could not be built. */
+static const struct sim_version *production(void)
+{
+	static struct sim_version v;
+#ifdef WS_PRODUCTION_CORE
+	static const char *const names[] = {"new",    "free",	"tick",	   "pop",    "complete",
+					    "resign", "ready",	"leading", "submit", "poll",
+					    "abort",  "report", "testify"};
+	void **to = (void **)&v, *lib;
+	char name[64];
+
+	if (v.create)
+		return &v;
+	lib = dlopen(WS_PRODUCTION_CORE, RTLD_NOW | RTLD_LOCAL);
+	for (size_t i = 0; lib && i < sizeof(names) / sizeof(names[0]); i++) {
+		snprintf(name, sizeof(name), "ws_core_%s", names[i]);
+		to[i] = dlsym(lib, name);
+		if (!to[i])
+			return NULL;
+	}
+#endif
+	return v.create ? &v : NULL;
+}
+
 #define STEP 0.05
 
 struct sim_kv {
@@ -72,6 +102,12 @@
 struct sim {
 	double now, end;
 	double lease, report, cancel_s, lag;
+	double gang_wait, gang_peer;
+	double value_kb, next_value_kb; /* the state service's limits, and those to come */
+	int txn_ops, next_txn_ops;
+	bool lowered;
+	int old_nodes, refused_writes;
+	int alone, mates, saved, gang_runs; /* of gangs: how attempts and tasks ended */
 	int nnodes;
 	struct sim_node nodes[SIM_NODES];
 	struct ws_policy pol;
@@ -161,7 +197,7 @@
 static int leader(struct sim *s)
 {
 	for (int i = 0; i < s->nnodes; i++)
-		if (s->nodes[i].up && ws_core_leading(s->nodes[i].core))
+		if (s->nodes[i].up && s->nodes[i].v->leading(s->nodes[i].core))
 			return i;
 	return -1;
 }
@@ -270,10 +306,19 @@
 	case WS_CALL_TXN:
 		n = strlen("") + c->nconds;
 		r->failed = calloc(n + 1, sizeof(*r->failed));
-		if (c->nops > 12) {
-			fail(s, "a transaction of %zu changes", c->nops);
+		for (size_t i = 0; i <= c->nops; i++) {
+			size_t len = i < c->nops && c->ops[i].value
+					 ? json_dumpb(c->ops[i].value, NULL, 0, JSON_COMPACT)
+					 : 0;
+
+			if (c->nops <= (size_t)s->txn_ops && len <= s->value_kb * 1024)
+				continue;
+			s->refused_writes++;
 			r->status = 400;
-			break;
+			if (!s->lowered)
+				fail(s, "a transaction of %zu changes, %zu bytes under %s", c->nops,
+				     len, c->ops[i < c->nops ? i : 0].key);
+			return;
 		}
 		for (size_t i = 0; i < c->nconds; i++) {
 			HASH_FIND_STR(s->kv, c->conds[i].key, k);
@@ -292,12 +337,6 @@
 		if (c->nops)
 			s->rev++;
 		for (size_t i = 0; i < c->nops; i++) {
-			char *text =
-			    c->ops[i].value ? json_dumps(c->ops[i].value, JSON_COMPACT) : NULL;
-
-			if (text && strlen(text) > 4096)
-				fail(s, "%s: a value of %zu bytes", c->ops[i].key, strlen(text));
-			free(text);
 			kv_put(s, c->ops[i].key, c->ops[i].value, c->ops[i].hold);
 		}
 		r->rev = s->rev;
@@ -340,7 +379,8 @@
 
 static bool on_machine(const struct sim_task *t)
 {
-	return t->state == WS_TASK_RUNNING || t->state == WS_TASK_SAVING;
+	return t->state == WS_TASK_RUNNING || t->state == WS_TASK_SAVING ||
+	       t->state == WS_TASK_WAITING;
 }
 
 static void check_start(struct sim *s, struct sim_worker *w, struct sim_task *t)
@@ -439,6 +479,13 @@
 				t->left = cached ? 0 : j->spec.image_gb / 0.5;
 			}
 			worker_changed(w, s->now);
+		} else if (o[i].verb == WS_STOP && t && j && j->spec.gang &&
+			   (t->state == WS_TASK_RUNNING || t->state == WS_TASK_SAVING) &&
+			   o[i].grace_s >= j->spec.save_s && j->spec.checkpoint_s > 0) {
+			if (t->state == WS_TASK_RUNNING)
+				t->told_at = s->now;
+			t->state = WS_TASK_SAVING;
+			worker_changed(w, s->now);
 		} else if (o[i].verb == WS_STOP && t && t->state != WS_TASK_EXITED) {
 			t->state = WS_TASK_EXITED;
 			t->why = WS_WHY_STOPPED;
@@ -508,6 +555,130 @@
 	       (s->now < w->pin_until && nd != &s->nodes[w->pin - 1]);
 }
 
+static void task_finished(struct sim_job *j, const struct sim_task *t)
+{
+	j->finishes++;
+	if (!j->task_done[t->task]) {
+		j->task_done[t->task] = true;
+		j->completed++;
+	}
+}
+
+static void gang_exit(struct sim *s, struct sim_worker *w, struct sim_task *t, enum ws_why why)
+{
+	t->state = WS_TASK_EXITED;
+	t->why = why;
+	s->alone += why == WS_WHY_ALONE;
+	s->mates += why == WS_WHY_MATES;
+	worker_changed(w, s->now);
+}
+
+/*
+ * One attempt of a gang, after the operators' page: its tasks wait for each other, run together,
+ * save together when all are told in time, and end when one is gone.
+ */
+static void gang_step(struct sim *s, struct sim_job *j, struct sim_gang *g)
+{
+	struct {
+		struct sim_worker *w;
+		struct sim_task *t;
+	} m[SIM_TASKS];
+	uint32_t n = 0, waiting = 0, on = 0, told = 0;
+	double first = 1e18, last = 0, ck = j->spec.checkpoint_s;
+	bool hung = false;
+
+	for (int i = 0; i < s->nw; i++) {
+		struct sim_worker *w = &s->w[i];
+
+		for (int k = 0; !w->dead && !w->deleted && w->up && k < w->ntasks; k++) {
+			struct sim_task *t = &w->tasks[k];
+
+			if (t->attempt != g->attempt || t->state == WS_TASK_EXITED ||
+			    strcmp(t->job, j->spec.id) || n == SIM_TASKS)
+				continue;
+			m[n].w = w;
+			m[n++].t = t;
+			hung |= s->now < w->hang_until;
+			waiting += t->state == WS_TASK_WAITING;
+			on += t->state == WS_TASK_RUNNING || t->state == WS_TASK_SAVING;
+			if (t->state == WS_TASK_SAVING) {
+				told++;
+				first = fmin(first, t->told_at);
+				last = fmax(last, t->told_at);
+			}
+		}
+	}
+	if (!g->running && waiting == j->spec.tasks && !hung) {
+		g->running = true;
+		g->progress = j->progress_saved;
+		s->gang_runs++;
+		for (uint32_t i = 0; i < n; i++) {
+			m[i].t->state = WS_TASK_RUNNING;
+			worker_changed(m[i].w, s->now);
+		}
+		return;
+	}
+	for (uint32_t i = 0; i < n; i++)
+		if (m[i].t->state == WS_TASK_WAITING && s->now >= m[i].w->hang_until &&
+		    s->now - m[i].t->waiting_at > s->gang_wait)
+			gang_exit(s, m[i].w, m[i].t, WS_WHY_ALONE);
+	if (!g->running || !on)
+		return;
+	/* progress stops with the first stop, with a loss and with a hang */
+	if (on < j->spec.tasks || hung) {
+		if (!g->lost_at)
+			g->lost_at = s->now;
+	} else {
+		g->lost_at = 0;
+	}
+	if (!told && !g->lost_at)
+		g->progress += STEP;
+	enum ws_why all = WS_WHY_NONE;
+
+	if (!told && !g->lost_at && g->progress >= j->run_s)
+		all = WS_WHY_DONE;
+	else if (told == j->spec.tasks && !hung && s->now >= last + j->spec.save_s)
+		all = WS_WHY_STOPPED;
+	else if ((g->lost_at && s->now > g->lost_at + s->gang_peer * 0.8) ||
+		 (told && told < on && s->now > first + s->gang_peer))
+		all = WS_WHY_MATES;
+	if (all == WS_WHY_NONE)
+		return;
+	if (all == WS_WHY_STOPPED) { /* safe with the first that exits */
+		j->progress_saved = g->progress;
+		s->saved++;
+	} else if (ck > 0) {
+		j->progress_saved = fmax(j->progress_saved, floor(g->progress / ck) * ck);
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		if (s->now < m[i].w->hang_until || m[i].t->state == WS_TASK_WAITING ||
+		    m[i].t->state == WS_TASK_FETCHING)
+			continue;
+		if (all == WS_WHY_DONE)
+			task_finished(j, m[i].t);
+		gang_exit(s, m[i].w, m[i].t, all);
+	}
+}
+
+static void gangs_step(struct sim *s)
+{
+	for (int i = 0; i < s->njobs; i++)
+		for (int k = 0; k < s->jobs[i].ngangs; k++)
+			gang_step(s, &s->jobs[i], &s->jobs[i].gangs[k]);
+}
+
+/* A run of a gang's task began: its attempt is followed from now on. */
+static void gang_known(struct sim *s, struct sim_job *j, uint64_t attempt)
+{
+	for (int i = 0; i < j->ngangs; i++)
+		if (j->gangs[i].attempt == attempt)
+			return;
+	if (j->ngangs == SIM_GANGS)
+		fail(s, "%s began too often", j->spec.id);
+	else
+		j->gangs[j->ngangs++].attempt = attempt;
+}
+
 static void worker_step(struct sim *s, struct sim_worker *w)
 {
 	if (w->deleted || w->dead)
@@ -547,13 +718,16 @@
 			t->left -= STEP;
 			if (t->left > 0)
 				continue;
-			t->state = WS_TASK_RUNNING;
+			t->state = j->spec.gang ? WS_TASK_WAITING : WS_TASK_RUNNING;
+			t->waiting_at = s->now;
+			if (j->spec.gang)
+				gang_known(s, j, t->attempt);
 			t->left = j->run_s * (w->slow ? 10 : 1);
 			if (w->nimages < 32)
 				strcpy(w->images[w->nimages++], j->spec.image);
 			check_start(s, w, t);
 			worker_changed(w, s->now);
-		} else if (t->state == WS_TASK_RUNNING) {
+		} else if (t->state == WS_TASK_RUNNING && (!j->spec.gang || w->failing || j->bad)) {
 			t->left -= STEP;
 			if (w->failing || j->bad) {
 				t->state = WS_TASK_EXITED;
@@ -563,11 +737,7 @@
 			} else if (!j->spec.service && t->left <= 0) {
 				t->state = WS_TASK_EXITED;
 				t->why = WS_WHY_DONE;
-				j->finishes++;
-				if (!j->task_done[t->task]) {
-					j->task_done[t->task] = true;
-					j->completed++;
-				}
+				task_finished(j, t);
 				worker_changed(w, s->now);
 			}
 		}
@@ -617,7 +787,7 @@
 				h->next = *p;
 				*p = h;
 			}
-			ws_core_report(nd->core, s->now * (1 + nd->skew), w->report_id, &r, false);
+			nd->v->report(nd->core, s->now * (1 + nd->skew), w->report_id, &r, false);
 		}
 		free(r.tasks);
 	}
@@ -801,7 +971,7 @@
 	nd->up = false;
 	nd->life++;
 	nd->up_at = s->now + back;
-	ws_core_free(nd->core);
+	nd->v->destroy(nd->core);
 	nd->core = NULL;
 }
 
@@ -889,7 +1059,7 @@
 	if (nd->up && nd->life == f->life) {
 		if (is_state(f->call->kind) && s->now < nd->cut_state)
 			f->res.status = 0;
-		ws_core_complete(nd->core, s->now * (1 + nd->skew), f->call, &f->res);
+		nd->v->complete(nd->core, s->now * (1 + nd->skew), f->call, &f->res);
 	} else {
 		ws_call_free(f->call);
 	}
@@ -1026,7 +1196,8 @@
 			c->since = token;
 			f->at = s->now + 0.5;
 			flight_add(s, f);
-			ws_core_testify(s->nodes[i].core, s->now * (1 + s->nodes[i].skew), token);
+			s->nodes[i].v->testify(s->nodes[i].core, s->now * (1 + s->nodes[i].skew),
+					       token);
 			return;
 		}
 		f->at = s->now + 0.3;
@@ -1058,13 +1229,13 @@
 	j->pending_at = s->now;
 	if (kind == ASK_SUBMIT) {
 		j->submitted = true;
-		ws_core_submit(nd->core, s->now * (1 + nd->skew), s->now + 1e9, j->pending,
-			       &j->spec, false);
+		nd->v->submit(nd->core, s->now * (1 + nd->skew), s->now + 1e9, j->pending, &j->spec,
+			      false);
 	} else if (kind == ASK_POLL) {
 		s->polls++;
-		ws_core_poll(nd->core, s->now * (1 + nd->skew), j->pending, j->spec.id, false);
+		nd->v->poll(nd->core, s->now * (1 + nd->skew), j->pending, j->spec.id, false);
 	} else {
-		ws_core_abort(nd->core, s->now * (1 + nd->skew), j->pending, j->spec.id, false);
+		nd->v->abort(nd->core, s->now * (1 + nd->skew), j->pending, j->spec.id, false);
 	}
 }
 
@@ -1138,13 +1309,21 @@
 
 /* ---- nodes ---- */
 
+/* From now on it is of this version, which plans by the lower limits from its start. */
+static void node_lower(struct sim *s, int i)
+{
+	s->nodes[i].v = &this_version;
+	s->nodes[i].set.value_kb = fmin(s->value_kb, s->next_value_kb);
+	s->nodes[i].set.txn_ops = s->txn_ops < s->next_txn_ops ? s->txn_ops : s->next_txn_ops;
+}
+
 static void node_start(struct sim *s, int i)
 {
 	struct sim_node *nd = &s->nodes[i];
 
 	nd->up = true;
-	nd->core = ws_core_new(&nd->set, &s->pol, sim_log, s->now * (1 + nd->skew),
-			       nd->life * 977 + (uint64_t)i + 1);
+	nd->core = nd->v->create(&nd->set, &s->pol, sim_log, s->now * (1 + nd->skew),
+				 nd->life * 977 + (uint64_t)i + 1);
 }
 
 static void relay(struct sim *s, int from, const struct ws_action *a)
@@ -1175,7 +1354,7 @@
 			return;
 		worker_report(w, &r, s);
 		r.counter = w->counter;
-		ws_core_report(nd->core, t, a->token, &r, true);
+		nd->v->report(nd->core, t, a->token, &r, true);
 		free(r.tasks);
 	} else {
 		struct sim_job *j = &s->jobs[a->token & (SIM_JOBS - 1)];
@@ -1183,11 +1362,11 @@
 		if (a->token != j->pending)
 			return;
 		if (j->pending_kind == ASK_SUBMIT)
-			ws_core_submit(nd->core, t, s->now + 1e9, a->token, &j->spec, true);
+			nd->v->submit(nd->core, t, s->now + 1e9, a->token, &j->spec, true);
 		else if (j->pending_kind == ASK_POLL)
-			ws_core_poll(nd->core, t, a->token, j->spec.id, true);
+			nd->v->poll(nd->core, t, a->token, j->spec.id, true);
 		else
-			ws_core_abort(nd->core, t, a->token, j->spec.id, true);
+			nd->v->abort(nd->core, t, a->token, j->spec.id, true);
 	}
 }
 
@@ -1195,7 +1374,7 @@
 {
 	struct ws_action *a;
 
-	while (s->nodes[i].up && (a = ws_core_pop(s->nodes[i].core))) {
+	while (s->nodes[i].up && (a = s->nodes[i].v->pop(s->nodes[i].core))) {
 		switch (a->kind) {
 		case WS_ACT_CALL: call_start(s, i, a->call); break;
 		case WS_ACT_ANSWER_USER: user_answer(s, a); break;
@@ -1297,6 +1476,8 @@
 	opt_text(text, "image", p->image, sizeof(p->image));
 	p->image_gb = opt(text, "gb", 0.5);
 	p->deadline_s = opt(text, "deadline", -1);
+	p->checkpoint_s = opt(text, "checkpoint", 0);
+	p->save_s = opt(text, "save", 0);
 	j->run_s = opt(text, "run", 10);
 	j->bad = flag(text, "bad");
 	j->submit_at = at;
@@ -1339,6 +1520,20 @@
 		s->lease = atof(word(&p));
 	} else if (!strcmp(w, "report")) {
 		s->report = atof(word(&p));
+	} else if (!strcmp(w, "gang-wait")) {
+		s->gang_wait = atof(word(&p));
+	} else if (!strcmp(w, "gang-peer")) {
+		s->gang_peer = atof(word(&p));
+	} else if (!strcmp(w, "old")) { /* so many nodes run the version in production at first */
+		s->old_nodes = atoi(word(&p));
+		if (!production()) {
+			snprintf(err, n, "line %d: the version in production was not built",
+				 s->line);
+			return false;
+		}
+	} else if (!strcmp(w, "next-limits")) { /* KiB of a value, changes a transaction */
+		s->next_value_kb = atof(word(&p));
+		s->next_txn_ops = atoi(word(&p));
 	} else if (!strcmp(w, "cancel")) {
 		s->cancel_s = atof(word(&p));
 	} else if (!strcmp(w, "seed")) {
@@ -1474,6 +1669,18 @@
 		      : !strcmp(op, ">=") ? n >= m
 					  : n <= m))
 			fail(s, "%s %s: %d, not %s %d", what, a, n, op, m);
+	} else if (!strcmp(what, "alone") || !strcmp(what, "mates") || !strcmp(what, "saved") ||
+		   !strcmp(what, "gang-runs") || !strcmp(what, "refused")) {
+		n = !strcmp(what, "alone")	 ? s->alone
+		    : !strcmp(what, "mates")	 ? s->mates
+		    : !strcmp(what, "saved")	 ? s->saved
+		    : !strcmp(what, "gang-runs") ? s->gang_runs
+						 : s->refused_writes;
+		if (!a || !b ||
+		    !(!strcmp(a, "=")	 ? n == atoi(b)
+		      : !strcmp(a, ">=") ? n >= atoi(b)
+					 : n <= atoi(b)))
+			fail(s, "%s: %d", what, n);
 	} else if (!strcmp(what, "all-done")) {
 		for (i = 0; i < s->njobs; i++)
 			if (!s->jobs[i].done)
@@ -1493,7 +1700,7 @@
 				fail(s, "%s is still there", a);
 	} else if (!strcmp(what, "healthy-nodes")) {
 		for (i = 0; i < s->nnodes; i++)
-			n += s->nodes[i].up && ws_core_ready(s->nodes[i].core);
+			n += s->nodes[i].up && s->nodes[i].v->ready(s->nodes[i].core);
 		if (n != atoi(a))
 			fail(s, "%d healthy nodes", n);
 	} else if (!strcmp(what, "elections")) { /* how often the leader's key was written */
@@ -1510,7 +1717,8 @@
 			fail(s, "nobody leads");
 	} else if (!strcmp(what, "healthy") || !strcmp(what, "unhealthy")) {
 		i = atoi(a) % s->nnodes;
-		if (!s->nodes[i].up || ws_core_ready(s->nodes[i].core) != !strcmp(what, "healthy"))
+		if (!s->nodes[i].up ||
+		    s->nodes[i].v->ready(s->nodes[i].core) != !strcmp(what, "healthy"))
 			fail(s, "node %d: not %s", i, what);
 	} else if (!strcmp(what, "per-pass")) { /* steps of the longest pass of this leader */
 		uint64_t most = s->nodes[leader(s)].core->steps_most;
@@ -1535,6 +1743,18 @@
 		if (!j || !j->started_at || j->started_at - j->submit_at > atof(b))
 			fail(s, "%s began after %.1f s", a,
 			     j && j->started_at ? j->started_at - j->submit_at : -1.0);
+	} else if (!strcmp(what, "leader-version")) {
+		if (leader(s) < 0 || (s->nodes[leader(s)].v == &this_version) != !strcmp(a, "new"))
+			fail(s, "node %d leads", leader(s));
+	} else if (!strcmp(what, "value-of")) { /* KEY <= BYTES; 0: there is none */
+		struct sim_kv *k;
+
+		HASH_FIND_STR(s->kv, a, k);
+		n = k ? (int)json_dumpb(k->value, NULL, 0, JSON_COMPACT) : 0;
+		if (!(!strcmp(b, ">=")	? n >= atoi(c)
+		      : !strcmp(b, "=") ? n == atoi(c)
+					: n <= atoi(c)))
+			fail(s, "%s has %d bytes", a, n);
 	} else if (!strcmp(what, "no-leader")) {
 		if (leader(s) >= 0)
 			fail(s, "node %d leads", leader(s));
@@ -1626,9 +1846,20 @@
 		for (i = 0; i < s->nnodes; i++)
 			if (!strcmp(who, "all") || i == node_named(s, who))
 				node_crash(s, i, span);
+	} else if (!strcmp(verb, "upgrade")) { /* killed, and back with this version */
+		if ((i = node_named(s, who)) < 0) {
+			fail(s, "nobody leads");
+			return;
+		}
+		node_crash(s, i, span);
+		node_lower(s, i);
+	} else if (!strcmp(verb, "lower-limits")) {
+		s->lowered = true;
+		s->value_kb = s->next_value_kb;
+		s->txn_ops = s->next_txn_ops;
 	} else if (!strcmp(verb, "resign")) {
 		if ((i = node_named(s, who)) >= 0)
-			ws_core_resign(s->nodes[i].core, s->now * (1 + s->nodes[i].skew));
+			s->nodes[i].v->resign(s->nodes[i].core, s->now * (1 + s->nodes[i].skew));
 	} else if (!strcmp(verb, "cut") || !strcmp(verb, "refuse")) {
 		i = node_named(s, who);
 		if (i < 0) {
@@ -1711,6 +1942,10 @@
 	s->report = 2;
 	s->cancel_s = 46;
 	s->lag = 5;
+	s->gang_wait = 30;
+	s->gang_peer = 8;
+	s->value_kb = 4;
+	s->txn_ops = 12;
 	s->cap_limit = 100;
 	s->rnd = 12345;
 	ws_policy_defaults(&s->pol);
@@ -1762,8 +1997,16 @@
 		x->cancel_s = s->cancel_s;
 		x->state_rps = 250;
 		x->state_write_rps = 50;
-		x->value_kb = 4;
-		x->txn_ops = 12;
+		/* the new version plans by the lower limits from its start */
+		x->value_kb = s->value_kb;
+		x->txn_ops = s->txn_ops;
+		x->gang_wait_s = s->gang_wait;
+		x->gang_peer_s = s->gang_peer;
+		s->nodes[i].v = &this_version;
+		if (i < s->old_nodes)
+			s->nodes[i].v = production();
+		else if (s->next_value_kb > 0)
+			node_lower(s, i);
 		x->cloud_rps = 2;
 		x->list_lag_s = s->lag;
 		s->nodes[i].skew = i == 1 ? 0.0005 : 0;
@@ -1800,8 +2043,8 @@
 			}
 			*p = h->next;
 			if (nd->up) /* its sender gave up long ago: nobody hears the answer */
-				ws_core_report(nd->core, s->now * (1 + nd->skew), 1ULL << 60, &h->r,
-					       false);
+				nd->v->report(nd->core, s->now * (1 + nd->skew), 1ULL << 60, &h->r,
+					      false);
 			free(h->r.tasks);
 			free(h);
 		}
@@ -1821,11 +2064,13 @@
 			if (!s->nodes[i].up && s->now >= s->nodes[i].up_at)
 				node_start(s, i);
 			if (s->nodes[i].up)
-				ws_core_tick(s->nodes[i].core, s->now * (1 + s->nodes[i].skew));
+				s->nodes[i].v->tick(s->nodes[i].core,
+						    s->now * (1 + s->nodes[i].skew));
 			node_drain(s, i);
 		}
 		for (int i = 0; i < s->nw; i++)
 			worker_step(s, &s->w[i]);
+		gangs_step(s);
 		users_step(s);
 		/* all that falls within this step, in the order of its time */
 		double step_end = s->now + STEP;
@@ -1874,7 +2119,7 @@
 	}
 	for (int i = 0; i < s->nnodes; i++)
 		if (s->nodes[i].core)
-			ws_core_free(s->nodes[i].core);
+			s->nodes[i].v->destroy(s->nodes[i].core);
 	HASH_ITER (hh, s->kv, k, t) {
 		HASH_DEL(s->kv, k);
 		json_decref(k->value);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -11,6 +11,7 @@
 #define SIM_WORKERS 4096
 #define SIM_TASKS 64
 #define SIM_JOBS 4096
+#define SIM_GANGS 16
 
 struct sim_task {
 	char job[WS_ID_MAX];
@@ -18,7 +19,8 @@
 	uint64_t attempt;
 	enum ws_task_state state;
 	enum ws_why why;
-	double left; /* of the fetch, then of the run */
+	double left;		    /* of the fetch, then of the run */
+	double waiting_at, told_at; /* of a gang's task */
 };
 
 struct sim_worker {
@@ -33,7 +35,7 @@
 	double next_report, sent_at;
 	int pin; /* reaches this node alone, if above 0: node + 1 */
 	double pin_until;
-	bool waiting;	/* a report is out */
+	bool waiting; /* a report is out */
 	uint64_t report_id;
 	int node;
 	struct sim_task tasks[SIM_TASKS];
@@ -54,11 +56,41 @@
 	double pending_at;
 	double started_at, answered_at;
 	int finishes;
+	double progress_saved; /* of a gang */
+	struct sim_gang {      /* its attempts */
+		uint64_t attempt;
+		bool running, over;
+		double progress, stop_at, lost_at;
+	} gangs[SIM_GANGS];
+	int ngangs;
 	UT_hash_handle hh;
 };
 
+/*
+ * What the simulator asks of a core. The one of the version in production is a library of its own,
+ * built from the repository's history: the structures of core.h and settings.h only grow at their
+ * ends, so both understand them.
+ */
+struct sim_version {
+	struct ws_core *(*create)(const struct ws_settings *, const struct ws_policy *, ws_log_fn,
+				  double, uint64_t);
+	void (*destroy)(struct ws_core *);
+	void (*tick)(struct ws_core *, double);
+	struct ws_action *(*pop)(struct ws_core *);
+	void (*complete)(struct ws_core *, double, struct ws_call *, const struct ws_result *);
+	void (*resign)(struct ws_core *, double);
+	bool (*ready)(const struct ws_core *);
+	bool (*leading)(const struct ws_core *);
+	void (*submit)(struct ws_core *, double, double, uint64_t, const struct ws_spec *, bool);
+	void (*poll)(struct ws_core *, double, uint64_t, const char *, bool);
+	void (*abort)(struct ws_core *, double, uint64_t, const char *, bool);
+	void (*report)(struct ws_core *, double, uint64_t, const struct ws_report *, bool);
+	void (*testify)(struct ws_core *, double, uint64_t);
+};
+
 struct sim_node {
 	struct ws_core *core;
+	const struct sim_version *v;
 	struct ws_settings set;
 	bool up;
 	double up_at;
