--- a/tests/codec_test.c
+++ b/tests/codec_test.c
@@ -113,6 +113,22 @@
 	check("its tasks", r.ntasks == 2 && r.tasks[0].task == 3 && r.tasks[1].why == WS_WHY_DONE &&
 			       r.notice_s < 0 && r.port == 9000);
 	ws_report_free(&r);
+	static const char gang[] =
+	    "{\"host\":\"n-1\",\"address\":\"10.1.0.2:9000\",\"flavour\":\"g8\",\"hall\":\"a\","
+	    "\"reclaimable\":false,\"tenure\":1,\"counter\":8,\"epoch\":4,\"shards\":["
+	    "{\"shard\":\"job-1/0\",\"tryNo\":2,\"phase\":\"waiting\"},"
+	    "{\"shard\":\"job-1/1\",\"tryNo\":2,\"phase\":\"exited\",\"cause\":\"mates_gone\"},"
+	    "{\"shard\":\"job-1/2\",\"tryNo\":2,\"phase\":\"exited\",\"cause\":\"incomplete\"},"
+	    "{\"shard\":\"job-1/3\",\"tryNo\":2,\"phase\":\"dreaming\"},"
+	    "{\"shard\":\"job-1/4\",\"tryNo\":2,\"phase\":\"exited\",\"cause\":\"boredom\"}]}";
+	check("a gang's words", ws_decode_report(gang, strlen(gang), &r) && r.ntasks == 5);
+	check("waiting", r.tasks[0].state == WS_TASK_WAITING);
+	check("mates_gone", r.tasks[1].why == WS_WHY_MATES);
+	check("incomplete", r.tasks[2].why == WS_WHY_ALONE);
+	check("an unknown state is alive", r.tasks[3].state == WS_TASK_FETCHING);
+	check("an unknown cause blames nobody", r.tasks[4].why == WS_WHY_STOPPED);
+	ws_report_free(&r);
+	check("a gang", with("shape", "\"gang\"") == 0);
 	check("no report", !ws_decode_report("{}", 2, &r));
 
 	strcpy(call.key, "job/job-1");
--- a/tests/smoke_test.c
+++ b/tests/smoke_test.c
@@ -400,6 +400,23 @@
 	f = fopen(text, "w");
 	write_settings(f, 1, 2, 3, 4, 31);
 	check("too few sockets end the start", run_check(argv[1], "--check", text) == 2);
+	write_settings(fopen(text, "w"), 1, 2, 3, 4, 96);
+	f = fopen(text, "a");
+	fprintf(f, "[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\n");
+	fclose(f);
+	check("lower limits to come are fine", run_check(argv[1], "--check", text) == 0);
+	for (int i = 0; i < 3; i++) {
+		static const char *const next[] = {"[settings.state.next]\nvalue_kb = 'much'\n",
+						   "[settings.state.next]\nwrite_rps = 0\n",
+						   "[[settings.state.next]]\nvalue_kb = 2.0\n"};
+
+		write_settings(fopen(text, "w"), 1, 2, 3, 4, 96);
+		f = fopen(text, "a");
+		fprintf(f, "%s", next[i]);
+		fclose(f);
+		check("limits to come that are none end the start",
+		      run_check(argv[1], "--check", text) == 2);
+	}
 	unlink(text);
 	pid = fork();
 	if (!pid) {
