--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -82,10 +82,12 @@
 {
 	const struct ws_spec *p = &s->job->spec;
 
-	if (p->gang)
+	if (p->gang) {
+		s->job->gang_stops++;
 		ws_gang_stop(c, s->job, p->save_s + c->set->gang_peer_s, why);
-	else
+	} else {
 		ws_slot_stop(c, s, p->save_s, why);
+	}
 }
 
 /*
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -146,6 +146,9 @@
 	return false;
 }
 
+/* The protocol counts a start only if the task is not stopped by command for this long. */
+#define WS_START_COUNTS_S 30
+
 static bool ws_may_preempt(const struct ws_core *c, const struct ws_job *j, const struct ws_slot *v)
 {
 	if (!v->job || v->stop || v->orphan || v->state == WS_SLOT_LEAVING)
@@ -155,7 +158,9 @@
 	if (ws_rank(j) <= ws_rank(o) || (v->aged && j->spec.tier != WS_PRODUCTION) ||
 	    !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
 		return false;
-	if (o->spec.gang && !ws_gang_reachable(c, o))
+	/* a gang's start is dear: it is given the time to count, and all of it must be told */
+	if (o->spec.gang &&
+	    (c->now - v->planned_at < WS_START_COUNTS_S || !ws_gang_reachable(c, o)))
 		return false;
 	return o->spec.tier < j->spec.tier ||
 	       (j->guaranteed && !o->guaranteed && o->team != j->team);
@@ -224,8 +229,8 @@
 };
 
 /*
- * What stopping a task loses. Of a gang all stop, wherever they are, and what it lost is at most
- * the work since its last checkpoint.
+ * What stopping a task loses. Of a gang all stop, wherever they are: if they save, that is the time
+ * until they run again, at most the work since the last checkpoint, and more each time.
  */
 static double ws_stop_costs(const struct ws_core *c, const struct ws_slot *s)
 {
@@ -233,9 +238,9 @@
 	double t = c->now - s->planned_at + 1;
 
 	if (o->gang && o->checkpoint_s > 0)
-		t = fmin(t, o->checkpoint_s + o->save_s + c->set->gang_peer_s);
+		t = o->checkpoint_s + o->save_s + c->set->gang_peer_s;
 	if (o->gang)
-		t *= s->job->nslots;
+		t *= s->job->nslots * (1 + s->job->gang_stops);
 	return t * o->cpus * (s->job->guaranteed ? 4 : 1);
 }
 
@@ -356,9 +361,6 @@
 	return got;
 }
 
-/* The protocol counts a start only if the task is not stopped by command for this long. */
-#define WS_START_COUNTS_S 30
-
 /* A replica is down while its new machine fetches the image: two report periods at most. */
 static bool ws_moves_fast(const struct ws_core *c, const struct ws_machine *to,
 			  const struct ws_job *j)
@@ -616,6 +618,7 @@
 	uint32_t all = 0, coming = 0;
 	uint64_t attempt = 0;
 	double since, most = want;
+	char why[128];
 	bool holds;
 
 	if (j->nslots && !ws_gang_gathers(j, &attempt, &since)) {
@@ -696,7 +699,11 @@
 	}
 	if (want)
 		ws_rentals_want(c, j, want, zones);
-	ws_why_waits(c, j, "a gang, for room for all of its tasks");
+	snprintf(why, sizeof(why),
+		 "a gang, room for %u of %u tasks is there or comes, %u to be rented%s",
+		 coming < j->waiting ? coming : j->waiting, j->waiting, want,
+		 holds ? ", and is held" : "");
+	ws_why_waits(c, j, why);
 }
 
 /* A machine that is full for any task that waits need not be looked at again in this pass. */
