--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -15,13 +15,41 @@
 	return (j->guaranteed ? 50 : 0) + (int)j->spec.tier;
 }
 
+/* How soon a class should start by its aim; 0: it has none. */
+static double ws_wait_aim(const struct ws_core *c, const char *job_class)
+{
+	for (size_t i = 0; i < c->set->nobjectives; i++)
+		if (!strcmp(c->set->objectives[i].kind, "wait") &&
+		    !strcmp(c->set->objectives[i].job_class, job_class))
+			return c->set->objectives[i].within_s;
+	return 0;
+}
+
+/* How long the fetch of its image takes, on machines of all types alike. */
+static double ws_fetch_s(const struct ws_core *c, const struct ws_job *j)
+{
+	double fetch = 0;
+
+	for (size_t i = 0; i < c->ntypes; i++)
+		if (c->types[i].fetch_gb_s > 0)
+			fetch += j->spec.image_gb / c->types[i].fetch_gb_s / (double)c->ntypes;
+	return fetch;
+}
+
 /*
  * No job waits for ever behind those that keep coming: one of which no task was placed for two
  * leases is served before all other arrays until one is. What it then takes, no array may take from
- * it, or the two would do so in turn. Production and the rules of stopping stay as they are.
+ * it, or the two would do so in turn. Production and the rules of stopping stay as they are. A gang
+ * needs more room at once than comes free between others: it ages in a quarter of its promised
+ * wait, less the fetch.
  */
 static bool ws_aged(const struct ws_core *c, const struct ws_job *j)
 {
+	double within = j->spec.gang ? ws_wait_aim(c, j->spec.job_class) : 0;
+
+	if (within > 0 && j->lack_since > 0 &&
+	    c->now - j->lack_since > fmax(0, within - ws_fetch_s(c, j)) / 4)
+		return true;
 	return c->now - fmax(j->known_at, j->placed_at) > 2 * c->set->lease_s &&
 	       j->not_before <= c->now;
 }
@@ -418,16 +446,6 @@
 	}
 }
 
-/* How soon a class should start by its aim; 0: it has none. */
-static double ws_wait_aim(const struct ws_core *c, const char *job_class)
-{
-	for (size_t i = 0; i < c->set->nobjectives; i++)
-		if (!strcmp(c->set->objectives[i].kind, "wait") &&
-		    !strcmp(c->set->objectives[i].job_class, job_class))
-			return c->set->objectives[i].within_s;
-	return 0;
-}
-
 /* Once a lease for each job, so that operators can see what it waits for. */
 static bool ws_why_waits(struct ws_core *c, struct ws_job *j, const char *why)
 {
@@ -444,14 +462,11 @@
  */
 static double ws_patience(const struct ws_core *c, const struct ws_job *j, double within)
 {
-	double bound = ws_bound(c), fetch = 0;
+	double bound = ws_bound(c);
 
-	for (size_t i = 0; i < c->ntypes; i++)
-		if (c->types[i].fetch_gb_s > 0)
-			fetch += j->spec.image_gb / c->types[i].fetch_gb_s / (double)c->ntypes;
 	if (within > 0 && within < bound)
 		bound = within;
-	return bound > fetch ? (bound - fetch) / 2 : 0;
+	return fmax(0, bound - ws_fetch_s(c, j)) / 2;
 }
 
 static uint32_t ws_next_waiting(struct ws_job *j)
