--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -546,9 +546,25 @@
 	return strcmp(a->name, b->name);
 }
 
+/* Fetches of other images under way on a machine, up to 9: they share its rate. */
+static int ws_fetching(const struct ws_machine *m, int image)
+{
+	int n = 0, last = image;
+
+	for (const struct ws_slot *s = m->slots; s && n < 9; s = s->next)
+		if (s->job && s->state != WS_SLOT_LEAVING && s->at == WS_TASK_FETCHING &&
+		    s->job->image != last && s->job->image != image &&
+		    !ws_cached(m, s->job->image)) {
+			last = s->job->image;
+			n++;
+		}
+	return n;
+}
+
 /*
- * Plans what a gang lacks, all of it or nothing: where the image is first, then where most of it
- * fits on one machine, since it starts with its last fetch and ends with its first loss.
+ * Plans what a gang lacks, all of it or nothing: where the image is first, or few others are
+ * fetched, then where most of it fits on one machine, since it starts with its last fetch and ends
+ * with its first loss.
  */
 static bool ws_gang_put(struct ws_pass *p, struct ws_job *j, uint32_t zones, uint64_t attempt)
 {
@@ -564,8 +580,8 @@
 		if (!ws_virt_room(j, m) || !ws_gang_ok(c, j, m, zones) ||
 		    !(fit = ws_fit(j, m, want, true)))
 			continue;
-		m->rank = (ws_cached(m, j->image) ? 0 : 2000) + (j->prompt || m->owned ? 0 : 1000) -
-			  (int)(fit < 999 ? fit : 999);
+		m->rank = (ws_cached(m, j->image) ? 0 : 2000 * (1 + ws_fetching(m, j->image))) +
+			  (j->prompt || m->owned ? 0 : 1000) - (int)(fit < 999 ? fit : 999);
 		p->fit[n++] = m;
 	}
 	c->steps += n;
