--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -5,7 +5,8 @@
  *  gathers: its tasks fetch, then wait. One that is refused or lost is replaced under the same
  *           number, once it is surely gone (placement.c); where that can't be had in time, all are
  *           stopped, so that no places idle;
- *  runs:    from the first word of a running task on. When one is gone now, the attempt is over;
+ *  runs:    from the first word of a running task on. When one is gone now, the attempt is over:
+ *           the others notice that within gang_peer_s and end by themselves;
  *  ends:    all are told to stop at once. The next attempt begins when the last task of this one
  *           is surely gone. When one is done, all are (ws_job_task_done).
  *
@@ -90,10 +91,7 @@
 	}
 }
 
-/*
- * Looks after an attempt under way. The rest of one that broke up would end by itself within
- * gang_peer_s, and one that can't become complete would wait in vain.
- */
+/* Looks after an attempt under way: one that can't become complete would wait in vain. */
 void ws_gang_tend(struct ws_core *c, struct ws_job *j)
 {
 	uint64_t attempt = 0;
@@ -114,10 +112,15 @@
 	}
 	if (stopping == members)
 		return;
-	if (stopping)
+	if (stopping) {
 		ws_gang_stop(c, j, 0, "others of it are stopped");
-	else if (attempt == j->gang_over && j->waiting)
-		ws_gang_stop(c, j, 0, "it lost a task");
-	else if (attempt != j->gang_over && silent_until > since + c->set->gang_wait_s * 3 / 4)
+	} else if (attempt == j->gang_over && j->waiting) {
+		/* they notice and end by themselves; those that did not are told */
+		if (!j->gang_broke)
+			j->gang_broke = c->now;
+		else if (c->now - j->gang_broke > c->set->gang_peer_s + 1.5 * c->set->report_s)
+			ws_gang_stop(c, j, 0, "it lost a task");
+	} else if (attempt != j->gang_over && silent_until > since + c->set->gang_wait_s * 3 / 4) {
 		ws_gang_stop(c, j, 0, "a machine is silent for longer than the others may wait");
+	}
 }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -66,6 +66,7 @@
 	double lack_since;	    /* tasks of it have found no room since then; 0: none */
 	bool guaranteed;	    /* fits its team's guarantee with the team's earlier jobs */
 	uint64_t gang_over;	    /* of a gang: this attempt ran, or broke up */
+	double gang_broke;	    /* its attempt was seen to have lost a task; 0: no */
 	uint32_t gang_stops;	    /* how often it made room for others */
 	int gang_zone;		    /* of a gang that waits: the zone it gathers room in, from 1 */
 	uint32_t pieces;	    /* records beside its own that name attempts: see record.c */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -187,8 +187,8 @@
 	    !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
 		return false;
 	/* a gang's start is dear: it is given the time to count, and all of it must be told */
-	if (o->spec.gang &&
-	    (c->now - v->planned_at < WS_START_COUNTS_S || !ws_gang_reachable(c, o)))
+	if (o->spec.gang && (c->now - fmax(v->planned_at, v->running_at) < WS_START_COUNTS_S ||
+			     !ws_gang_reachable(c, o)))
 		return false;
 	return o->spec.tier < j->spec.tier ||
 	       (j->guaranteed && !o->guaranteed && o->team != j->team);
@@ -590,7 +590,7 @@
 		want -= ws_place_on(c, j, p->fit[i], want, attempt, &room);
 	if (!want) {
 		j->placed_at = c->now;
-		j->lack_since = 0;
+		j->lack_since = j->gang_broke = 0;
 		ws_job_dirty(c, j, true);
 		return true;
 	}
