First starts, gangs and ends are written before further portions of arrays

Ruled out: room, fetches. Portions wait up to a quarter of a lease and gather; fleet records wait when changes are short.

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -66,6 +66,8 @@
 	double lack_since;	    /* tasks of it have found no room since then; 0: none */
 	bool guaranteed;	    /* fits its team's guarantee with the team's earlier jobs */
 	uint64_t gang_over;	    /* of a gang: this attempt ran, or broke up */
+	double gang_hold;	    /* room is held for it from then on, for a while */
+	bool gang_aged;		    /* it was aged then */
 	double gang_broke;	    /* its attempt was seen to have lost a task; 0: no */
 	uint32_t gang_stops;	    /* how often it made room for others */
 	int gang_zone;		    /* of a gang that waits: the zone it gathers room in, from 1 */
@@ -347,6 +349,7 @@
 	uint32_t task;
 };
 size_t ws_record_limit(const struct ws_core *c);
+bool ws_gang_recordable(const struct ws_core *c, const struct ws_spec *s, const struct ws_type *t);
 size_t ws_record_read_assigned(json_t *v, struct ws_assigned **list);
 size_t ws_record_assign_size(const struct ws_core *c, const struct ws_slot *before,
 			     const struct ws_slot *s);
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -41,7 +41,8 @@
 	j->fits_of = c->types_edition;
 	j->fits = 0;
 	for (size_t i = 0; i < c->ntypes; i++)
-		if (ws_type_fits(&c->types[i], &j->spec))
+		if (ws_type_fits(&c->types[i], &j->spec) &&
+		    ws_gang_recordable(c, &j->spec, &c->types[i]))
 			j->fits |= 1u << i;
 }
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -590,7 +590,7 @@
 		want -= ws_place_on(c, j, p->fit[i], want, attempt, &room);
 	if (!want) {
 		j->placed_at = c->now;
-		j->lack_since = j->gang_broke = 0;
+		j->lack_since = j->gang_broke = j->gang_hold = 0;
 		ws_job_dirty(c, j, true);
 		return true;
 	}
@@ -635,6 +635,18 @@
 	return 1u << at;
 }
 
+/* Whether room that is not yet enough for a gang is kept for it: half of the time, and when it
+ * ages. */
+static bool ws_gang_holds(const struct ws_core *c, struct ws_job *j)
+{
+	double span = c->set->gang_wait_s;
+
+	if (!j->gang_hold || c->now - j->gang_hold >= 2 * span || (j->aged && !j->gang_aged))
+		j->gang_hold = c->now;
+	j->gang_aged = j->aged;
+	return c->now - j->gang_hold < span;
+}
+
 /*
  * A gang is placed whole. What it lacks is gathered: what is free in its zone, or will be, is kept
  * from those that come after it, for good if it is enough for the whole and else half of the time,
@@ -658,7 +670,7 @@
 	}
 	if (!j->lack_since)
 		j->lack_since = c->now;
-	holds = fmod(c->now - j->lack_since, 2 * c->set->gang_wait_s) < c->set->gang_wait_s;
+	holds = ws_gang_holds(c, j);
 	if (j->spec.cpus > 0)
 		most = fmin(most, (team->set->cpus_max + 1e-9 - team->used_cpus - team->held_cpus) /
 				      j->spec.cpus);
@@ -703,6 +715,11 @@
 		attempt = ((c->epoch >> WS_EPOCH_SHIFT) << WS_ATTEMPT_SHIFT) + ++c->attempt_seq;
 	if (put && ws_gang_put(p, j, put, attempt))
 		return;
+	if (put &&
+	    !j->nslots) { /* there is room, but on too many machines: nothing is held for it */
+		ws_rentals_want(c, j, want, ws_gang_zones(p, j, zones, later));
+		return;
+	}
 	if (j->nslots) {
 		if (c->now - since > c->set->gang_wait_s / 4)
 			ws_gang_stop(c, j, 0, "no room for what it lost before it ran");
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -120,6 +120,18 @@
 	return c->value_most > 128 ? (size_t)c->value_most - 64 : 64;
 }
 
+/*
+ * Whether a record can name all of a gang on machines of a type: a gang is on record whole. Some 8
+ * bytes a machine, besides the description.
+ */
+bool ws_gang_recordable(const struct ws_core *c, const struct ws_spec *s, const struct ws_type *t)
+{
+	uint32_t fit = ws_tasks_fit(s, t->cpus, t->gpus, t->mem, s->tasks);
+
+	return !s->gang ||
+	       (fit && 8.0 * ceil((double)s->tasks / fit) <= c->set->value_kb * 1024 - 704);
+}
+
 /* What all names of those with this zone and term begin with, short of the whole name. */
 static size_t ws_names_share(const struct ws_job *j, int zi, uint64_t term)
 {
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -840,6 +840,30 @@
 		(age > 2 && c->flush_tokens > c->flush_rate / 4));
 }
 
+/*
+ * Which records go first when changes are short: of jobs that users see begin or end whole, and
+ * what has waited for long; then further portions of arrays, which gather meanwhile.
+ */
+static int ws_job_rank(const struct ws_core *c, const struct ws_job *j)
+{
+	if (!j->urgent)
+		return 0;
+	return j->spec.service || j->spec.gang || !j->started || ws_job_over(j) ||
+		       c->now - j->dirty_at > c->set->lease_s / 4
+		   ? 2
+		   : 1;
+}
+
+/* Whether a record of the fleet is to be written: late, and later still if changes are short. */
+static bool ws_chunk_due(const struct ws_core *c, const struct ws_chunk *k)
+{
+	bool spare = c->flush_tokens > c->flush_rate / 4;
+
+	return !k->writing &&
+	       ((k->dirty && c->now - k->dirty_at > c->set->lease_s / (spare ? 32 : 4)) ||
+		(k->images && c->now - k->written_at > c->set->lease_s / 2 && spare));
+}
+
 /* Now and then, so that operators see what the changes are spent on. */
 static void ws_flush_log(struct ws_core *c)
 {
@@ -967,11 +991,11 @@
 		bytes += 512 + r->nhosts * 64;
 		ws_put(t, "rental/", r->booking, r->stamp, v);
 	}
-	for (int urgent = 1; urgent >= 0; urgent--)
+	for (int rank = 2; rank >= 0; rank--)
 		DL_FOREACH_SAFE2 (c->dirty_jobs, j, jn, dnext) {
 			if (t->nops + 2 > max || bytes > 32768)
 				break;
-			if (j->urgent == urgent && ws_job_due(c, j))
+			if (ws_job_rank(c, j) == rank && ws_job_due(c, j))
 				ws_flush_job(c, t, j, &bytes);
 		}
 	for (int i = 0; i < c->nchunks && t->nops < max && bytes < 32768 && c->now >= c->chunk_next;
@@ -979,9 +1003,7 @@
 		struct ws_chunk *k = &c->chunks[i];
 		char name[16];
 
-		if (k->writing || !((k->dirty && c->now - k->dirty_at > c->set->lease_s / 32) ||
-				    (k->images && c->now - k->written_at > c->set->lease_s / 2 &&
-				     c->flush_tokens > c->flush_rate / 4)))
+		if (!ws_chunk_due(c, k))
 			continue;
 		k->dirty = k->images = false;
 		k->writing = true;
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -142,21 +142,6 @@
 	       s->mem <= t->mem + 1e-9;
 }
 
-/* Whether the attempts of a whole gang can be on record at all, as closely packed as may be. */
-static bool ws_gang_recordable(const struct ws_core *c, const struct ws_spec *s)
-{
-	uint32_t most = 0, n;
-
-	for (size_t i = 0; i < c->ntypes; i++)
-		if (ws_type_fits(&c->types[i], s)) {
-			const struct ws_type *t = &c->types[i];
-
-			n = ws_tasks_fit(s, t->cpus, t->gpus, t->mem, s->tasks);
-			most = n > most ? n : most;
-		}
-	return most && c->set->value_kb * 1024 - 1024 >= 8.0 * ceil((double)s->tasks / most);
-}
-
 static bool ws_can_ever_run(struct ws_core *c, const struct ws_spec *s)
 {
 	struct ws_team *team = ws_team_of(c, s->team);
@@ -164,9 +149,7 @@
 	bool fits = false;
 
 	for (size_t i = 0; i < c->ntypes; i++)
-		fits |= ws_type_fits(&c->types[i], s);
-	if (fits && s->gang)
-		fits = ws_gang_recordable(c, s);
+		fits |= ws_type_fits(&c->types[i], s) && ws_gang_recordable(c, s, &c->types[i]);
 	return team && fits && n * s->cpus <= team->set->cpus_max + 1e-9 &&
 	       n * s->gpus <= team->set->gpus_max + 1e-9;
 }
--- a/tests/records_test.c
+++ b/tests/records_test.c
@@ -19,20 +19,25 @@
 
 /* As production wrote them: an array under way, a gang as it knew them, one that is withdrawn. */
 static const char array_job[] =
-    "{\"ph\":\"running\",\"at\":1764642032.1234567,\"cl\":\"accrual-batch\",\"tm\":\"ledger-ops-03\","
+    "{\"ph\":\"running\",\"at\":1764642032.1234567,\"cl\":\"accrual-batch\",\"tm\":\"ledger-ops-"
+    "03\","
     "\"sv\":false,\"ti\":2,\"n\":40,\"c\":4.0,\"g\":0.0,\"m\":17.0,\"im\":\"img-0007\","
-    "\"gb\":1.2000000000000000,\"ty\":[\"std16\",\"std32\"],\"z\":\"\",\"fl\":4,\"e\":61.5,\"ck\":0.0,"
+    "\"gb\":1.2000000000000000,\"ty\":[\"std16\",\"std32\"],\"z\":\"\",\"fl\":4,\"e\":61.5,\"ck\":"
+    "0.0,"
     "\"sa\":0.0,\"dl\":133.0,\"p\":[[41,\"huye\",\"n-0000\",\"31#5=20-22,30;32=23;40/2#9=24\"],"
     "[41,\"nyarugenge\",\"n-00005\",\"5#5=25-29\"],[57,\"huye\",\"n-00009\",\"1#1=31\"]],"
     "\"d\":\"0-19,33,\",\"nd\":21,\"nr\":12}";
 static const char gang_job[] =
-    "{\"ph\":\"queued\",\"at\":1.5,\"cl\":\"c\",\"tm\":\"t\",\"sv\":false,\"ti\":1,\"n\":3,\"c\":2.0,"
+    "{\"ph\":\"queued\",\"at\":1.5,\"cl\":\"c\",\"tm\":\"t\",\"sv\":false,\"ti\":1,\"n\":3,\"c\":2."
+    "0,"
     "\"g\":0.0,\"m\":12.8,\"im\":\"i\",\"gb\":1.0,\"ty\":[],\"z\":\"huye\",\"fl\":9,\"e\":30.0,"
     "\"ck\":20.0,\"sa\":3.0,\"dl\":-1.0}";
-static const char old_rental[] = "{\"ty\":\"std16\",\"z\":\"huye\",\"sp\":true,\"n\":3,\"got\":true,"
-				 "\"h\":[\"n-000100\",\"n-000101\",\"n-000102\"]}";
+static const char old_rental[] =
+    "{\"ty\":\"std16\",\"z\":\"huye\",\"sp\":true,\"n\":3,\"got\":true,"
+    "\"h\":[\"n-000100\",\"n-000101\",\"n-000102\"]}";
 static const char old_chunk[] =
-    "{\"im\":[\"img-1\",\"img-2\"],\"m\":[[\"n-000001\",\"10.1.0.1\",9000,\"std16\",\"huye\",false,1,"
+    "{\"im\":[\"img-1\",\"img-2\"],\"m\":[[\"n-000001\",\"10.1.0.1\",9000,\"std16\",\"huye\",false,"
+    "1,"
     "[0,1]],[\"n-000002\",\"10.1.0.2\",9000,\"std16\",\"huye\",true,3,[1]]]}";
 static const char old_types[] = "[[\"std16\",16.0,0.0,128.0,80.0,0.4,0.91,0.41,35.0,[\"huye\"]]]";
 
@@ -62,13 +67,14 @@
 	snprintf(phase, sizeof(phase), " %s ", json_string_value(json_object_get(v, "ph")));
 	if (!strstr(phases, phase) || (d && !json_is_string(d)) || (p && !json_is_array(p)))
 		return false;
-	json_array_foreach (p, i, e) { /* [term, zone, shared, "rest[/tenure][#number]=1-3,5;..."] */
+	json_array_foreach (p, i,
+			    e) { /* [term, zone, shared, "rest[/tenure][#number]=1-3,5;..."] */
 		const char *t = json_string_value(json_array_get(e, 3));
 		bool named = false;
 
 		if (json_array_size(e) != 4 || !json_is_integer(json_array_get(e, 0)) ||
-		    !json_is_string(json_array_get(e, 1)) || !json_is_string(json_array_get(e, 2)) ||
-		    !t || !*t)
+		    !json_is_string(json_array_get(e, 1)) ||
+		    !json_is_string(json_array_get(e, 2)) || !t || !*t)
 			return false;
 		for (const char *q = t; *q;) {
 			size_t n = strcspn(q, "/#=;");
@@ -156,8 +162,8 @@
 	struct ws_assigned *l;
 
 	for (int i = 0; i < 400; i++)
-		len += (size_t)snprintf(text + len, sizeof(text) - len, "%s%03d%s=%d",
-					i ? ";" : "", i, i ? "" : "#7", i);
+		len += (size_t)snprintf(text + len, sizeof(text) - len, "%s%03d%s=%d", i ? ";" : "",
+					i, i ? "" : "#7", i);
 	json_object_set_new(v, "n", json_integer(400));
 	json_object_set_new(v, "p", json_pack("[[i,s,s,s]]", 41, "huye", "n-000", text));
 	check("a large record of production reads", ws_record_read_assigned(v, &l) == 400);
@@ -167,7 +173,8 @@
 	check("it is split", n >= 1 && n <= 3 && ws_record_pieces(v) == n);
 	check("its own record fits and reads", ws_record_size(v) <= 2000 && old_reads_job(v));
 	total = ws_record_read_assigned(v, &l);
-	check("the first attempt is in it", assigned(l, total, "n-000000", 0, (41ULL << 24) + 7, 1));
+	check("the first attempt is in it",
+	      assigned(l, total, "n-000000", 0, (41ULL << 24) + 7, 1));
 	free(l);
 	for (size_t i = 0; i < n; i++) {
 		size_t k = ws_record_read_assigned(pieces[i], &l);
@@ -211,8 +218,8 @@
 	json_decref(w);
 	free(r.hosts);
 	v = json_loads(old_types, 0, NULL);
-	check("types read", ws_record_read_types(v, t) == 1 && t[0].cpus == 16 &&
-				!strcmp(t[0].zones[0], "huye"));
+	check("types read",
+	      ws_record_read_types(v, t) == 1 && t[0].cpus == 16 && !strcmp(t[0].zones[0], "huye"));
 	w = ws_record_types(t, 1);
 	check("and are written alike", json_equal(v, w));
 	json_decref(v);
@@ -222,7 +229,8 @@
 	v = json_loads(old_chunk, 0, NULL);
 	ws_record_read_chunk(c, v, 0);
 	m = ws_machine_find(c, "n-000002");
-	check("the fleet reads", m && m->port == 9000 && m->tenure == 3 && m->spot && m->ncache == 1);
+	check("the fleet reads",
+	      m && m->port == 9000 && m->tenure == 3 && m->spot && m->ncache == 1);
 	w = ws_record_chunk(c, 0);
 	check("and is written in its form",
 	      json_array_size(json_object_get(w, "m")) == 2 &&
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -398,6 +398,9 @@
 			if (o->task == t->task)
 				fail(s, "ran_twice: %s/%u starts on %s while on %s", t->job,
 				     t->task, w->name, s->w[i].name);
+			if (j && j->spec.gang && o->attempt != t->attempt)
+				fail(s, "%s/%u: a start beside another attempt of its gang", t->job,
+				     t->task);
 			if (strcmp(s->w[i].zone, w->zone))
 				other_zone++;
 			else
@@ -1855,6 +1858,10 @@
 		node_lower(s, i);
 	} else if (!strcmp(verb, "lower-limits")) {
 		s->lowered = true;
+		if (who[0]) { /* by more than the settings told */
+			s->next_value_kb = atof(who);
+			s->next_txn_ops = (int)opt(full, "ops", 12);
+		}
 		s->value_kb = s->next_value_kb;
 		s->txn_ops = s->next_txn_ops;
 	} else if (!strcmp(verb, "resign")) {
