Gangs that would need one zone and two get 422; suspect machines come last for gangs, not never

A job that fails everywhere gives every machine one strike: gangs would have found none. A fleet record that does not read is left alone rather than written over.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -528,12 +528,11 @@
 	return room > used ? (size_t)(room - used) : 0;
 }
 
-/* Machines that a gang may be on: one that failed a task of late, or is silent, ends the whole. */
+/* Machines that a gang may be on: one that is silent would keep the whole waiting. */
 static bool ws_gang_ok(const struct ws_core *c, const struct ws_job *j, const struct ws_machine *m,
 		       uint32_t zones)
 {
-	return ws_kind_ok(j, m) && m->zi >= 0 && (zones >> m->zi & 1) && !m->strikes &&
-	       !ws_overdue(c, m->heard);
+	return ws_kind_ok(j, m) && m->zi >= 0 && (zones >> m->zi & 1) && !ws_overdue(c, m->heard);
 }
 
 static int ws_gang_cmp(const void *pa, const void *pb)
@@ -564,7 +563,7 @@
 /*
  * Plans what a gang lacks, all of it or nothing: where the image is first, or few others are
  * fetched, then where most of it fits on one machine, since it starts with its last fetch and ends
- * with its first loss.
+ * with its first loss; on one that failed a task of late only if there is no other.
  */
 static bool ws_gang_put(struct ws_pass *p, struct ws_job *j, uint32_t zones, uint64_t attempt)
 {
@@ -581,7 +580,8 @@
 		    !(fit = ws_fit(j, m, want, true)))
 			continue;
 		m->rank = (ws_cached(m, j->image) ? 0 : 2000 * (1 + ws_fetching(m, j->image))) +
-			  (j->prompt || m->owned ? 0 : 1000) - (int)(fit < 999 ? fit : 999);
+			  (j->prompt || m->owned ? 0 : 1000) + (m->strikes ? 50000 : 0) -
+			  (int)(fit < 999 ? fit : 999);
 		p->fit[n++] = m;
 	}
 	c->steps += n;
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -454,7 +454,12 @@
 
 		if (i >= 0 && i < WS_MAX_CHUNKS) {
 			ws_chunk_at(c, i)->stamp = kv->stamp;
-			ws_record_read_chunk(c, kv->value, i);
+			if (json_is_array(json_object_get(kv->value, "m"))) {
+				ws_record_read_chunk(c, kv->value, i);
+			} else { /* counted as full, so that it is not written over */
+				ws_log(c, WS_LOG_ERROR, "%s can't be read, left alone", kv->key);
+				ws_chunk_at(c, i)->n = ws_chunk_size(c);
+			}
 		}
 	} else if (!strncmp(kv->key, "job/", 4)) {
 		ws_job_event(c, kv->key + 4, kv->value, kv->stamp);
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -142,6 +142,23 @@
 	       s->mem <= t->mem + 1e-9;
 }
 
+/* At most half of its tasks in a zone, and all of them at once: that takes two zones. */
+static bool ws_gang_spreads(struct ws_core *c, const struct ws_spec *s)
+{
+	uint32_t zones = 0;
+
+	if (!s->gang || !s->spread || s->tasks == 1)
+		return true;
+	for (size_t i = 0; i < c->ntypes; i++)
+		for (size_t z = 0; ws_type_fits(&c->types[i], s) && z < c->types[i].nzones; z++) {
+			int zi = ws_zone_id(c, c->types[i].zones[z]);
+
+			if (zi >= 0 && (!s->zone[0] || !strcmp(s->zone, c->zones[zi])))
+				zones |= 1u << zi;
+		}
+	return !s->one_zone && (zones & (zones - 1));
+}
+
 static bool ws_can_ever_run(struct ws_core *c, const struct ws_spec *s)
 {
 	struct ws_team *team = ws_team_of(c, s->team);
@@ -150,7 +167,7 @@
 
 	for (size_t i = 0; i < c->ntypes; i++)
 		fits |= ws_type_fits(&c->types[i], s) && ws_gang_recordable(c, s, &c->types[i]);
-	return team && fits && n * s->cpus <= team->set->cpus_max + 1e-9 &&
+	return team && fits && ws_gang_spreads(c, s) && n * s->cpus <= team->set->cpus_max + 1e-9 &&
 	       n * s->gpus <= team->set->gpus_max + 1e-9;
 }
 
