Fleet records hold more machines, images with what room is left

Cause: at 2 KiB a record held ten machines and a tenth of the changes went on the fleet (log "written since").

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -77,12 +77,15 @@
 	return from + c->set->lease_s * (1 + WS_DRIFT) + c->set->lease_s / 32;
 }
 
-/* Machines a record holds: an entry with its images takes less than this many bytes. */
+/*
+ * Machines a record holds: an entry takes less than this many bytes, its images what is left. Not
+ * more than the version before gangs had at 16 KiB, which would cut a longer one short.
+ */
 int ws_chunk_size(const struct ws_core *c)
 {
-	int n = (int)(c->set->value_kb * 1024 / 192);
+	int n = (int)(c->set->value_kb * 1024 / 112);
 
-	return n < 1 ? 1 : n;
+	return n < 1 ? 1 : n > 85 ? 85 : n;
 }
 
 struct ws_chunk *ws_chunk_at(struct ws_core *c, int i)
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -532,38 +532,45 @@
 json_t *ws_record_chunk(struct ws_core *c, int chunk)
 {
 	json_t *a = json_array(), *names = json_array();
-	struct ws_machine *m, *t;
-	size_t size = 64, limit = (size_t)c->value_most;
+	struct ws_machine *m, *t, **in = calloc((size_t)ws_chunk_size(c) + 1, sizeof(*in));
+	size_t size = 64, limit = (size_t)c->value_most, n = 0;
 	int *at = calloc((size_t)c->nimages + 1, sizeof(*at)); /* place among the names, from 1 */
 
-	if (!at)
+	if (!at || !in)
 		abort();
 	HASH_ITER (hh, c->machines, m, t) {
-		json_t *im;
-
-		if (m->chunk != chunk || m->gone || !m->port)
+		if (m->chunk != chunk || m->gone || !m->port || n > (size_t)ws_chunk_size(c))
 			continue;
 		size += strlen(m->name) + strlen(m->host) + strlen(m->type_name) + strlen(m->zone) +
-			60 + 4 * WS_CACHE_KEPT;
+			30 + ws_digits(m->tenure);
 		if (size > limit) /* names longer than reckoned: the rest will not be greeted */
 			break;
-		im = json_array();
+		in[n++] = m;
+	}
+	/* images with what room is left */
+	for (size_t k = 0; k < n; k++) {
+		json_t *im = json_array();
+
+		m = in[k];
 		for (int i = 0; i < m->ncache && i < WS_CACHE_KEPT; i++) {
 			const char *name = c->image_names[m->cache[i]];
+			size_t more = at[m->cache[i]] ? 5 : 5 + strlen(name) + 3;
 
-			if (!at[m->cache[i]] && size + strlen(name) + 3 < limit) {
-				size += strlen(name) + 3;
+			if (size + more > limit)
+				continue;
+			size += more;
+			if (!at[m->cache[i]]) {
 				json_array_append_new(names, json_string(name));
 				at[m->cache[i]] = (int)json_array_size(names);
 			}
-			if (at[m->cache[i]])
-				json_array_append_new(im, json_integer(at[m->cache[i]] - 1));
+			json_array_append_new(im, json_integer(at[m->cache[i]] - 1));
 		}
 		json_array_append_new(a, json_pack("[s,s,i,s,s,b,I,o]", m->name, m->host, m->port,
 						   m->type_name, m->zone, m->spot,
 						   (json_int_t)m->tenure, im));
 	}
 	free(at);
+	free(in);
 	return json_pack("{s:o,s:o}", "im", names, "m", a);
 }
 
