--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -481,8 +481,11 @@
 		}
 		s->pass = c->pass;
 		s->seen = s->sent = true;
-		if (t->state == WS_TASK_WAITING && s->at != WS_TASK_WAITING)
+		if (t->state == WS_TASK_WAITING && s->at != WS_TASK_WAITING) {
 			s->waiting_at = c->now;
+			if (s->job) /* it has its image */
+				ws_cache_touch(c, m, s->job->image);
+		}
 		if (s->job && s->job->spec.gang && !s->orphan &&
 		    (t->state == WS_TASK_RUNNING || t->state == WS_TASK_SAVING))
 			s->job->gang_over = s->attempt;
--- a/tests/codec_test.c
+++ b/tests/codec_test.c
@@ -1,21 +1,10 @@
 /* Decoders: what the protocol calls malformed, and mangled input with fixed seeds. */
 #include "../src/io/codec.h"
+#include "check.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-static int good, bad;
-
-static void check(const char *what, bool ok)
-{
-	if (ok) {
-		good++;
-	} else {
-		bad++;
-		printf("FAIL %s\n", what);
-	}
-}
-
 static const char base[] =
     "{\"nameId\":\"job-000412\",\"jobclass\":\"train\",\"owner\":\"vision\",\"shape\":\"sweep\","
     "\"tier\":\"urgent\",\"shards\":16,\"vcpus\":8.0,\"accelerators\":1.0,\"memGb\":64.0,"
--- a/tests/records_test.c
+++ b/tests/records_test.c
@@ -3,20 +3,9 @@
  * and what this one writes, held against a statement of what that version's reader accepts.
  */
 #include "../src/core/internal.h"
+#include "check.h"
 #include "peer.pb-c.h"
 
-static int good, bad;
-
-static void check(const char *what, bool ok)
-{
-	if (ok) {
-		good++;
-	} else {
-		bad++;
-		printf("FAIL %s\n", what);
-	}
-}
-
 /* As production wrote them: an array under way, a gang as it knew them, one that is withdrawn. */
 static const char array_job[] =
     "{\"ph\":\"running\",\"at\":1764642032.1234567,\"cl\":\"accrual-batch\",\"tm\":\"ledger-ops-"
