--- a/tests/sim.c
+++ b/tests/sim.c
@@ -107,6 +107,8 @@
 	int txn_ops, next_txn_ops;
 	bool lowered;
 	int old_nodes, refused_writes;
+	double slow_orders; /* direct commands are carried out at once and answered so much later */
+	bool stutter;	    /* reports name every task twice */
 	int alone, mates, saved, gang_runs; /* of gangs: how attempts and tasks ended */
 	int nnodes;
 	struct sim_node nodes[SIM_NODES];
@@ -513,8 +515,9 @@
 	r->counter = ++w->counter;
 	r->epoch = w->epoch;
 	r->notice_s = w->notice_at > 0 && s->now >= w->notice_at ? w->take_at - s->now : -1;
-	r->tasks = calloc(SIM_TASKS, sizeof(*r->tasks));
-	for (int i = 0; i < w->ntasks; i++) {
+	r->tasks = calloc(2 * SIM_TASKS, sizeof(*r->tasks));
+	for (int k = 0; k < w->ntasks * (s->stutter ? 2 : 1); k++) {
+		int i = k % w->ntasks;
 		struct ws_task_report *t = &r->tasks[r->ntasks++];
 
 		strcpy(t->job, w->tasks[i].job);
@@ -783,7 +786,7 @@
 				h->at = s->now + s->copies_by * (0.2 + 0.8 * rnd(s));
 				h->node = (int)(rnd(s) * s->nnodes);
 				h->r = r;
-				h->r.tasks = calloc(SIM_TASKS, sizeof(*r.tasks));
+				h->r.tasks = calloc(2 * SIM_TASKS, sizeof(*r.tasks));
 				memcpy(h->r.tasks, r.tasks, r.ntasks * sizeof(*r.tasks));
 				while (*p && (*p)->at <= h->at)
 					p = &(*p)->next;
@@ -1173,6 +1176,12 @@
 			f->res.report = calloc(1, sizeof(*f->res.report));
 			f->res.status = worker_command(s, w, c->epoch, c->tenure, c->orders,
 						       c->norders, f->res.report);
+			if (s->slow_orders > 0) {
+				f->at = s->now + s->slow_orders;
+				f->stage = 1;
+				flight_add(s, f);
+				return;
+			}
 			if (s->lose_orders > 0) {
 				s->lose_orders--;
 				result_clear(&f->res);
@@ -1929,6 +1938,21 @@
 	} else if (!strcmp(verb, "copies")) { /* copies BY for=SPAN */
 		s->copies_by = atof(who);
 		s->copies_until = s->now + span;
+	} else if (!strcmp(verb, "slow-orders")) {
+		s->slow_orders = atof(who);
+	} else if (!strcmp(verb, "stutter")) {
+		s->stutter = true;
+	} else if (!strcmp(verb, "foreign")) { /* MACHINE job=ID: its task 0 runs there, unasked */
+		if (!(w = machine_named(s, who)) || w->ntasks == SIM_TASKS) {
+			fail(s, "no machine %s", who);
+			return;
+		}
+		memset(&w->tasks[w->ntasks], 0, sizeof(w->tasks[0]));
+		opt_text(full, "job", w->tasks[w->ntasks].job, WS_ID_MAX);
+		w->tasks[w->ntasks].attempt = 7;
+		w->tasks[w->ntasks++].state = WS_TASK_FETCHING;
+		w->tasks[w->ntasks - 1].left = 1e6;
+		worker_changed(w, s->now);
 	} else if (!strcmp(verb, "no-boot")) {
 		s->no_boot = atoi(who);
 	} else if (!strcmp(verb, "instant-boot")) {
