--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1938,6 +1938,12 @@
 	} else if (!strcmp(verb, "copies")) { /* copies BY for=SPAN */
 		s->copies_by = atof(who);
 		s->copies_until = s->now + span;
+	} else if (!strcmp(verb, "garble")) { /* a record that nobody can read */
+		json_t *v = json_pack("{s:i}", "x", 1);
+
+		s->rev++;
+		kv_put(s, who, v, 0);
+		json_decref(v);
 	} else if (!strcmp(verb, "slow-orders")) {
 		s->slow_orders = atof(who);
 	} else if (!strcmp(verb, "stutter")) {
