--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -166,6 +166,13 @@
 	m->virt_mem -= j->spec.mem;
 }
 
+static void ws_virt_give(const struct ws_job *j, struct ws_machine *m)
+{
+	m->virt_cpus += j->spec.cpus;
+	m->virt_gpus += j->spec.gpus;
+	m->virt_mem += j->spec.mem;
+}
+
 static bool ws_cached(const struct ws_machine *m, int image)
 {
 	for (int i = 0; i < m->ncache; i++)
@@ -305,11 +312,8 @@
 			cpus += s->job->spec.cpus;
 			gpus += s->job->spec.gpus;
 			mem += s->job->spec.mem;
-			if (act) {
-				m->virt_cpus += s->job->spec.cpus;
-				m->virt_gpus += s->job->spec.gpus;
-				m->virt_mem += s->job->spec.mem;
-			}
+			if (act)
+				ws_virt_give(s->job, m);
 		}
 		if (act)
 			ws_task_stop(
@@ -528,6 +532,29 @@
 	return room > used ? (size_t)(room - used) : 0;
 }
 
+/* How many of a job's waiting tasks its team's limit leaves room for, less what gangs hold of it.
+ */
+static uint32_t ws_team_fits(const struct ws_job *j)
+{
+	const struct ws_team *t = j->team;
+	const struct ws_spec *s = &j->spec;
+	double most = j->waiting;
+
+	if (s->cpus > 0)
+		most = fmin(
+		    most, floor((t->set->cpus_max + 1e-9 - t->used_cpus - t->held_cpus) / s->cpus));
+	if (s->gpus > 0)
+		most = fmin(
+		    most, floor((t->set->gpus_max + 1e-9 - t->used_gpus - t->held_gpus) / s->gpus));
+	return most > 0 ? (uint32_t)most : 0;
+}
+
+/* A number for an attempt: none is used twice. */
+static uint64_t ws_attempt_new(struct ws_core *c)
+{
+	return ((c->epoch >> WS_EPOCH_SHIFT) << WS_ATTEMPT_SHIFT) + ++c->attempt_seq;
+}
+
 /* Machines that a gang may be on: one that is silent would keep the whole waiting. */
 static bool ws_gang_ok(const struct ws_core *c, const struct ws_job *j, const struct ws_machine *m,
 		       uint32_t zones)
@@ -598,9 +625,7 @@
 		ws_why_waits(c, j, "its record can't name so many machines");
 	DL_FOREACH_SAFE2 (j->slots, s, sn, jnext)
 		if (s->state == WS_SLOT_PLANNED && s->planned_at == c->now && !s->writing) {
-			s->machine->virt_cpus += j->spec.cpus;
-			s->machine->virt_gpus += j->spec.gpus;
-			s->machine->virt_mem += j->spec.mem;
+			ws_virt_give(j, s->machine);
 			ws_slot_count(c, s, -1);
 			ws_slot_free(s);
 		}
@@ -660,7 +685,7 @@
 	uint32_t now[WS_MAX_ZONES] = {0}, later[WS_MAX_ZONES] = {0}, have[WS_MAX_ZONES] = {0};
 	uint32_t all = 0, coming = 0;
 	uint64_t attempt = 0;
-	double since, most = want;
+	double since;
 	char why[128];
 	bool holds;
 
@@ -671,13 +696,7 @@
 	if (!j->lack_since)
 		j->lack_since = c->now;
 	holds = ws_gang_holds(c, j);
-	if (j->spec.cpus > 0)
-		most = fmin(most, (team->set->cpus_max + 1e-9 - team->used_cpus - team->held_cpus) /
-				      j->spec.cpus);
-	if (j->spec.gpus > 0)
-		most = fmin(most, (team->set->gpus_max + 1e-9 - team->used_gpus - team->held_gpus) /
-				      j->spec.gpus);
-	if (most < want) {
+	if (ws_team_fits(j) < want) {
 		ws_why_waits(c, j, "its team is at its limit");
 		if (holds) {
 			team->held_cpus += want * j->spec.cpus;
@@ -712,11 +731,11 @@
 	if (!j->spec.one_zone && all >= want)
 		put = zones;
 	if (!attempt)
-		attempt = ((c->epoch >> WS_EPOCH_SHIFT) << WS_ATTEMPT_SHIFT) + ++c->attempt_seq;
+		attempt = ws_attempt_new(c);
 	if (put && ws_gang_put(p, j, put, attempt))
 		return;
-	if (put &&
-	    !j->nslots) { /* there is room, but on too many machines: nothing is held for it */
+	/* there is room, but on too many machines: nothing is held for it */
+	if (put && !j->nslots) {
 		ws_rentals_want(c, j, want, ws_gang_zones(p, j, zones, later));
 		return;
 	}
@@ -789,22 +808,13 @@
 		return;
 	}
 	/* no more than the team's limit allows: more machines would not help */
-	double most = want;
-	if (j->spec.cpus > 0)
-		most = fmin(most,
-			    floor((team->set->cpus_max + 1e-9 - team->used_cpus - team->held_cpus) /
-				  j->spec.cpus));
-	if (j->spec.gpus > 0)
-		most = fmin(most,
-			    floor((team->set->gpus_max + 1e-9 - team->used_gpus - team->held_gpus) /
-				  j->spec.gpus));
-	if (most < want)
+	want = ws_team_fits(j);
+	if (want < j->waiting)
 		ws_why_waits(c, j, "its team is at its limit");
-	if (most <= 0)
+	if (!want)
 		return;
-	want = (uint32_t)most;
 	room = ws_record_room(c, j);
-	attempt = ((c->epoch >> WS_EPOCH_SHIFT) << WS_ATTEMPT_SHIFT) + ++c->attempt_seq;
+	attempt = ws_attempt_new(c);
 	/* machines with room, those preferred first: 0 to 3 by owner and image; no more than needed
 	 */
 	ws_open_tidy(p);
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -80,9 +80,9 @@
 	return d;
 }
 
-static uint64_t ws_attempt_number(const struct ws_slot *s)
+static uint64_t ws_attempt_number(uint64_t attempt)
 {
-	return s->attempt & ((1ULL << WS_ATTEMPT_SHIFT) - 1);
+	return attempt & ((1ULL << WS_ATTEMPT_SHIFT) - 1);
 }
 
 /* Told in the same breath: one machine, one attempt's number. */
@@ -108,7 +108,7 @@
 	if (s->tenure != 1)
 		n += 1 + ws_digits(s->tenure);
 	if (!same || before->attempt != s->attempt)
-		n += 1 + ws_digits(ws_attempt_number(s));
+		n += 1 + ws_digits(ws_attempt_number(s->attempt));
 	if (!same || before->attempt >> WS_ATTEMPT_SHIFT != s->attempt >> WS_ATTEMPT_SHIFT)
 		n += strlen(s->machine->zone) + c->name_shared + 32;
 	return n;
@@ -205,8 +205,9 @@
 				if (s->tenure != 1)
 					ws_text_add(&t, "/%llu", (unsigned long long)s->tenure);
 				if (!last || last->attempt != s->attempt)
-					ws_text_add(&t, "#%llu",
-						    (unsigned long long)ws_attempt_number(s));
+					ws_text_add(
+					    &t, "#%llu",
+					    (unsigned long long)ws_attempt_number(s->attempt));
 				ws_text_add(&t, "=%u", from);
 			}
 			for (s->writing = true;
@@ -459,10 +460,8 @@
 					snprintf(tenure, sizeof(tenure), "/%llu",
 						 (unsigned long long)x->tenure);
 				if (k == i || list[k - 1].attempt != x->attempt)
-					snprintf(
-					    number, sizeof(number), "#%llu",
-					    (unsigned long long)(x->attempt &
-								 ((1ULL << WS_ATTEMPT_SHIFT) - 1)));
+					snprintf(number, sizeof(number), "#%llu",
+						 (unsigned long long)ws_attempt_number(x->attempt));
 				if (e > k)
 					snprintf(to, sizeof(to), "-%u", list[e].task);
 				len = (size_t)snprintf(part, sizeof(part), "%s%s%s%s=%u%s",
