Testimony in an outage carries the withdrawals that peers confirmed

Cause: a leader that the state service refuses went on answering reports while all peers were refused too, but what they had told users since its last look at the jobs was not in their word. Tasks of jobs cancelled in that spell lived on for as long as the outage. Ruled out: the watch (it waits, as the protocol says), the hold (it stands still in an outage). Now a peer's word lists the withdrawals newer than the leader's view, from the copy of the live jobs that every confirmation goes into; who can't vouch for the whole span is no witness. The leader ends them before it goes on. A leader whose watch brings nothing stops leading in time. The simulator is split by part: state service, workers, cloud, users, checks.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -89,8 +89,10 @@
 
 void ws_action_free(struct ws_action *a)
 {
-	if (a)
+	if (a) {
 		free(a->orders);
+		free(a->withdrawn);
+	}
 	free(a);
 }
 
@@ -118,6 +120,21 @@
 	ws_core_tick(c, now);
 }
 
+/*
+ * How old a leader's view of what users withdrew may be when it answers a report: the answer renews
+ * the lease of a withdrawn task for the last time, and that lease must be out within cancel_s.
+ */
+double ws_core_view_s(const struct ws_settings *s)
+{
+	return s->cancel_s - ws_lease_length(s);
+}
+
+/* Whether that is shorter than what a leader is served by its watch at the latest. */
+bool ws_core_view_short(const struct ws_settings *s, const struct ws_policy *p)
+{
+	return ws_core_view_s(s) < WS_VIEW_TTLS * s->lease_s * p->leader_ttl_ratio;
+}
+
 struct ws_core *ws_core_new(const struct ws_settings *s, const struct ws_policy *p, ws_log_fn log,
 			    double now, uint64_t nonce)
 {
@@ -136,6 +153,12 @@
 	c->ttl = s->lease_s * p->leader_ttl_ratio;
 	if (c->ttl < 0.2)
 		c->ttl = 0.2;
+	c->view_s = ws_core_view_s(s);
+	if (ws_core_view_short(s, p))
+		ws_log(c, WS_LOG_ERROR,
+		       "cancel_s %.3g is short for lease_s %.3g: in outages of the state service "
+		       "reports are answered for %.3g s at most",
+		       s->cancel_s, s->lease_s, fmax(0, c->view_s));
 	if (c->pol.rental_ceiling < 0)
 		c->pol.rental_ceiling = -1; /* derived once the machine types are known */
 	for (size_t i = 0; i < s->nzones; i++)
@@ -186,7 +209,8 @@
 
 bool ws_core_entitled(const struct ws_core *c, double now)
 {
-	return c->role == WS_LEADER && now < c->entitled_until;
+	return c->role == WS_LEADER && now < c->entitled_until &&
+	       now < c->view_at + fmax(c->view_s, WS_VIEW_TTLS * c->ttl);
 }
 
 /* Everything that is due; called after each event and by the shell's timer. */
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -113,6 +113,12 @@
 	uint64_t stamp;
 };
 
+/* A job that its user was told is cancelled, or may have been, and its record's stamp as such. */
+struct ws_withdrawal {
+	char job[WS_ID_MAX];
+	uint64_t stamp;
+};
+
 /* Outcome of a call. */
 struct ws_result {
 	/* HTTP status; 0: no answer, it may or may not have been carried out; -1: never sent */
@@ -129,6 +135,11 @@
 	struct ws_host *hosts;
 	size_t nhosts;
 	struct ws_report *report;
+	/* TESTIFY: the peer answers for all withdrawals that it knows of after a revision; these
+	 * are the first, `more` of them are left */
+	bool vouched;
+	struct ws_withdrawal *withdrawn;
+	size_t nwithdrawn;
 };
 
 enum ws_call_kind {
@@ -164,8 +175,8 @@
 struct ws_call {
 	enum ws_call_kind kind;
 	char key[WS_KEY_MAX];	/* GET key; LIST and WATCH prefix; RENT booking; TESTIFY peer */
-	char after[WS_KEY_MAX]; /* LIST and HOSTS: start behind this one */
-	uint64_t since;		/* WATCH */
+	char after[WS_KEY_MAX]; /* LIST and HOSTS: start behind this one; TESTIFY: this job */
+	uint64_t since;		/* WATCH; TESTIFY: what the leader's view of the jobs holds */
 	uint32_t ms;		/* WATCH and holds */
 	uint64_t hold;
 	struct ws_cond *conds;
@@ -179,7 +190,7 @@
 	size_t nnames;
 	char host[64]; /* ORDERS */
 	int port;
-	uint64_t epoch, tenure;
+	uint64_t epoch, tenure; /* TESTIFY: epoch is the stamp of the asker's leader key */
 	struct ws_order *orders;
 	size_t norders;
 	bool urgent; /* goes before other calls to the same service */
@@ -215,6 +226,10 @@
 	struct ws_order *orders;
 	size_t norders;
 	struct ws_action *next;
+	/* of a testimony: as in struct ws_result */
+	bool vouched, more;
+	struct ws_withdrawal *withdrawn;
+	size_t nwithdrawn;
 };
 
 /* Log sink; the core writes no file itself. */
@@ -227,6 +242,8 @@
 	double delta, rentals_max, wait_max_s, bound_s;
 };
 
+double ws_core_view_s(const struct ws_settings *s);
+bool ws_core_view_short(const struct ws_settings *s, const struct ws_policy *p);
 struct ws_core *ws_core_new(const struct ws_settings *s, const struct ws_policy *p, ws_log_fn log,
 			    double now, uint64_t nonce);
 void ws_core_free(struct ws_core *c);
@@ -249,6 +266,11 @@
 void ws_core_abort(struct ws_core *c, double now, uint64_t token, const char *id, bool relayed);
 void ws_core_report(struct ws_core *c, double now, uint64_t token, const struct ws_report *r,
 		    bool relayed);
+/* A peer that leads with a key of this stamp, and has seen the jobs up to a revision and, of a list
+ * too long for one frame, up to a job of it, asks whether the state service refuses us. */
+void ws_core_vouch(struct ws_core *c, double now, uint64_t token, uint64_t leader, uint64_t since,
+		   const char *after);
+/* The same, of a peer that takes in no list: the version before it. */
 void ws_core_testify(struct ws_core *c, double now, uint64_t token);
 
 /* The sizing thread: take a measurement when one is due, hand back the k found. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -71,10 +71,15 @@
 	m->spot = spot;
 }
 
+double ws_lease_length(const struct ws_settings *s)
+{
+	return s->lease_s * (1 + WS_DRIFT) + s->lease_s / 32;
+}
+
 /* The time by which a lease renewed at 'from' has run out on any clock. */
 double ws_lease_out(const struct ws_core *c, double from)
 {
-	return from + c->set->lease_s * (1 + WS_DRIFT) + c->set->lease_s / 32;
+	return from + ws_lease_length(c->set);
 }
 
 /*
@@ -702,10 +707,16 @@
 void ws_fleet_push(struct ws_core *c, struct ws_machine *m)
 {
 	struct ws_call *call;
+	struct ws_slot *s;
 	size_t max = m->nslots + 1;
 
 	if (!m->reported || !m->port || m->commands || m->fence || m->gone || m->returning ||
-	    !ws_entitled(c) || c->in_outage || c->now - m->heard > 1.5 * c->set->report_s)
+	    !ws_entitled(c) || c->now - m->heard > 1.5 * c->set->report_s)
+		return;
+	/* while the state service is out nothing is started, but what is withdrawn ends */
+	for (s = m->slots; c->in_outage && s && !ws_slot_untold(s); s = s->next)
+		;
+	if (c->in_outage && !s)
 		return;
 	call = ws_orders_call(c, m);
 	call->orders = calloc(max, sizeof(*call->orders));
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -18,6 +18,11 @@
 #define WS_CACHE_KEPT 12 /* of them in the fleet's record */
 /* Clocks of two machines drift apart by this share at most (the protocol's figure, doubled). */
 #define WS_DRIFT 0.001
+/* A leader whose watch of the jobs brought nothing for so many ttl no longer knows what was
+ * withdrawn: twice the time a watch is left open, with its time-out and a second try. */
+#define WS_VIEW_TTLS 6
+/* Withdrawals a frame of testimony carries. */
+#define WS_TESTIMONY_MAX 64
 
 struct ws_slot;
 struct ws_job;
@@ -262,7 +267,10 @@
 	double pause_until;
 	uint64_t ask_round;
 	int ask_yes, ask_out;
-	double ask_sent, ask_next;
+	double ask_sent, ask_heard, ask_next; /* ask_heard: the last word of the round */
+	double view_at;	  /* the jobs as the leader knows them are no older than this */
+	double view_s;	  /* and must not be older than this, or a lease could outlast cancel_s */
+	double served_at; /* the state service last came back to us */
 	uint64_t epoch;
 	uint64_t attempt_seq;
 	uint64_t rental_seq;
@@ -376,6 +384,7 @@
 bool ws_type_fits(const struct ws_type *t, const struct ws_spec *s);
 double ws_mean_cpus(const struct ws_core *c);
 void ws_job_push(struct ws_core *c, struct ws_job *j);
+void ws_job_withdrawn(struct ws_core *c, const struct ws_withdrawal *w);
 double ws_load_of(const struct ws_core *c, const struct ws_spec *s);
 bool ws_job_over(const struct ws_job *j);
 
@@ -408,6 +417,7 @@
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m);
 void ws_machine_host(struct ws_core *c, const struct ws_host *h);
 const struct ws_type *ws_type_find(const struct ws_core *c, const char *name);
+double ws_lease_length(const struct ws_settings *s);
 double ws_lease_out(const struct ws_core *c, double from);
 
 /* placement.c */
@@ -444,6 +454,8 @@
 void ws_flush(struct ws_core *c);
 
 /* requests.c */
+bool ws_withdrawn_since(struct ws_core *c, uint64_t since, const char *after,
+			struct ws_withdrawal **list, size_t *n, size_t most, bool *more);
 void ws_requests_tick(struct ws_core *c);
 bool ws_cut_off(const struct ws_core *c);
 void ws_report_answer(struct ws_core *c, uint64_t token, int status, const char *leader);
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -155,6 +155,19 @@
 	ws_job_check_end(c, j);
 }
 
+/*
+ * A peer told a user that this job is cancelled, and we can't read its record. Its tasks end now:
+ * that takes no write. The stamp stays as it was, so that the watch brings the record once the
+ * state service is back, and a write of ours before that fails.
+ */
+void ws_job_withdrawn(struct ws_core *c, const struct ws_withdrawal *w)
+{
+	struct ws_job *j = ws_job_find(c, w->job);
+
+	if (j && w->stamp > j->stamp && j->phase != WS_CANCELLED)
+		ws_job_cancelled(c, j);
+}
+
 /* CPUs of a machine of middling size; 0 while no type is known. */
 double ws_mean_cpus(const struct ws_core *c)
 {
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -85,6 +85,7 @@
 		struct ws_call *call = ws_call(c, WS_CALL_TESTIFY, ws_peer_answered);
 
 		snprintf(call->key, sizeof(call->key), "%s", c->set->peers[i].node);
+		call->since = UINT64_MAX; /* only whether it answers */
 	}
 }
 
@@ -171,6 +172,20 @@
 	       n * s->gpus <= team->set->gpus_max + 1e-9;
 }
 
+static struct ws_seen *ws_seen_note(struct ws_core *c, const char *id, uint64_t stamp);
+
+/*
+ * A user is about to be told that this job is cancelled: the copy of the live jobs must hold that,
+ * for it is what we testify with. A record under old/ has nothing left on any machine.
+ */
+static void ws_withdrawal_note(struct ws_core *c, const char *key, uint64_t stamp)
+{
+	struct ws_seen *s = strncmp(key, "job/", 4) ? NULL : ws_seen_note(c, key + 4, stamp);
+
+	if (s)
+		s->phase = WS_CANCELLED;
+}
+
 static void ws_known_answer(struct ws_core *c, uint64_t token, const char *id, enum ws_phase phase,
 			    uint32_t done, uint32_t running, bool poll)
 {
@@ -204,6 +219,8 @@
 		ws_answer(c, call->ctx_n, 503, call->ctx_name, WS_QUEUED);
 		return;
 	}
+	if (phase == WS_CANCELLED)
+		ws_withdrawal_note(c, call->key, r->kvs[0].stamp);
 	ws_known_answer(c, call->ctx_n, call->ctx_name, phase, done, running, poll);
 }
 
@@ -376,6 +393,37 @@
  * answer is never older than one that another node gave, and the state service is asked a few times
  * a second however many poll.
  */
+static struct ws_seen *ws_seen_put(struct ws_core *c, const char *id, uint64_t stamp)
+{
+	struct ws_seen *s;
+
+	HASH_FIND_STR(c->seen, id, s);
+	if (!s) {
+		s = calloc(1, sizeof(*s));
+		if (!s)
+			abort();
+		snprintf(s->id, sizeof(s->id), "%s", id);
+		HASH_ADD_STR(c->seen, id, s);
+	}
+	s->stamp = stamp;
+	return s;
+}
+
+/* The entry of a job of which we know more than the copy tells; NULL: the copy is as new. */
+static struct ws_seen *ws_seen_note(struct ws_core *c, const char *id, uint64_t stamp)
+{
+	struct ws_seen *s;
+
+	HASH_FIND_STR(c->seen, id, s);
+	return stamp <= c->seen_rev || (s && stamp <= s->stamp) ? NULL : ws_seen_put(c, id, stamp);
+}
+
+static void ws_seen_drop(struct ws_core *c, struct ws_seen *s)
+{
+	HASH_DEL(c->seen, s);
+	free(s);
+}
+
 static void ws_seen_event(struct ws_core *c, const struct ws_kv *kv)
 {
 	struct ws_seen *s;
@@ -389,20 +437,11 @@
 	if (s && kv->stamp <= s->stamp)
 		return;
 	if (!kv->value) {
-		if (s) {
-			HASH_DEL(c->seen, s);
-			free(s);
-		}
+		if (s)
+			ws_seen_drop(c, s);
 		return;
 	}
-	if (!s) {
-		s = calloc(1, sizeof(*s));
-		if (!s)
-			abort();
-		snprintf(s->id, sizeof(s->id), "%s", id);
-		HASH_ADD_STR(c->seen, id, s);
-	}
-	s->stamp = kv->stamp;
+	s = ws_seen_put(c, id, kv->stamp);
 	if (!ws_record_read_phase(kv->value, &phase, &done, &running)) {
 		s->phase = WS_QUEUED; /* known at any rate */
 		return;
@@ -416,11 +455,10 @@
 {
 	struct ws_seen *s, *t;
 
-	HASH_ITER (hh, c->seen, s, t) {
-		HASH_DEL(c->seen, s);
-		free(s);
-	}
+	HASH_ITER (hh, c->seen, s, t)
+		ws_seen_drop(c, s);
 	c->seen_ready = false;
+	c->seen_rev = 0;
 }
 
 static void ws_polls_answer(struct ws_core *c, int status)
@@ -478,8 +516,14 @@
 		c->seen_next = c->now + c->ttl / 4;
 		return;
 	}
-	if (!call->after[0])
+	if (!call->after[0]) {
+		struct ws_seen *s, *t;
+
 		c->seen_rev = r->rev;
+		HASH_ITER (hh, c->seen, s, t) /* noted meanwhile: the pages tell */
+			if (s->stamp <= r->rev)
+				ws_seen_drop(c, s);
+	}
 	for (size_t i = 0; i < r->nkvs; i++)
 		ws_seen_event(c, &r->kvs[i]);
 	if (r->more && r->nkvs) {
@@ -576,6 +620,7 @@
 	struct ws_ask *ask = call->ctx;
 
 	if (r->status == 200) {
+		ws_withdrawal_note(c, call->conds[0].key, r->rev);
 		ws_answer(c, call->ctx_n, 200, call->ctx_name, WS_CANCELLED);
 	} else if ((r->status == 409 || r->status == 400) && ++ask->tries < 8) {
 		/* changed meanwhile, or larger than the limit of now: read it again */
@@ -626,6 +671,8 @@
 		return;
 	}
 	if (phase == WS_DONE || phase == WS_CANCELLED) {
+		if (phase == WS_CANCELLED)
+			ws_withdrawal_note(c, call->key, r->kvs[0].stamp);
 		ws_answer(c, call->ctx_n, 200, call->ctx_name, phase);
 		return;
 	}
@@ -797,25 +844,114 @@
 	snprintf(a->name, sizeof(a->name), "%s", c->leader);
 }
 
-/* ---- testimony: does the state service refuse us right now? ---- */
+/*
+ * ---- testimony: does the state service refuse us right now, and what did we tell users? ----
+ *
+ * The copy of the live jobs is complete up to a revision that was read in this life of the process,
+ * and holds what we confirmed after it: so it names every withdrawal that we, in this life or an
+ * earlier one, told a user of. Without such a copy we can't vouch for anything.
+ */
+
+struct ws_testimony { /* what the asker wants to know, while our own question is under way */
+	uint64_t leader, since;
+	bool lists; /* it takes in a list */
+	char after[WS_ID_MAX];
+};
+
+static int ws_withdrawal_cmp(const void *a, const void *b)
+{
+	const struct ws_withdrawal *x = a, *y = b;
+
+	return x->stamp != y->stamp ? (x->stamp < y->stamp ? -1 : 1) : strcmp(x->job, y->job);
+}
+
+/*
+ * Jobs withdrawn after a revision, the first ones by stamp and name, from behind `after` on where
+ * that is one of the revision itself. False: the copy can't tell.
+ */
+bool ws_withdrawn_since(struct ws_core *c, uint64_t since, const char *after,
+			struct ws_withdrawal **list, size_t *n, size_t most, bool *more)
+{
+	struct ws_withdrawal from = {.stamp = since};
+	struct ws_seen *s, *t;
+	size_t cap = 0;
+
+	*list = NULL;
+	*n = 0;
+	*more = false;
+	if (!c->seen_ready)
+		return false;
+	snprintf(from.job, sizeof(from.job), "%s", after);
+	HASH_ITER (hh, c->seen, s, t) {
+		struct ws_withdrawal w = {.stamp = s->stamp};
+
+		if (s->phase != WS_CANCELLED || s->stamp < since ||
+		    (!after[0] && s->stamp == since))
+			continue;
+		snprintf(w.job, sizeof(w.job), "%s", s->id);
+		if (after[0] && ws_withdrawal_cmp(&w, &from) <= 0)
+			continue;
+		if (*n == cap) {
+			cap = cap ? 2 * cap : 16;
+			*list = realloc(*list, cap * sizeof(**list));
+			if (!*list)
+				abort();
+		}
+		(*list)[(*n)++] = w;
+	}
+	if (*n)
+		qsort(*list, *n, sizeof(**list), ws_withdrawal_cmp);
+	*more = *n > most;
+	*n = *more ? most : *n;
+	return true;
+}
 
 static void ws_testify_done(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
 	struct ws_action *a = ws_act(c, WS_ACT_ANSWER_TESTIFY);
+	const struct ws_testimony *q = call->ctx;
 
 	a->token = call->ctx_n;
-	/* silence is no testimony, and neither is the word of one that leads itself */
-	a->status = r->status == 503 && c->role != WS_LEADER && c->role != WS_LOADING ? 503 : 200;
+	a->status = 200;
+	/* silence is no testimony, and neither is the word of one that leads itself or knows of a
+	 * later leader */
+	if (r->status != 503 || c->role == WS_LEADER || c->role == WS_LOADING ||
+	    (q->lists && c->leader_stamp > q->leader))
+		return;
+	a->vouched = ws_withdrawn_since(c, q->since, q->after, &a->withdrawn, &a->nwithdrawn,
+					WS_TESTIMONY_MAX, &a->more);
+	/* who can't take in the list is not told that all is as it was unless there is none */
+	if (q->lists || (a->vouched && !a->nwithdrawn))
+		a->status = 503;
 }
 
-void ws_core_testify(struct ws_core *c, double now, uint64_t token)
+static void ws_testify(struct ws_core *c, double now, uint64_t token, const struct ws_testimony *q)
 {
+	struct ws_testimony *ask = malloc(sizeof(*ask));
 	struct ws_call *call;
 
+	if (!ask)
+		abort();
+	*ask = *q;
 	if (now > c->now)
 		c->now = now;
 	call = ws_call(c, WS_CALL_GET, ws_testify_done);
 	snprintf(call->key, sizeof(call->key), "leader");
+	call->ctx = ask;
 	call->ctx_n = token;
 	call->urgent = true;
 }
+
+void ws_core_vouch(struct ws_core *c, double now, uint64_t token, uint64_t leader, uint64_t since,
+		   const char *after)
+{
+	struct ws_testimony q = {.leader = leader, .since = since, .lists = true};
+
+	snprintf(q.after, sizeof(q.after), "%s", after);
+	ws_testify(c, now, token, &q);
+}
+
+void ws_core_testify(struct ws_core *c, double now, uint64_t token)
+{
+	ws_testify(c, now, token, &(struct ws_testimony){0});
+}
--- a/src/io/codec.c
+++ b/src/io/codec.c
@@ -628,5 +628,6 @@
 	free(r->failed);
 	free(r->types);
 	free(r->hosts);
+	free(r->withdrawn);
 	memset(r, 0, sizeof(*r));
 }
--- a/src/io/peer.c
+++ b/src/io/peer.c
@@ -1,4 +1,6 @@
 #include "peer.h"
+#include "../log.h"
+#include "codec.h"
 #include "http.h"
 #include <arpa/inet.h>
 #include <errno.h>
@@ -183,6 +185,7 @@
 		memcpy(&be, p->in, 4);
 		len = ntohl(be);
 		if (len > WS_FRAME_MAX) {
+			ws_logf(WS_LOG_ERROR, "a peer's frame of %u bytes is refused", len);
 			ws_pipe_close(p);
 			return;
 		}
@@ -192,6 +195,7 @@
 		memmove(p->in, p->in + 4 + len, p->in_len - 4 - len);
 		p->in_len -= 4 + len;
 		if (!f) { /* not ours, or garbled */
+			ws_logf(WS_LOG_ERROR, "a peer's frame of %u bytes can't be read", len);
 			ws_pipe_close(p);
 			return;
 		}
@@ -420,3 +424,71 @@
 	close(p->fd);
 	free(p);
 }
+
+/* ---- testimony ---- */
+
+void ws_testimony_ask(Ws__PeerFrame *f, Ws__Testimony *t, struct ws_call *call)
+{
+	f->kind = WS__PEER_FRAME__KIND__TESTIFY;
+	f->testimony = t;
+	t->leader = call->epoch;
+	t->since = call->since;
+	t->after = call->after;
+}
+
+bool ws_testimony_read(const Ws__PeerFrame *f, struct ws_result *r)
+{
+	const Ws__Testimony *t = f->testimony;
+
+	memset(r, 0, sizeof(*r));
+	r->status = (int)f->status;
+	if (r->status != 503 || !t)
+		return true; /* of the version before, or no testimony */
+	r->withdrawn = calloc(t->n_withdrawn + 1, sizeof(*r->withdrawn));
+	if (!r->withdrawn)
+		abort();
+	for (size_t i = 0; i < t->n_withdrawn; i++) {
+		if (!ws_job_id_ok(t->withdrawn[i]->job)) {
+			free(r->withdrawn);
+			*r = (struct ws_result){.status = 200};
+			return false;
+		}
+		snprintf(r->withdrawn[i].job, WS_ID_MAX, "%s", t->withdrawn[i]->job);
+		r->withdrawn[i].stamp = t->withdrawn[i]->stamp;
+	}
+	r->nwithdrawn = t->n_withdrawn;
+	r->more = t->more;
+	r->vouched = true;
+	return true;
+}
+
+void ws_testimony_fill(Ws__PeerFrame *f, Ws__Testimony *t, struct ws_action *a)
+{
+	Ws__Withdrawal *list;
+
+	f->kind = WS__PEER_FRAME__KIND__REPLY;
+	f->status = (uint32_t)a->status;
+	if (!a->vouched)
+		return;
+	f->testimony = t;
+	t->more = a->more;
+	t->n_withdrawn = a->nwithdrawn;
+	t->withdrawn = calloc(a->nwithdrawn + 1, sizeof(*t->withdrawn));
+	list = calloc(a->nwithdrawn + 1, sizeof(*list));
+	if (!t->withdrawn || !list)
+		abort();
+	for (size_t i = 0; i <= a->nwithdrawn; i++) /* the first one owns them all */
+		t->withdrawn[i] = &list[i];
+	for (size_t i = 0; i < a->nwithdrawn; i++) {
+		ws__withdrawal__init(&list[i]);
+		list[i].job = a->withdrawn[i].job;
+		list[i].stamp = a->withdrawn[i].stamp;
+	}
+}
+
+void ws_testimony_free(Ws__Testimony *t)
+{
+	if (t->withdrawn)
+		free(t->withdrawn[0]);
+	free(t->withdrawn);
+}
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -116,6 +116,23 @@
 	ws_pending_free(p);
 }
 
+static void ws_reply_testimony(struct ws_service *v, struct ws_action *a)
+{
+	Ws__PeerFrame f = WS__PEER_FRAME__INIT;
+	Ws__Testimony t = WS__TESTIMONY__INIT;
+	struct ws_pending *p;
+
+	HASH_FIND(hh, v->pending, &a->token, sizeof(a->token), p);
+	if (!p)
+		return;
+	f.id = p->id;
+	f.node = (char *)v->set->node;
+	ws_testimony_fill(&f, &t, a);
+	ws_peers_reply(v->peers, p->from, &f);
+	ws_testimony_free(&t);
+	ws_pending_free(p);
+}
+
 static void ws_reply_plain(struct ws_service *v, uint64_t token, int status)
 {
 	ws_reply(v, token, status, "{}", 2, status == 503 || status == 429 ? 1 : 0);
@@ -208,6 +225,16 @@
 
 /* ---- calls ---- */
 
+/* The result goes to the core, which frees the call; the result's own parts are freed here. */
+static void ws_completed(struct ws_service *v, struct ws_call *call, struct ws_result *r)
+{
+	pthread_mutex_lock(&v->lock);
+	ws_core_complete(v->core, ws_now(), call, r);
+	pthread_mutex_unlock(&v->lock);
+	ws_result_free(r);
+	ws_drain(v);
+}
+
 static void ws_complete(struct ws_service *v, struct ws_call *call, int status, const char *body,
 			size_t len)
 {
@@ -221,11 +248,7 @@
 			status, len, call->kind, call->key[0] ? call->key : call->host);
 	if (r.status < 0 && call->kind != WS_CALL_ORDERS)
 		r.status = 0;
-	pthread_mutex_lock(&v->lock);
-	ws_core_complete(v->core, ws_now(), call, &r);
-	pthread_mutex_unlock(&v->lock);
-	ws_result_free(&r);
-	ws_drain(v);
+	ws_completed(v, call, &r);
 }
 
 /*
@@ -267,7 +290,14 @@
 
 static void ws_testimony(void *ctx, const Ws__PeerFrame *f)
 {
-	ws_call_done(ctx, f ? (int)f->status : 0, "{}", 2);
+	struct ws_flight *x = ctx;
+	struct ws_result r = {0};
+
+	if (f && !ws_testimony_read(f, &r))
+		ws_logf(WS_LOG_ERROR, "testimony of %s can't be read: taken for none",
+			x->call->key);
+	ws_completed(x->service, x->call, &r);
+	free(x);
 }
 
 /* Its client may be on the stack, in whose callback this is: it is freed by the timer. */
@@ -346,10 +376,12 @@
 	if (call->kind == WS_CALL_TESTIFY) {
 		Ws__PeerFrame f = WS__PEER_FRAME__INIT;
 
-		f.kind = WS__PEER_FRAME__KIND__TESTIFY;
+		Ws__Testimony t = WS__TESTIMONY__INIT;
+
 		f.node = (char *)v->set->node;
+		ws_testimony_ask(&f, &t, call);
 		if (!ws_peers_send(v->peers, call->key, &f, ttl / 2, ws_testimony, x))
-			ws_call_done(x, 0, "", 0);
+			ws_testimony(x, NULL);
 		return;
 	}
 	switch (call->kind) {
@@ -446,7 +478,7 @@
 		free(body);
 		break;
 	case WS_ACT_RELAY: ws_relay(v, a->token, a->name, a->pinned); break;
-	case WS_ACT_ANSWER_TESTIFY: ws_reply(v, a->token, a->status, "{}", 2, 0); break;
+	case WS_ACT_ANSWER_TESTIFY: ws_reply_testimony(v, a); break;
 	}
 }
 
@@ -627,8 +659,10 @@
 									: WS_ASK_TESTIFY;
 	struct ws_pending *p;
 
-	if (f->body.len > WS_BODY_MAX || strlen(f->path) > 1000)
+	if (f->body.len > WS_BODY_MAX || strlen(f->path) > 1000) {
+		ws_logf(WS_LOG_ERROR, "a frame of %s is too long: refused", f->node);
 		return;
+	}
 	p = ws_pend(v, token, kind, f->method, f->path, (const char *)f->body.data, f->body.len);
 	if (!p)
 		return;
@@ -642,11 +676,17 @@
 		else
 			ws_reply_plain(v, token, 404);
 	} else if (f->kind == WS__PEER_FRAME__KIND__TESTIFY) {
+		const Ws__Testimony *t = f->testimony;
+
 		pthread_mutex_lock(&v->lock);
-		ws_core_testify(v->core, ws_now(), token);
+		if (t)
+			ws_core_vouch(v->core, ws_now(), token, t->leader, t->since, t->after);
+		else
+			ws_core_testify(v->core, ws_now(), token);
 		pthread_mutex_unlock(&v->lock);
 		ws_drain(v);
 	} else {
+		ws_logf(WS_LOG_ERROR, "a frame of kind %d of %s is refused", (int)f->kind, f->node);
 		ws_reply_plain(v, token, 400);
 	}
 }
--- a/src/main.c
+++ b/src/main.c
@@ -112,6 +112,11 @@
 	if (args.check) {
 		printf("%s: fine: node %s, %zu peers, %zu teams\n", args.config, settings.node,
 		       settings.npeers, settings.nteams);
+		if (ws_core_view_short(&settings, &policy))
+			printf("%s: settings.workers.cancel_s is short for lease_s: in outages of "
+			       "the state service reports are answered for %.3g s at most\n",
+			       args.config,
+			       ws_core_view_s(&settings) > 0 ? ws_core_view_s(&settings) : 0);
 		return 0;
 	}
 	ws_log_open(settings.node, getenv("LOG_LEVEL"));
--- a/tests/records_test.c
+++ b/tests/records_test.c
@@ -4,7 +4,8 @@
  */
 #include "../src/core/internal.h"
 #include "check.h"
-#include "peer.pb-c.h"
+#include "codec.h"
+#include "peer.h"
 
 /* As production wrote them: an array under way, a gang as it knew them, one that is withdrawn. */
 static const char array_job[] =
@@ -253,12 +254,61 @@
 	ws__peer_frame__free_unpacked(f, NULL);
 }
 
+/* Testimony there and back; what production sends, or what makes no sense, is none. */
+static void testimony(void)
+{
+	struct ws_withdrawal list[] = {{"job-000007", 41}, {"job-000003", 43}};
+	struct ws_action a = {.status = 503, .vouched = true, .more = true, .nwithdrawn = 2};
+	struct ws_call call = {.since = 40, .epoch = 12, .after = "job-000002"};
+	Ws__PeerFrame f = WS__PEER_FRAME__INIT, *got;
+	Ws__Testimony t = WS__TESTIMONY__INIT;
+	struct ws_result r;
+	uint8_t out[256];
+	size_t n;
+
+	ws_testimony_ask(&f, &t, &call);
+	n = ws__peer_frame__pack(&f, out);
+	got = ws__peer_frame__unpack(NULL, n, out);
+	check("a question", got && got->kind == WS__PEER_FRAME__KIND__TESTIFY &&
+				got->testimony->leader == 12 && got->testimony->since == 40 &&
+				!strcmp(got->testimony->after, "job-000002"));
+	ws__peer_frame__free_unpacked(got, NULL);
+
+	a.withdrawn = list;
+	ws__peer_frame__init(&f);
+	ws__testimony__init(&t);
+	ws_testimony_fill(&f, &t, &a);
+	n = ws__peer_frame__pack(&f, out);
+	ws_testimony_free(&t);
+	got = ws__peer_frame__unpack(NULL, n, out);
+	check("an answer", got && ws_testimony_read(got, &r) && r.status == 503 && r.vouched &&
+			       r.more && r.nwithdrawn == 2 && r.withdrawn[1].stamp == 43 &&
+			       !strcmp(r.withdrawn[0].job, "job-000007"));
+	ws_result_free(&r);
+	ws__peer_frame__free_unpacked(got, NULL);
+
+	snprintf(list[1].job, sizeof(list[1].job), "no/job");
+	ws__peer_frame__init(&f);
+	ws__testimony__init(&t);
+	ws_testimony_fill(&f, &t, &a);
+	check("an answer with a name that no job has",
+	      !ws_testimony_read(&f, &r) && r.status != 503 && !r.vouched && !r.withdrawn);
+	ws_testimony_free(&t);
+
+	a.vouched = false;
+	ws__peer_frame__init(&f);
+	ws_testimony_fill(&f, &t, &a);
+	check("production's answer, and of one that can't vouch, has no list",
+	      !f.testimony && ws_testimony_read(&f, &r) && r.status == 503 && !r.vouched);
+}
+
 int main(void)
 {
 	read_jobs();
 	split();
 	others();
 	frames();
+	testimony();
 	printf("%d passed, %d failed\n", good, bad);
 	return bad != 0;
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -30,6 +30,7 @@
 	bool spot, owned, up, dead, deleted, hung, never, failing, slow;
 	double rented, deleted_at, died_at, boots, hang_until, cut_until, notice_at, take_at;
 	double deaf_until; /* its reports arrive, no answer or command reaches it */
+	double mute_until; /* it can't open connections; commands reach it */
 	uint64_t tenure, counter, epoch;
 	double answered_sent; /* when the last answered report was sent */
 	double next_report, sent_at;
@@ -86,6 +87,7 @@
 	void (*abort)(struct ws_core *, double, uint64_t, const char *, bool);
 	void (*report)(struct ws_core *, double, uint64_t, const struct ws_report *, bool);
 	void (*testify)(struct ws_core *, double, uint64_t);
+	void (*free_action)(struct ws_action *);
 };
 
 struct sim_node {
@@ -95,7 +97,7 @@
 	bool up;
 	double up_at;
 	uint64_t life;
-	double cut_state, cut_workers, cut_peers, refused; /* until */
+	double cut_state, cut_workers, cut_peers, refused, blind; /* until */
 	double skew;
 };
 
--- /dev/null
+++ b/tests/sim_parts.h
@@ -0,0 +1,176 @@
+/* What the parts of the simulator share. */
+#ifndef WS_SIM_PARTS_H
+#define WS_SIM_PARTS_H
+#include "sim.h"
+#include <stdarg.h>
+
+#define STEP 0.05
+
+struct sim_kv {
+	char key[WS_KEY_MAX];
+	json_t *value;
+	uint64_t stamp, hold;
+	UT_hash_handle hh;
+};
+
+struct sim_event { /* of the state service's history */
+	char key[WS_KEY_MAX];
+	json_t *value;
+	uint64_t stamp;
+};
+
+struct sim_hold {
+	uint64_t id;
+	double ttl, until;
+	bool live;
+};
+
+struct sim_flight { /* something under way */
+	double at;
+	int stage; /* 0: to be carried out, 1: to be answered, 2: carried out late, unanswered */
+	int node;
+	uint64_t life, token; /* token: of a question for testimony */
+	struct ws_call *call;
+	struct ws_result res;
+	struct sim_flight *next;
+};
+
+struct sim_late { /* direct commands that arrive after their sender gave up */
+	double at;
+	int worker;
+	uint64_t epoch, tenure;
+	struct ws_order *orders;
+	size_t n;
+	struct sim_late *next;
+};
+
+struct sim_held { /* reports that a cut holds back */
+	double at;
+	int node;
+	struct ws_report r;
+	struct sim_held *next;
+};
+
+struct sim_relay {
+	uint64_t token; /* at the node that was asked */
+	int from, to;
+	uint64_t life;
+};
+
+struct sim_type {
+	struct ws_type t;
+	int cap[2];
+};
+
+enum { ASK_SUBMIT = 1, ASK_POLL, ASK_ABORT }; /* of users */
+
+enum sim_crash { CRASH_NONE, CRASH_BEFORE, CRASH_AFTER };
+
+struct sim_order { /* a line with a time */
+	double at;
+	char text[256];
+	int line;
+};
+
+struct sim {
+	double now, end;
+	double lease, report, cancel_s, lag;
+	double gang_wait, gang_peer;
+	double value_kb, next_value_kb; /* the state service's limits, and those to come */
+	int txn_ops, next_txn_ops;
+	bool lowered;
+	int old_nodes, refused_writes;
+	double slow_orders; /* direct commands are carried out at once and answered so much later */
+	bool stutter;	    /* reports name every task twice */
+	int alone, mates, saved, gang_runs; /* of gangs: how attempts and tasks ended */
+	int nnodes;
+	struct sim_node nodes[SIM_NODES];
+	struct ws_policy pol;
+	char zones[8][32];
+	int nzones;
+	struct ws_team_setting teams[16];
+	int nteams;
+	struct ws_objective objectives[8];
+	int nobjectives;
+	struct sim_type types[8];
+	int ntypes;
+	int cap_limit;
+	struct sim_worker *w;
+	int nw, vms;
+	struct sim_job *jobs, *by_id;
+	int njobs;
+	struct sim_kv *kv;
+	struct sim_event *hist;
+	size_t nhist, hist_cap;
+	uint64_t rev;
+	struct sim_hold holds[4096];
+	int nholds;
+	double state_down, cloud_down, zone_cut;
+	bool was_down;
+	struct sim_flight *flights;
+	struct sim_late *late;
+	struct sim_held *held;
+	uint64_t next_token;
+	struct {
+		uint64_t token;
+		int from;
+		uint64_t orig;
+	} relays[4096];
+	int nrelays;
+	char (*bookings)[2][WS_NAME_MAX];
+	struct {
+		char name[WS_NAME_MAX];
+		int first, n;
+	} booked[512];
+	int nbooked;
+	int lose_rent, lose_txn, lose_orders, late_txn, no_boot, instant_boot;
+	double late_by;
+	int late_orders;
+	double late_orders_by;
+	double copies_by, copies_until; /* reports arrive once more, up to so much later */
+	uint64_t commands, starts, polls, asked, changes; /* counts, for their ratios */
+	enum ws_call_kind crash_kind;
+	enum sim_crash crash;
+	int crash_skip;
+	struct sim_order orders[256];
+	int norders;
+	int rented, returned, failures;
+	double after_return, returned_at;
+	char then[256];
+	uint64_t rnd;
+	char err[512];
+	int line;
+	double down_for;
+};
+
+void sim_kv_put(struct sim *s, const char *key, json_t *v, uint64_t hold);
+void sim_hold_end(struct sim *s, struct sim_hold *h);
+void sim_state_do(struct sim *s, struct ws_call *c, struct ws_result *r);
+bool sim_watch_ready(struct sim *s, struct ws_call *c, struct ws_result *r);
+void sim_worker_changed(struct sim_worker *w, double now);
+void sim_worker_report(struct sim_worker *w, struct ws_report *r, struct sim *s);
+bool sim_worker_live(const struct sim *s, const struct sim_worker *w);
+int sim_worker_command(struct sim *s, struct sim_worker *w, uint64_t epoch, uint64_t tenure,
+		       const struct ws_order *o, size_t n, struct ws_report *r);
+bool sim_apart(const struct sim *s, const struct sim_worker *w, const struct sim_node *nd);
+void sim_gangs_step(struct sim *s);
+void sim_worker_step(struct sim *s, struct sim_worker *w);
+void sim_worker_answer(struct sim *s, const struct ws_action *a);
+int sim_add_worker(struct sim *s, int type, const char *zone, bool spot, bool owned);
+void sim_cloud_do(struct sim *s, struct ws_call *c, struct ws_result *r);
+void sim_user_answer(struct sim *s, const struct ws_action *a);
+void sim_users_step(struct sim *s);
+struct sim_job *sim_job_of(struct sim *s, const char *id);
+bool sim_on_machine(const struct sim_task *t);
+void sim_check_start(struct sim *s, struct sim_worker *w, struct sim_task *t);
+int sim_running(struct sim *s, const char *id);
+void sim_expect(struct sim *s, char *p);
+void sim_check_quota(struct sim *s);
+void sim_fail(struct sim *s, const char *fmt, ...);
+double sim_rnd(struct sim *s);
+void sim_log(enum ws_log_level level, const char *text);
+int sim_leader(struct sim *s);
+const char *sim_word(char **p);
+
+extern const struct sim_version sim_this_version;
+#endif
