A tenure heard of by a command's answer has its whole lease

Cause: a machine that reaches no controller begins its next tenure; a leader hears so from a command's answer. Ruled out: the fence and late commands (the attempts stood in the newest answers). A tenure's lease now counts from when we first hear of it, and work goes only where reports come from.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -307,11 +307,21 @@
 	}
 }
 
+/*
+ * Only answers to reports renew a lease. A machine that can't reach us loses all that is placed on
+ * it, however well commands reach it; it is given a while to find a new leader, or us when it is up.
+ */
+static bool ws_machine_reports(const struct ws_core *c, const struct ws_machine *m)
+{
+	return c->now - fmax(m->report_at, fmax(m->up_at, c->elected_at)) < 3 * c->set->report_s;
+}
+
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m)
 {
 	return ws_machine_hears(m) && !m->mute && !m->odd && m->reported && m->type && !m->gone &&
 	       !m->returning && !m->failed && m->tenure &&
-	       c->now - m->heard < 3 * c->set->report_s && c->now < m->alive_until &&
+	       c->now - m->heard < 3 * c->set->report_s && ws_machine_reports(c, m) &&
+	       c->now < m->alive_until &&
 	       c->now >= m->quarantine_until && c->now >= m->refused_until && !m->noticed;
 }
 
@@ -443,6 +453,9 @@
 		if (m->tenure) /* its lease ran out: did it hear our answers? */
 			ws_machine_doubt(c, m, r->epoch > m->token ? r->epoch : m->token);
 		m->tenure = r->tenure;
+		/* the worker's lease counts from the tenure's beginning, also where no answer of
+		 * ours has renewed it: we may have heard of it by a command's answer alone */
+		m->alive_until = fmax(m->alive_until, ws_lease_out(c, c->now));
 		m->fence = 0; /* a command for an earlier tenure is refused */
 		ws_machine_dirty(c, m);
 	}
@@ -611,6 +624,7 @@
 		ws_report_answer(c, token, 503, NULL);
 		return;
 	}
+	m->report_at = c->now;
 	m->report_tenure = r->tenure;
 	m->report_counter = r->counter;
 	if (r->epoch > m->token)
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -135,7 +135,8 @@
 	double greet_next;
 	bool odd;	    /* its name has what a job's record parts names with: never used */
 	bool mute;	    /* silent, and a call to it got no answer either */
-	double heard;	    /* when the newest report came in */
+	double heard;	    /* when its newest word came in */
+	double report_at;   /* and when its newest report did */
 	double alive_until; /* its tasks may live until then, as far as answers given tell */
 	double first_seen, up_at;
 	double notice_until; /* the cloud takes it then; 0: no notice */
