--- a/tests/sim.c
+++ b/tests/sim.c
@@ -125,6 +125,9 @@
 	bool mine = s->crash != CRASH_NONE && c->kind == s->crash_kind && sim_leader(s) == node &&
 		    (c->kind != WS_CALL_TXN || c->nops) && s->crash_skip-- <= 0;
 
+	bool lag =
+	    c->kind == WS_CALL_TXN && c->nops && s->now < s->lag_until && sim_rnd(s) < s->lag_share;
+
 	if (mine && s->crash == CRASH_BEFORE) {
 		s->crash = CRASH_NONE;
 		free(f);
@@ -143,18 +146,20 @@
 		   (s->now < s->state_down || s->now < nd->refused)) {
 		f->stage = 1;
 		f->res.status = 503;
-	} else if (c->kind == WS_CALL_TXN && s->late_txn > 0 && sim_leader(s) == node) {
+	} else if (c->kind == WS_CALL_TXN && (lag || (s->late_txn > 0 && sim_leader(s) == node))) {
 		/* given up on, and carried out all the same some time later */
 		struct sim_flight *g = calloc(1, sizeof(*g));
 
-		s->late_txn--;
+		s->late_txn -= !lag;
 		g->stage = 1;
 		g->node = node;
 		g->life = nd->life;
 		g->at = s->now + 1;
 		g->call = c;
 		f->stage = 2;
-		f->at = s->now + s->late_by;
+		f->at = !lag		 ? s->now + s->late_by
+			: s->lag_at_once ? s->now + 0.004
+					 : s->now + 2 + (s->lag_most - 2) * sim_rnd(s);
 		f->call = calloc(1, sizeof(*f->call));
 		*f->call = *c;
 		f->call->ctx = NULL;
@@ -395,12 +400,13 @@
 		free(r.tasks);
 	} else {
 		struct sim_job *j = &s->jobs[a->token & (SIM_JOBS - 1)];
+		int kind = sim_user_asked(s, a->token);
 
-		if (a->token != j->pending)
+		if (!kind)
 			return;
-		if (j->pending_kind == ASK_SUBMIT)
+		if (kind == ASK_SUBMIT)
 			nd->v->submit(nd->core, t, s->now + 1e9, a->token, &j->spec, true);
-		else if (j->pending_kind == ASK_POLL)
+		else if (kind == ASK_POLL)
 			nd->v->poll(nd->core, t, a->token, j->spec.id, true);
 		else
 			nd->v->abort(nd->core, t, a->token, j->spec.id, true);
@@ -741,7 +747,7 @@
 			char id[WS_ID_MAX];
 
 			snprintf(id, sizeof(id), "job-%06d", first + i);
-			add_job(s, id, full, s->now + i * STEP);
+			add_job(s, id, full, s->now + i * opt(full, "every", STEP));
 		}
 	} else if (!strcmp(verb, "ask")) { /* for a job that nobody submitted */
 		add_job(s, who, full, -1);
@@ -849,6 +855,19 @@
 	} else if (!strcmp(verb, "copies")) { /* copies BY for=SPAN */
 		s->copies_by = atof(who);
 		s->copies_until = s->now + span;
+		s->copies_share = opt(full, "share", 1);
+		s->copies_for_next = flag(full, "for-next");
+	} else if (!strcmp(verb, "looks")) { /* looks SHARE for=SPAN: that share cancels at once */
+		s->looks_until = s->now + span;
+		s->abort_share = atof(who);
+	} else if (!strcmp(verb, "abort-at-end")) { /* abort-at-end SHARE for=SPAN */
+		s->end_until = s->now + span;
+		s->end_share = atof(who);
+	} else if (!strcmp(verb, "late-writes")) { /* late-writes SHARE for=SPAN [at-once] */
+		s->lag_until = s->now + span;
+		s->lag_share = atof(who);
+		s->lag_most = opt(full, "most", 12);
+		s->lag_at_once = flag(full, "at-once");
 	} else if (!strcmp(verb, "garble")) { /* a record that nobody can read */
 		json_t *v = json_pack("{s:i}", "x", 1);
 
@@ -900,6 +919,25 @@
 	return s;
 }
 
+/* Whether another node has begun to lead since this was last asked. */
+static bool begun(struct sim *s)
+{
+	struct sim_kv *k;
+	const char *node;
+
+	HASH_FIND_STR(s->kv, "leader", k);
+	if (!k || k->stamp == s->led)
+		return false;
+	node = ws_record_leader_node(k->value);
+	for (int i = 0; i < s->nnodes; i++)
+		if (!strcmp(s->nodes[i].set.node, node) && s->nodes[i].up &&
+		    s->nodes[i].v->leading(s->nodes[i].core)) {
+			s->led = k->stamp;
+			return true;
+		}
+	return false;
+}
+
 bool sim_play(struct sim *s, char *err, size_t n)
 {
 	int next = 0;
@@ -961,17 +999,20 @@
 			    s->now > s->holds[i].until + 0.05)
 				sim_hold_end(s, &s->holds[i]);
 		s->was_down = s->now < s->state_down;
-		for (struct sim_held **p = &s->held, *h; (h = *p);) {
-			struct sim_node *nd = &s->nodes[h->node];
+		bool next_leader = begun(s);
 
-			if (h->at > s->now) {
+		for (struct sim_held **p = &s->held, *h; (h = *p);) {
+			if (h->node < 0 ? !next_leader : h->at > s->now) {
 				p = &h->next;
 				continue;
 			}
 			*p = h->next;
-			if (nd->up) /* its sender gave up long ago: nobody hears the answer */
-				nd->v->report(nd->core, s->now * (1 + nd->skew), 1ULL << 60, &h->r,
-					      false);
+			/* its sender gave up long ago: nobody hears the answer */
+			for (int i = 0; i < s->nnodes; i++)
+				if (s->nodes[i].up && (h->node == i || h->node < 0))
+					s->nodes[i].v->report(s->nodes[i].core,
+							      s->now * (1 + s->nodes[i].skew),
+							      1ULL << 60, &h->r, false);
 			free(h->r.tasks);
 			free(h);
 		}
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -64,6 +64,13 @@
 
 enum { ASK_SUBMIT = 1, ASK_POLL, ASK_ABORT }; /* of users */
 
+#define SIM_LOOKS 512
+struct sim_look { /* a question to one node, and what its user had been told before */
+	uint64_t token;
+	int kind;
+	bool accepted, done, cancelled;
+};
+
 enum sim_crash { CRASH_NONE, CRASH_BEFORE, CRASH_AFTER };
 
 struct sim_order { /* a line with a time */
@@ -128,6 +135,14 @@
 	int late_orders;
 	double late_orders_by;
 	double copies_by, copies_until; /* reports arrive once more, up to so much later */
+	double copies_share;
+	bool copies_for_next; /* not by the clock, but when a new leader begins */
+	uint64_t led;	      /* the leader key's stamp when they last came */
+	struct sim_look looks[SIM_LOOKS];
+	size_t nlooks;
+	double looks_until, abort_share, end_until, end_share;
+	double lag_until, lag_share, lag_most; /* that share of changes gets no answer, */
+	bool lag_at_once;		       /* and is carried out at once, or late */
 	uint64_t commands, starts, polls, asked, changes; /* counts, for their ratios */
 	enum ws_call_kind crash_kind;
 	enum sim_crash crash;
@@ -159,6 +174,8 @@
 int sim_add_worker(struct sim *s, int type, const char *zone, bool spot, bool owned);
 void sim_cloud_do(struct sim *s, struct ws_call *c, struct ws_result *r);
 void sim_user_answer(struct sim *s, const struct ws_action *a);
+int sim_user_asked(struct sim *s, uint64_t token);
+void sim_user_end(struct sim *s, struct sim_job *j);
 void sim_users_step(struct sim *s);
 struct sim_job *sim_job_of(struct sim *s, const char *id);
 bool sim_on_machine(const struct sim_task *t);
--- a/tests/sim_users.c
+++ b/tests/sim_users.c
@@ -1,6 +1,56 @@
 /* Users: what they ask, and the rules for the answers. */
 #include "sim_parts.h"
 
+static void ask(struct sim *s, int node, struct sim_job *j, int kind, uint64_t token)
+{
+	struct sim_node *nd = &s->nodes[node];
+	double t = s->now * (1 + nd->skew);
+
+	if (kind == ASK_SUBMIT)
+		nd->v->submit(nd->core, t, s->now + 1e9, token, &j->spec, false);
+	else if (kind == ASK_POLL)
+		nd->v->poll(nd->core, t, token, j->spec.id, false);
+	else
+		nd->v->abort(nd->core, t, token, j->spec.id, false);
+}
+
+/* What a user still waits for under this token, if anything. */
+int sim_user_asked(struct sim *s, uint64_t token)
+{
+	struct sim_job *j = &s->jobs[token & (SIM_JOBS - 1)];
+
+	if (token == j->pending)
+		return j->pending_kind;
+	for (size_t i = 0; i < SIM_LOOKS; i++)
+		if (s->looks[i].token == token)
+			return s->looks[i].kind;
+	return 0;
+}
+
+/* A look at a job, of one node: the answer must not be older than what was told before it began. */
+static void look(struct sim *s, int node, struct sim_job *j, int kind)
+{
+	struct sim_look *l = &s->looks[s->nlooks++ % SIM_LOOKS];
+
+	l->token = (++s->next_token << 12) | (uint64_t)(j - s->jobs) | 1ULL << 59;
+	l->kind = kind;
+	l->accepted = j->accepted;
+	l->done = j->done;
+	l->cancelled = j->cancelled;
+	s->polls += kind == ASK_POLL;
+	ask(s, node, j, kind, l->token);
+}
+
+/* Users who were just told something ask all nodes, and send the job again. */
+static void look_round(struct sim *s, struct sim_job *j)
+{
+	for (int i = 0; i < s->nnodes; i++)
+		if (s->nodes[i].up) {
+			look(s, i, j, ASK_POLL);
+			look(s, i, j, ASK_SUBMIT);
+		}
+}
+
 static void user_send(struct sim *s, struct sim_job *j, int kind)
 {
 	struct sim_node *nd;
@@ -15,33 +65,44 @@
 	j->pending = (++s->next_token << 12) | (uint64_t)(j - s->jobs);
 	j->pending_kind = kind;
 	j->pending_at = s->now;
-	if (kind == ASK_SUBMIT) {
+	if (kind == ASK_SUBMIT)
 		j->submitted = true;
-		nd->v->submit(nd->core, s->now * (1 + nd->skew), s->now + 1e9, j->pending, &j->spec,
-			      false);
-	} else if (kind == ASK_POLL) {
-		s->polls++;
-		nd->v->poll(nd->core, s->now * (1 + nd->skew), j->pending, j->spec.id, false);
-	} else {
-		nd->v->abort(nd->core, s->now * (1 + nd->skew), j->pending, j->spec.id, false);
-	}
+	s->polls += kind == ASK_POLL;
+	ask(s, j->node, j, kind, j->pending);
 }
 
 void sim_user_answer(struct sim *s, const struct ws_action *a)
 {
 	struct sim_job *j = &s->jobs[a->token & (SIM_JOBS - 1)];
-	int kind = j->pending_kind;
+	struct sim_look known = {.token = a->token,
+				 j->pending_kind,
+				 j->accepted,
+				 j->done,
+				 j->cancelled},
+			*l = NULL;
+	bool news = false;
 
-	if (a->token != j->pending)
+	if (a->token == j->pending) {
+		l = &known;
+		j->pending = 0;
+	}
+	for (size_t i = 0; i < SIM_LOOKS && !l; i++)
+		if (s->looks[i].token == a->token) {
+			known = s->looks[i];
+			l = &known;
+			s->looks[i].token = 0;
+		}
+	if (!l)
 		return;
-	j->pending = 0;
 	if (a->status == 503 && a->retry_after < 1)
 		sim_fail(s, "%s: a 503 without Retry-After", j->spec.id);
-	if (kind == ASK_SUBMIT)
+	if (l->kind == ASK_SUBMIT)
 		j->status = a->status;
-	if (kind == ASK_SUBMIT && (a->status == 200 || a->status == 201))
+	if (l->kind == ASK_SUBMIT && (a->status == 200 || a->status == 201)) {
+		news = !j->accepted;
 		j->accepted = true;
-	if (a->status == 404 && j->accepted)
+	}
+	if (a->status == 404 && l->accepted)
 		sim_fail(s, "forgotten: %s", j->spec.id);
 	if ((a->status == 422 || a->status == 400) && j->accepted)
 		sim_fail(s, "forgotten: %s submitted again gets %d", j->spec.id, a->status);
@@ -55,19 +116,38 @@
 	if (a->phase == WS_DONE && j->completed < j->spec.tasks)
 		sim_fail(s, "not_done: %s is called done with %u of %u", j->spec.id, j->completed,
 			 j->spec.tasks);
-	if (j->done && a->phase != WS_DONE)
+	if (l->done && a->phase != WS_DONE)
 		sim_fail(s, "went_back: %s was done", j->spec.id);
-	if (j->cancelled && a->phase != WS_CANCELLED)
+	if (l->cancelled && a->phase != WS_CANCELLED)
 		sim_fail(s, "went_back: %s was cancelled, now %d", j->spec.id, a->phase);
+	if ((a->phase == WS_DONE && j->cancelled) || (a->phase == WS_CANCELLED && j->done))
+		sim_fail(s, "went_back: %s is called done and cancelled", j->spec.id);
 	if (a->phase == WS_CANCELLED && !j->abort_sent)
 		sim_fail(s, "went_back: nobody cancelled %s", j->spec.id);
 	if (a->phase == WS_DONE && !j->done) {
 		j->done = true;
 		j->told_done = s->now;
+		news = true;
 	}
 	if (a->phase == WS_CANCELLED && !j->cancelled) {
 		j->cancelled = true;
 		j->told_cancelled = s->now;
+		news = true;
+	}
+	if (news && s->now < s->looks_until) {
+		look_round(s, j);
+		/* some call it off at once */
+		if (!j->done && !j->cancelled && !j->abort_at && sim_rnd(s) < s->abort_share)
+			j->abort_at = s->now;
+	}
+}
+
+/* The last task of a job has just ended: a share of the users call it off in that moment. */
+void sim_user_end(struct sim *s, struct sim_job *j)
+{
+	if (s->now < s->end_until && !j->abort_at && sim_rnd(s) < s->end_share) {
+		j->abort_at = s->now;
+		j->next_try = 0;
 	}
 }
 
--- a/tests/sim_workers.c
+++ b/tests/sim_workers.c
@@ -134,12 +134,13 @@
 	       (s->now < w->pin_until && nd != &s->nodes[w->pin - 1]);
 }
 
-static void task_finished(struct sim_job *j, const struct sim_task *t)
+static void task_finished(struct sim *s, struct sim_job *j, const struct sim_task *t)
 {
 	j->finishes++;
 	if (!j->task_done[t->task]) {
 		j->task_done[t->task] = true;
-		j->completed++;
+		if (++j->completed == j->spec.tasks)
+			sim_user_end(s, j);
 	}
 }
 
@@ -234,7 +235,7 @@
 		    m[i].t->state == WS_TASK_FETCHING)
 			continue;
 		if (all == WS_WHY_DONE)
-			task_finished(j, m[i].t);
+			task_finished(s, j, m[i].t);
 		gang_exit(s, m[i].w, m[i].t, all);
 	}
 }
@@ -316,7 +317,7 @@
 			} else if (!j->spec.service && t->left <= 0) {
 				t->state = WS_TASK_EXITED;
 				t->why = WS_WHY_DONE;
-				task_finished(j, t);
+				task_finished(s, j, t);
 				sim_worker_changed(w, s->now);
 			}
 		}
@@ -352,12 +353,17 @@
 			w->node = (w->node + 1) % s->nnodes;
 			w->next_report = s->now + 1;
 		} else {
-			if (s->copies_by > 0 &&
-			    s->now < s->copies_until) { /* and once more later */
+			if (s->copies_by > 0 && s->now < s->copies_until &&
+			    sim_rnd(s) < s->copies_share) { /* and once more later */
 				struct sim_held *h = calloc(1, sizeof(*h)), **p = &s->held;
 
 				h->at = s->now + s->copies_by * (0.2 + 0.8 * sim_rnd(s));
 				h->node = (int)(sim_rnd(s) * s->nnodes);
+				if (s->copies_for_next) { /* to all nodes, when one begins to lead
+							   */
+					h->at = 1e18;
+					h->node = -1;
+				}
 				h->r = r;
 				h->r.tasks = calloc(2 * SIM_TASKS, sizeof(*r.tasks));
 				memcpy(h->r.tasks, r.tasks, r.ntasks * sizeof(*r.tasks));
