--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -263,7 +263,7 @@
 	enum ws_role role;
 	uint64_t hold;
 	double ttl, entitled_until, extend_next, stand_after, elected_at;
-	bool extend_inflight;
+	int extends; /* renewals under way */
 	bool in_outage, paused;
 	double pause_until;
 	uint64_t ask_round;
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -83,7 +83,8 @@
 	c->lacks = NULL;
 	c->nlacks = c->lacks_cap = 0;
 	c->flushing = c->job_watch = c->hosts_inflight = c->rent_inflight = false;
-	c->extend_inflight = c->in_outage = c->paused = false;
+	c->extends = 0;
+	c->in_outage = c->paused = false;
 	c->ask_out = 0;
 	c->hosts_after[0] = 0;
 	c->hosts_next = c->cloud_next = c->flush_next = c->sweep_next = c->rent_next = 0;
@@ -150,6 +151,7 @@
 		return;
 	}
 	c->entitled_until = call->made + c->ttl * (1 - WS_DRIFT);
+	c->extend_next = call->made + c->ttl / 4;
 	t = ws_call(c, WS_CALL_TXN, ws_elect_written);
 	t->urgent = true;
 	t->conds = calloc(1, sizeof(*t->conds));
@@ -184,7 +186,6 @@
 	c->rental_seq = 0;
 	c->leader_stamp = r->rev;
 	snprintf(c->leader, sizeof(c->leader), "%s", c->set->node);
-	c->extend_next = call->made + c->ttl / 4;
 	c->relay_since = 0;
 	ws_log(c, WS_LOG_INFO, "elected, epoch %llu", (unsigned long long)c->epoch);
 	ws_load(c);
@@ -262,7 +263,7 @@
 {
 	if (call->generation != c->generation)
 		return;
-	c->extend_inflight = false;
+	c->extends--;
 	if (r->status == 200) {
 		double until = call->made + c->ttl * (1 - WS_DRIFT);
 
@@ -274,12 +275,15 @@
 		}
 		c->in_outage = c->paused = false;
 		c->place_wanted = true;
-		c->extend_next = call->made + c->ttl / 4;
+		c->extend_next = fmax(c->extend_next, call->made + c->ttl / 4);
 	} else if (r->status == 404) {
 		ws_lead_end(c, "the hold ended");
 	} else {
-		c->extend_next = c->now + c->ttl / 16;
-		if (r->status == 503 && !c->in_outage && c->role == WS_LEADER) {
+		if (!c->extends)
+			c->extend_next = c->now + c->ttl / 16;
+		/* an old word, if a later renewal was granted */
+		if (r->status == 503 && !c->in_outage && c->role == WS_LEADER &&
+		    call->made + c->ttl * (1 - WS_DRIFT) >= c->entitled_until) {
 			c->in_outage = true;
 			c->ask_next = c->now;
 			ws_log(c, WS_LOG_INFO, "the state service refuses us");
@@ -589,15 +593,18 @@
 			ws_stand(c);
 		return;
 	}
-	if (c->role != WS_LEADER && c->role != WS_LOADING)
-		return;
-	if (!c->extend_inflight && c->now >= c->extend_next) {
+	/* one that is slow is not waited for: each counts from when it was sent, and at a state
+	 * service that takes half of ttl for an answer one after the other came too late */
+	if (c->hold && c->extends < 4 && c->now >= c->extend_next) {
 		struct ws_call *call = ws_call(c, WS_CALL_HOLD_EXTEND, ws_extended);
 
 		call->hold = c->hold;
 		call->urgent = true;
-		c->extend_inflight = true;
+		c->extends++;
+		c->extend_next = c->now + c->ttl / 4;
 	}
+	if (c->role != WS_LEADER && c->role != WS_LOADING)
+		return;
 	ws_outage_tick(c);
 	if (c->now >= c->entitled_until && !c->in_outage) {
 		ws_lead_end(c, "the hold could not be renewed in time");
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -396,7 +396,7 @@
 	case WS_CALL_GET:
 		timeout = fmin(timeout, WS_POLL_WAIT_S * 0.4); /* a peer is asked after it */
 		break;
-	case WS_CALL_HOLD_EXTEND: timeout = ttl / 3; break;
+	case WS_CALL_HOLD_EXTEND: timeout = ttl * 3 / 4; break; /* others follow meanwhile */
 	case WS_CALL_TYPES:
 	case WS_CALL_HOSTS:
 	case WS_CALL_RENT:
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -139,6 +139,8 @@
 	f->life = nd->life;
 	f->call = c;
 	f->at = s->now + (is_cloud(c->kind) ? 0.2 : 0.004);
+	if (is_state(c->kind) && s->now < s->state_slow)
+		f->at += s->state_slow_by * (0.2 + 0.8 * sim_rnd(s));
 	if (is_state(c->kind) && s->now < nd->cut_state) {
 		f->stage = 1;
 		f->at = s->now + 1;
@@ -810,6 +812,9 @@
 			s->nodes[i].cut_peers = s->now + span;
 	} else if (!strcmp(verb, "state-outage")) {
 		s->state_down = s->now + span;
+	} else if (!strcmp(verb, "slow-state")) { /* slow-state BY for=SPAN */
+		s->state_slow = s->now + span;
+		s->state_slow_by = atof(who);
 	} else if (!strcmp(verb, "cloud-outage")) {
 		s->cloud_down = s->now + span;
 	} else if (!strcmp(verb, "zone-cut")) {
