--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -40,7 +40,8 @@
 
 struct ws_ask { /* a user's request under way */
 	bool relayed;
-	bool split; /* the record is too large to be written whole */
+	bool split;   /* the record is too large to be written whole */
+	bool refused; /* a submission that can never run, unless it was accepted before */
 	int tries;
 };
 
@@ -232,8 +233,8 @@
 
 	if (r->status == 200)
 		ws_state_answer(c, call, r, false);
-	else if (r->status == 404) /* moved between two reads; it is known in any case */
-		ws_answer(c, call->ctx_n, 503, call->ctx_name, WS_QUEUED);
+	else if (r->status == 404) /* else moved between two reads; it is known in any case */
+		ws_answer(c, call->ctx_n, ask->refused ? 422 : 503, call->ctx_name, WS_QUEUED);
 	else
 		ws_cannot(c, call->ctx_n, call->ctx_name, ask->relayed, r->status);
 }
@@ -284,10 +285,6 @@
 		ws_cannot(c, token, spec->id, relayed, 503);
 		return;
 	}
-	if (!ws_can_ever_run(c, spec)) {
-		ws_answer(c, token, 422, spec->id, WS_QUEUED);
-		return;
-	}
 	if (!relayed && ws_state_refuses(c)) {
 		ws_cannot(c, token, spec->id, relayed, 503);
 		return;
@@ -298,6 +295,13 @@
 		return;
 	}
 	ask->relayed = relayed;
+	if (!ws_can_ever_run(c, spec)) {
+		/* limits and teams change: what was accepted under others stays known */
+		ask->refused = true;
+		ws_get(c, "job", spec->id, token, ask, ws_submit_known);
+		ws_core_tick(c, now);
+		return;
+	}
 	call = ws_call(c, WS_CALL_TXN, ws_submit_written);
 	call->ctx = ask;
 	call->ctx_n = token;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -761,6 +761,9 @@
 			j->abort_at = s->now;
 		if (j && opt_text(full, "at", at, sizeof(at))) /* of this node first */
 			j->node = node_named(s, at) - 1;
+	} else if (!strcmp(verb, "look")) { /* asked for and sent again, at all nodes */
+		if (sim_job_of(s, who))
+			sim_look(s, sim_job_of(s, who));
 	} else if (!strcmp(verb, "abort-many")) { /* so many from a number on, each step one */
 		for (i = 0; i < atoi(who); i++) {
 			char id[WS_ID_MAX];
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -175,6 +175,7 @@
 int sim_add_worker(struct sim *s, int type, const char *zone, bool spot, bool owned);
 void sim_cloud_do(struct sim *s, struct ws_call *c, struct ws_result *r);
 void sim_user_answer(struct sim *s, const struct ws_action *a);
+void sim_look(struct sim *s, struct sim_job *j);
 int sim_user_asked(struct sim *s, uint64_t token);
 void sim_user_end(struct sim *s, struct sim_job *j);
 void sim_users_step(struct sim *s);
--- a/tests/sim_users.c
+++ b/tests/sim_users.c
@@ -42,7 +42,7 @@
 }
 
 /* Users who were just told something ask all nodes, and send the job again. */
-static void look_round(struct sim *s, struct sim_job *j)
+void sim_look(struct sim *s, struct sim_job *j)
 {
 	for (int i = 0; i < s->nnodes; i++)
 		if (s->nodes[i].up) {
@@ -135,7 +135,7 @@
 		news = true;
 	}
 	if (news && s->now < s->looks_until) {
-		look_round(s, j);
+		sim_look(s, j);
 		/* some call it off at once */
 		if (!j->done && !j->cancelled && !j->abort_at && sim_rnd(s) < s->abort_share)
 			j->abort_at = s->now;
