JSON that lives for one message comes from one block

Reports, submissions and answers are now parsed and written in a block that is given back whole; values of the state service's keys live on and are not in it.

--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -342,7 +342,7 @@
 		for (int b = 0; b < bins.n && left; b++)
 			left -= ws_bin_take(c, &bins, b, l, left);
 		while (left) {
-			struct ws_bin kind;
+			struct ws_bin kind = {0};
 			uint32_t fit;
 
 			if (!ws_kind_for(c, l, left, &bins, &kind) ||
--- a/src/io/codec.c
+++ b/src/io/codec.c
@@ -1,5 +1,6 @@
 #include "codec.h"
 #include "../log.h"
+#include "pool.h"
 #include <ctype.h>
 #include <math.h>
 #include <stdio.h>
@@ -14,6 +15,20 @@
 	return json_loadb(body, len, JSON_REJECT_DUPLICATES, NULL);
 }
 
+/* Read, copied from and dropped again, in the pool's block; ws_parsed_end before the next one. */
+static json_t *ws_parse_once(const char *body, size_t len)
+{
+	ws_pool_begin();
+	return ws_parse(body, len);
+}
+
+static void ws_parsed_end(json_t *o)
+{
+	if (!ws_pool_whole())
+		json_decref(o);
+	ws_pool_end();
+}
+
 static bool ws_str(json_t *o, const char *key, char *to, size_t n, bool may_be_null)
 {
 	json_t *v = json_object_get(o, key);
@@ -133,12 +148,12 @@
 
 int ws_decode_job(const char *body, size_t len, struct ws_spec *spec)
 {
-	json_t *o = ws_parse(body, len);
+	json_t *o = ws_parse_once(body, len);
 	bool ok;
 
 	memset(spec, 0, sizeof(*spec));
 	ok = o && ws_decode_spec(o, spec);
-	json_decref(o);
+	ws_parsed_end(o);
 	return ok ? 0 : 400;
 }
 
@@ -260,10 +275,10 @@
 
 bool ws_decode_report(const char *body, size_t len, struct ws_report *r)
 {
-	json_t *o = ws_parse(body, len);
+	json_t *o = ws_parse_once(body, len);
 	bool ok = o && ws_decode_report_json(o, r);
 
-	json_decref(o);
+	ws_parsed_end(o);
 	return ok;
 }
 
@@ -276,10 +291,17 @@
 
 static char *ws_dump(json_t *o)
 {
-	char *s = o ? json_dumps(o, JSON_COMPACT) : NULL;
+	char *s = o ? json_dumps(o, JSON_COMPACT) : NULL, *own = s ? strdup(s) : NULL;
+
+	if (s) { /* it may be the pool's, which ends here; what is part of others is given back */
+		json_free_t give;
 
+		json_get_alloc_funcs(NULL, &give);
+		give(s);
+	}
 	json_decref(o);
-	return s;
+	ws_pool_end();
+	return own;
 }
 
 char *ws_encode_user(const struct ws_action *a)
@@ -289,6 +311,7 @@
 
 	if (a->status != 200 && a->status != 201)
 		return strdup("{}");
+	ws_pool_begin();
 	o = json_pack("{s:s,s:s}", "nameId", a->name, "phase", phases[a->phase]);
 	if (a->counts) {
 		json_object_set_new(o, "done", json_integer(a->done));
@@ -318,6 +341,8 @@
 
 char *ws_encode_report_answer(const struct ws_action *a)
 {
+	if (a->status == 200 || (a->status == 421 && a->name[0]))
+		ws_pool_begin();
 	if (a->status == 200)
 		return ws_dump(json_pack("{s:I,s:o}", "epoch", (json_int_t)a->epoch, "orders",
 					 ws_orders_json(a->orders, a->norders)));
@@ -328,6 +353,7 @@
 
 char *ws_encode_orders(uint64_t epoch, uint64_t tenure, const struct ws_order *o, size_t n)
 {
+	ws_pool_begin();
 	return ws_dump(json_pack("{s:I,s:I,s:o}", "epoch", (json_int_t)epoch, "tenure",
 				 (json_int_t)tenure, "orders", ws_orders_json(o, n)));
 }
@@ -353,6 +379,7 @@
 	case WS_CALL_TXN:
 		*method = "POST";
 		snprintf(path, WS_URL_MAX, "/multi");
+		ws_pool_begin();
 		a = json_array();
 		for (size_t i = 0; i < call->nconds; i++)
 			json_array_append_new(a,
@@ -587,12 +614,16 @@
 	json_t *o, *a, *e;
 	size_t i;
 	const char *why;
+	bool keeps;
 
 	memset(r, 0, sizeof(*r));
 	r->status = status;
 	if (status <= 0)
 		return;
-	o = ws_parse(body, len);
+	/* values of the state service's keys live on */
+	keeps =
+	    call->kind == WS_CALL_GET || call->kind == WS_CALL_LIST || call->kind == WS_CALL_WATCH;
+	o = keeps ? ws_parse(body, len) : ws_parse_once(body, len);
 	if (status == 200 || (status == 409 && call->kind == WS_CALL_ORDERS)) {
 		bool plain = call->kind == WS_CALL_HOLD_EXTEND || call->kind == WS_CALL_HOLD_DROP ||
 			     call->kind == WS_CALL_RETURN;
@@ -613,7 +644,10 @@
 		why = json_string_value(json_object_get(o, "error"));
 		r->no_capacity = why && !strcmp(why, "no capacity");
 	}
-	json_decref(o);
+	if (keeps)
+		json_decref(o);
+	else
+		ws_parsed_end(o);
 }
 
 void ws_result_free(struct ws_result *r)
--- a/src/main.c
+++ b/src/main.c
@@ -1,5 +1,6 @@
 /* waystep: a cluster scheduler. Command line, settings, log, loop. */
 #include "config.h"
+#include "io/pool.h"
 #include "io/service.h"
 #include "log.h"
 #include <argp.h>
@@ -101,6 +102,7 @@
 	ev_signal term, intr;
 	char err[512] = "";
 
+	ws_pool_setup();
 	argp_err_exit_status = 2;
 	argp_parse(&argp, argc, argv, 0, NULL, &args);
 	ws_policy_defaults(&policy);
--- a/tests/codec_test.c
+++ b/tests/codec_test.c
@@ -1,5 +1,7 @@
 /* Decoders: what the protocol calls malformed, and mangled input with fixed seeds. */
 #include "../src/io/codec.h"
+#include "../src/io/http.h"
+#include "../src/io/pool.h"
 #include "check.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -46,6 +48,63 @@
 	return (unsigned)(seed >> 33) % n;
 }
 
+/* A report of so many tasks, as text. */
+static char *long_report(size_t tasks)
+{
+	json_t *o = json_loads(report, 0, NULL), *a = json_object_get(o, "shards");
+	char *text;
+
+	while (json_array_size(a) < tasks)
+		json_array_append_new(a, json_pack("{s:s,s:i,s:s}", "shard", "job-000412/17",
+						   "tryNo", 7, "phase", "running"));
+	text = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	return text;
+}
+
+/* What messages are read and written with is taken in one piece; what is kept is not in it. */
+static void pool(void)
+{
+	struct ws_order orders[300] = {{.verb = WS_RUN, .job = "job-000412", .attempt = 9}};
+	struct ws_action a = {.status = 200, .epoch = 41, .orders = orders, .norders = 300};
+	struct ws_call get = {.kind = WS_CALL_GET, .key = "job/a"};
+	static const char kv[] = "{\"k\":\"job/a\",\"value\":{\"x\":[1,2,\"y\"]},\"stamp\":412}";
+	struct ws_report r = {0};
+	struct ws_result kept;
+	char *text, *s;
+	size_t before;
+
+	ws_pool_setup();
+	ws_decode_reply(&get, 200, kv, sizeof(kv) - 1, &kept);
+	before = ws_pool_misses();
+	text = long_report(64);
+	check("a report of 64 tasks reads",
+	      ws_decode_report(text, strlen(text), &r) && r.ntasks == 64);
+	ws_report_free(&r);
+	free(text);
+	s = ws_encode_report_answer(&a);
+	check("an answer of 300 commands is written", s && strstr(s, "\"orders\":[{"));
+	free(s);
+	check("with no memory beyond the pool's", ws_pool_misses() == before);
+	text = long_report(1000);
+	check("the longest report reads", strlen(text) < WS_BODY_MAX &&
+					      ws_decode_report(text, strlen(text), &r) &&
+					      r.ntasks == 1000);
+	ws_report_free(&r);
+	check("within the pool as well", ws_pool_misses() == before);
+	free(text);
+	text = long_report(6000);
+	check("one that takes more than the pool reads all the same",
+	      ws_decode_report(text, strlen(text), &r) && r.ntasks == 6000 &&
+		  ws_pool_misses() > before);
+	ws_report_free(&r);
+	free(text);
+	check("a key's value outlives them",
+	      kept.nkvs == 1 && json_integer_value(json_array_get(
+				    json_object_get(kept.kvs[0].value, "x"), 1)) == 2);
+	ws_result_free(&kept);
+}
+
 int main(void)
 {
 	static const char *const need[] = {
@@ -172,6 +231,7 @@
 		}
 	}
 	good++;
+	pool();
 	printf("%d passed, %d failed\n", good, bad);
 	return bad != 0;
 }
