--- a/src/config.c
+++ b/src/config.c
@@ -52,6 +52,18 @@
 	*to = v;
 }
 
+/* A time or a share of which there must be some. */
+static void ws_above(struct ws_reader *r, const char *path, double *to, bool need)
+{
+	double v = 1;
+
+	ws_num(r, path, &v, 0, need);
+	if (v <= 0)
+		ws_bad(r, path, "must be above 0");
+	else if (ws_toml_number(r->t, path, &v) != WS_TOML_MISSING)
+		*to = v;
+}
+
 /* A limit that will hold from some later moment on: planned by from the start if it is lower. */
 static void ws_lower(struct ws_reader *r, const char *path, double least, double *to)
 {
@@ -163,11 +175,11 @@
 	}
 	ws_num(&r, "settings.workers.report_s", &s->report_s, 0.01, true);
 	ws_num(&r, "settings.workers.lease_s", &s->lease_s, 0.1, true);
-	ws_num(&r, "settings.workers.cancel_s", &s->cancel_s, 0, true);
+	ws_above(&r, "settings.workers.cancel_s", &s->cancel_s, true);
 	s->gang_wait_s = s->lease_s;
 	s->gang_peer_s = s->lease_s / 2;
 	ws_num(&r, "settings.workers.gang_wait_s", &s->gang_wait_s, 0.1, false);
-	ws_num(&r, "settings.workers.gang_peer_s", &s->gang_peer_s, 0, false);
+	ws_above(&r, "settings.workers.gang_peer_s", &s->gang_peer_s, false);
 	ws_num(&r, "settings.state.rps", &s->state_rps, 1, true);
 	ws_num(&r, "settings.state.write_rps", &s->state_write_rps, 1, true);
 	ws_num(&r, "settings.state.value_kb", &s->value_kb, 1, true);
@@ -183,10 +195,12 @@
 	s->txn_ops = v > 1000 ? 1000 : (int)v;
 	ws_num(&r, "settings.cloud.rps", &s->cloud_rps, 0.01, true);
 	ws_num(&r, "settings.cloud.list_lag_s", &s->list_lag_s, 0, true);
-	ws_num(&r, "settings.machine_limits.core_share", &s->core_share, 0, false);
-	ws_num(&r, "settings.machine_limits.ram_mb", &s->ram_mb, 1, false);
-	v = 1000;
-	ws_num(&r, "settings.machine_limits.max_sockets", &v, 16, false);
+	/* at rest a small deployment takes a thousandth of a core and 2 MB; the block for messages,
+	 * and one answer of the state service as long as it may be, come on top */
+	ws_num(&r, "settings.machine_limits.core_share", &s->core_share, 0.002, true);
+	ws_num(&r, "settings.machine_limits.ram_mb", &s->ram_mb, 8, true);
+	v = 0;
+	ws_num(&r, "settings.machine_limits.max_sockets", &v, 16, true);
 	s->max_sockets = v > 1e6 ? 1000000 : (int)v;
 	/* 14 to state service and cloud, 2 to listen on, and those of each peer's few lives */
 	s->sockets = s->max_sockets - 16 - 9 * (int)s->npeers;
--- a/tests/smoke_test.c
+++ b/tests/smoke_test.c
@@ -326,7 +326,7 @@
 		"[settings.workers]\nreport_s=0.5\nlease_s=6.0\ncancel_s=20.0\n"
 		"[settings.state]\nrps=200.0\nwrite_rps=100.0\nvalue_kb=4.0\ntxn_ops=12\n"
 		"[settings.cloud]\nrps=5.0\nlist_lag_s=1.0\n"
-		"[settings.machine_limits]\nmax_sockets=%d\n",
+		"[settings.machine_limits]\ncore_share=1.0\nram_mb=64.0\nmax_sockets=%d\n",
 		bind, peer, cloud_port, state_port, sockets);
 	fclose(f);
 }
