A paused leader that one who leads since asks gives up and is its witness

Cause: refused alone for longer than its hold, a leader pauses; the next one is elected, then nobody is served. The old one still counted as leading and gave the new one no testimony until its own pause was over, most of a lease: leases ran out meanwhile. The question names the asker's leader key, so the old one knows.

--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -951,6 +951,11 @@
 {
 	struct ws_testimony q = {.leader = leader, .since = since, .lists = true};
 
+	if (now > c->now)
+		c->now = now;
+	/* while the state service refuses us no watch tells that we were followed */
+	if ((c->role == WS_LEADER || c->role == WS_LOADING) && leader > c->epoch >> WS_EPOCH_SHIFT)
+		ws_lead_end(c, "one that leads since asks us");
 	snprintf(q.after, sizeof(q.after), "%s", after);
 	ws_testify(c, now, token, &q);
 }
