--- a/tests/sim.c
+++ b/tests/sim.c
@@ -186,6 +186,11 @@
 {
 	struct sim_node *nd = &s->nodes[f->node];
 
+	if (nd->up && nd->life == f->life && s->now < nd->frozen) {
+		f->at = nd->frozen;
+		flight_add(s, f);
+		return;
+	}
 	if (nd->up && nd->life == f->life) {
 		if (is_state(f->call->kind) && s->now < nd->cut_state)
 			f->res.status = 0;
@@ -325,7 +330,7 @@
 			;
 		f->stage = 1;
 		if (i < s->nnodes && s->nodes[i].up && s->now >= nd->cut_peers &&
-		    s->now >= s->nodes[i].cut_peers) {
+		    s->now >= s->nodes[i].cut_peers && s->now >= s->nodes[i].frozen) {
 			/* the answer comes back by the token, see node_drain */
 			uint64_t token = ++s->next_token << 12 | (uint64_t)f->node | 1ULL << 61;
 
@@ -376,8 +381,8 @@
 	int to = -1;
 
 	for (int i = 0; i < s->nnodes; i++)
-		if (i != from && s->nodes[i].up && s->now >= s->nodes[from].cut_peers &&
-		    s->now >= s->nodes[i].cut_peers &&
+		if (i != from && s->nodes[i].up && s->now >= s->nodes[i].frozen &&
+		    s->now >= s->nodes[from].cut_peers && s->now >= s->nodes[i].cut_peers &&
 		    (a->name[0] ? !strcmp(a->name, s->nodes[i].set.node) : to < 0))
 			to = i;
 	if (to < 0) {
@@ -439,7 +444,8 @@
 {
 	struct ws_action *a;
 
-	while (s->nodes[i].up && (a = s->nodes[i].v->pop(s->nodes[i].core))) {
+	while (s->nodes[i].up && s->now >= s->nodes[i].frozen &&
+	       (a = s->nodes[i].v->pop(s->nodes[i].core))) {
 		switch (a->kind) {
 		case WS_ACT_CALL: call_start(s, i, a->call); break;
 		case WS_ACT_ANSWER_USER: sim_user_answer(s, a); break;
@@ -795,7 +801,8 @@
 	} else if (!strcmp(verb, "resign")) {
 		if ((i = node_named(s, who)) >= 0)
 			s->nodes[i].v->resign(s->nodes[i].core, s->now * (1 + s->nodes[i].skew));
-	} else if (!strcmp(verb, "cut") || !strcmp(verb, "refuse") || !strcmp(verb, "blind")) {
+	} else if (!strcmp(verb, "cut") || !strcmp(verb, "refuse") || !strcmp(verb, "blind") ||
+		   !strcmp(verb, "freeze")) {
 		i = node_named(s, who);
 		if (i < 0) {
 			sim_fail(s, "nobody leads");
@@ -805,6 +812,8 @@
 
 		if (!strcmp(verb, "refuse"))
 			s->nodes[i].refused = s->now + span;
+		if (!strcmp(verb, "freeze")) /* it stands still; what reaches it waits */
+			s->nodes[i].frozen = s->now + span;
 		if (!strcmp(verb, "blind")) /* its watches wait, all else is served */
 			s->nodes[i].blind = s->now + span;
 		if (all || flag(full, "state"))
@@ -1039,6 +1048,8 @@
 		for (int i = 0; i < s->nnodes; i++) {
 			if (!s->nodes[i].up && s->now >= s->nodes[i].up_at)
 				node_start(s, i);
+			if (s->now < s->nodes[i].frozen)
+				continue;
 			if (s->nodes[i].up)
 				s->nodes[i].v->tick(s->nodes[i].core,
 						    s->now * (1 + s->nodes[i].skew));
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -48,7 +48,7 @@
 struct sim_job {
 	struct ws_spec spec;
 	double run_s, submit_at, first, next_try, abort_at, next_poll, told_cancelled, told_done;
-	bool submitted, accepted, cancelled, done, abort_sent, bad;
+	bool submitted, accepted, refused, cancelled, done, abort_sent, bad;
 	int tries, status, node;
 	uint32_t completed;
 	bool *task_done;
@@ -97,7 +97,7 @@
 	bool up;
 	double up_at;
 	uint64_t life;
-	double cut_state, cut_workers, cut_peers, refused, blind; /* until */
+	double cut_state, cut_workers, cut_peers, refused, blind, frozen; /* until */
 	double skew;
 };
 
--- a/tests/sim_users.c
+++ b/tests/sim_users.c
@@ -45,7 +45,7 @@
 void sim_look(struct sim *s, struct sim_job *j)
 {
 	for (int i = 0; i < s->nnodes; i++)
-		if (s->nodes[i].up) {
+		if (s->nodes[i].up && s->now >= s->nodes[i].frozen) {
 			look(s, i, j, ASK_POLL);
 			look(s, i, j, ASK_SUBMIT);
 		}
@@ -58,9 +58,9 @@
 
 	do
 		j->node = (j->node + 1) % s->nnodes;
-	while (!s->nodes[j->node].up && ++tries < s->nnodes);
+	while ((!s->nodes[j->node].up || s->now < s->nodes[j->node].frozen) && ++tries < s->nnodes);
 	nd = &s->nodes[j->node];
-	if (!nd->up)
+	if (!nd->up || s->now < nd->frozen)
 		return;
 	j->pending = (++s->next_token << 12) | (uint64_t)(j - s->jobs);
 	j->pending_kind = kind;
@@ -96,8 +96,12 @@
 		return;
 	if (a->status == 503 && a->retry_after < 1)
 		sim_fail(s, "%s: a 503 without Retry-After", j->spec.id);
-	if (l->kind == ASK_SUBMIT)
+	if (l->kind == ASK_SUBMIT) {
+		if (j->refused && (a->status == 200 || a->status == 201))
+			sim_fail(s, "%s was refused, and is accepted", j->spec.id);
+		j->refused |= a->status == 400 || a->status == 422;
 		j->status = a->status;
+	}
 	if (l->kind == ASK_SUBMIT && (a->status == 200 || a->status == 201)) {
 		news = !j->accepted;
 		j->accepted = true;
--- a/tests/sim_workers.c
+++ b/tests/sim_workers.c
@@ -129,7 +129,7 @@
 /* Whether node and machine can't reach each other now. */
 bool sim_apart(const struct sim *s, const struct sim_worker *w, const struct sim_node *nd)
 {
-	return s->now < w->cut_until || s->now < nd->cut_workers ||
+	return s->now < w->cut_until || s->now < nd->cut_workers || s->now < nd->frozen ||
 	       (s->now < s->zone_cut && strcmp(nd->set.zone, w->zone)) ||
 	       (s->now < w->pin_until && nd != &s->nodes[w->pin - 1]);
 }
@@ -338,7 +338,7 @@
 		w->report_id = (++s->next_token << 12) | (uint64_t)(w - s->w) | 1ULL << 62;
 		if (sim_apart(s, w, nd)) {
 			double until = fmax(fmax(w->cut_until, w->pin_until),
-					    fmax(nd->cut_workers, s->zone_cut));
+					    fmax(fmax(nd->cut_workers, nd->frozen), s->zone_cut));
 			struct sim_held *h = calloc(1, sizeof(*h)), **p = &s->held;
 
 			h->at = until + STEP;
