--- a/src/io/service.c
+++ b/src/io/service.c
@@ -530,7 +530,8 @@
 		free(p);
 		return NULL;
 	}
-	memcpy(p->body, body, len);
+	if (len) /* a frame without a body has none to point to */
+		memcpy(p->body, body, len);
 	p->body[len] = 0;
 	p->len = len;
 	HASH_ADD(hh, v->pending, token, sizeof(p->token), p);
