--- a/tests/frames_test.c
+++ b/tests/frames_test.c
@@ -2,6 +2,7 @@
  * is refused and logged, and the process goes on. */
 #include "check.h"
 #include "peer.h"
+#include "ports.h"
 #include <arpa/inet.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -10,19 +11,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-static int free_port(void)
-{
-	struct sockaddr_in a = {.sin_family = AF_INET};
-	socklen_t n = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
-	bind(fd, (struct sockaddr *)&a, sizeof(a));
-	getsockname(fd, (struct sockaddr *)&a, &n);
-	close(fd);
-	return ntohs(a.sin_port);
-}
-
 /* Sends this and waits for an answer; its length, 0 if the other side closes, -1 if nothing comes.
  */
 static ssize_t tell(int port, const void *bytes, size_t n, uint8_t *answer, size_t max)
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -409,14 +409,8 @@
 		struct sim_job *j = &s->jobs[a->token & (SIM_JOBS - 1)];
 		int kind = sim_user_asked(s, a->token);
 
-		if (!kind)
-			return;
-		if (kind == ASK_SUBMIT)
-			nd->v->submit(nd->core, t, s->now + 1e9, a->token, &j->spec, true);
-		else if (kind == ASK_POLL)
-			nd->v->poll(nd->core, t, a->token, j->spec.id, true);
-		else
-			nd->v->abort(nd->core, t, a->token, j->spec.id, true);
+		if (kind)
+			sim_ask(s, to, j, kind, a->token, true);
 	}
 }
 
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -176,6 +176,7 @@
 void sim_cloud_do(struct sim *s, struct ws_call *c, struct ws_result *r);
 void sim_user_answer(struct sim *s, const struct ws_action *a);
 void sim_look(struct sim *s, struct sim_job *j);
+void sim_ask(struct sim *s, int node, struct sim_job *j, int kind, uint64_t token, bool relayed);
 int sim_user_asked(struct sim *s, uint64_t token);
 void sim_user_end(struct sim *s, struct sim_job *j);
 void sim_users_step(struct sim *s);
--- a/tests/sim_users.c
+++ b/tests/sim_users.c
@@ -1,17 +1,17 @@
 /* Users: what they ask, and the rules for the answers. */
 #include "sim_parts.h"
 
-static void ask(struct sim *s, int node, struct sim_job *j, int kind, uint64_t token)
+void sim_ask(struct sim *s, int node, struct sim_job *j, int kind, uint64_t token, bool relayed)
 {
 	struct sim_node *nd = &s->nodes[node];
 	double t = s->now * (1 + nd->skew);
 
 	if (kind == ASK_SUBMIT)
-		nd->v->submit(nd->core, t, s->now + 1e9, token, &j->spec, false);
+		nd->v->submit(nd->core, t, s->now + 1e9, token, &j->spec, relayed);
 	else if (kind == ASK_POLL)
-		nd->v->poll(nd->core, t, token, j->spec.id, false);
+		nd->v->poll(nd->core, t, token, j->spec.id, relayed);
 	else
-		nd->v->abort(nd->core, t, token, j->spec.id, false);
+		nd->v->abort(nd->core, t, token, j->spec.id, relayed);
 }
 
 /* What a user still waits for under this token, if anything. */
@@ -38,7 +38,7 @@
 	l->done = j->done;
 	l->cancelled = j->cancelled;
 	s->polls += kind == ASK_POLL;
-	ask(s, node, j, kind, l->token);
+	sim_ask(s, node, j, kind, l->token, false);
 }
 
 /* Users who were just told something ask all nodes, and send the job again. */
@@ -68,7 +68,7 @@
 	if (kind == ASK_SUBMIT)
 		j->submitted = true;
 	s->polls += kind == ASK_POLL;
-	ask(s, j->node, j, kind, j->pending);
+	sim_ask(s, j->node, j, kind, j->pending, false);
 }
 
 void sim_user_answer(struct sim *s, const struct ws_action *a)
--- a/tests/smoke_test.c
+++ b/tests/smoke_test.c
@@ -4,6 +4,7 @@
  * refused without harm.
  */
 #include "../src/io/http.h"
+#include "ports.h"
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <jansson.h>
@@ -331,19 +332,6 @@
 	fclose(f);
 }
 
-static int free_port(void)
-{
-	struct sockaddr_in a = {.sin_family = AF_INET};
-	socklen_t n = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
-	bind(fd, (struct sockaddr *)&a, sizeof(a));
-	getsockname(fd, (struct sockaddr *)&a, &n);
-	close(fd);
-	return ntohs(a.sin_port);
-}
-
 static int run_check(const char *bin, const char *flag, const char *file)
 {
 	int status = -1;
