Records to write are looked for only when some may be due

Now a look follows what makes a record due (a start or end, a rental, a write's outcome, the watch); what falls due by the clock is looked for each ttl/64. Scenario scale counts looks that found nothing: 15.1 a start before, 0.35 after, 0.5 allowed.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -303,7 +303,7 @@
 	if (m->token <= known) {
 		m->token = known + 1;
 		m->token_at = c->now;
-		m->greet_next = 0;
+		m->probe_next = 0;
 	}
 }
 
@@ -753,9 +753,9 @@
 	HASH_ITER (hh, c->machines, m, t) {
 		/* so is one that has not reported for longer than it may take to */
 		if ((ws_machine_hears(m) && !ws_overdue(c, m->heard)) || !m->port || !m->host[0] ||
-		    m->gone || m->returning || m->commands || c->now < m->greet_next)
+		    m->gone || m->returning || m->commands || c->now < m->probe_next)
 			continue;
-		m->greet_next = c->now + c->set->report_s;
+		m->probe_next = c->now + c->set->report_s;
 		ws_orders_call(c, m);
 		if (--most <= 0)
 			break;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -132,7 +132,7 @@
 	uint64_t report_tenure, report_counter; /* of its newest report alone */
 	uint64_t token;	 /* what we give it; its own echo proves that it hears us */
 	double token_at; /* since when */
-	double greet_next;
+	double probe_next;
 	bool odd;	    /* its name has what a job's record parts names with: never used */
 	bool mute;	    /* silent, and a call to it got no answer either */
 	double heard;	    /* when its newest word came in */
@@ -299,9 +299,13 @@
 	double sweep_next, rent_next;
 	bool rentals_stale;  /* a machine went: records of rentals may be out of date */
 	uint64_t steps;	     /* of work in placement */
+	/* counted for tests: looks for records to write that found none, machines in sweeps */
+	uint64_t flush_idle, sweep_steps;
 	uint64_t steps_most; /* of any one pass, for tests */
 	bool flushing;
 	double flush_next, chunk_next;
+	bool flush_wanted; /* something is due that was not when we last looked */
+	double flush_look; /* else what became due by the clock is looked for then */
 	int flush_fails;
 	double value_most; /* bytes of a value, and changes of a transaction, that we plan by: */
 	int ops_most;	   /* less than the settings' once a write was called too large */
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -25,7 +25,10 @@
 /* What users wait for is written at once, the rest with it or a moment later. */
 void ws_job_dirty(struct ws_core *c, struct ws_job *j, bool urgent)
 {
-	j->urgent |= urgent;
+	if (urgent && !j->urgent) {
+		j->urgent = true;
+		c->flush_wanted = true;
+	}
 	if (j->dirty)
 		return;
 	j->dirty = true;
@@ -216,6 +219,7 @@
 
 		j->stamp = stamp;
 		j->stale = false;
+		c->flush_wanted = true;
 		j->pieces = ws_record_pieces(value);
 		if (!ws_record_read_phase(value, &phase, &done, &running))
 			return;
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -87,6 +87,8 @@
 	c->in_outage = c->paused = false;
 	c->ask_out = 0;
 	c->hosts_after[0] = 0;
+	c->flush_wanted = false;
+	c->flush_look = 0;
 	c->hosts_next = c->cloud_next = c->flush_next = c->sweep_next = c->rent_next = 0;
 	memset(c->refusals, 0, sizeof(c->refusals));
 	c->returns_wait = 0;
@@ -837,6 +839,7 @@
 	if (call->generation != c->generation)
 		return;
 	c->flushing = false;
+	c->flush_wanted = true;
 	if (r->status == 200) {
 		c->flush_fails = 0;
 		for (size_t i = 0; i < call->nops; i++)
@@ -1006,8 +1009,10 @@
 
 	ws_flush_budget(c);
 	if (c->flushing || c->now < c->flush_next || !ws_entitled(c) || c->in_outage ||
-	    c->flush_tokens < 1)
+	    c->flush_tokens < 1 || (!c->flush_wanted && c->now < c->flush_look))
 		return;
+	c->flush_wanted = false;
+	c->flush_look = c->now + c->ttl / 64;
 	ws_flush_log(c);
 	t = calloc(1, sizeof(*t));
 	if (!t)
@@ -1087,6 +1092,7 @@
 		break; /* one at a time: what users wait for goes before */
 	}
 	if (!t->nops) {
+		c->flush_idle++;
 		ws_call_free(t);
 		return;
 	}
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -421,6 +421,7 @@
 	if (r->dirty)
 		return;
 	r->dirty = true;
+	c->flush_wanted = true;
 	DL_APPEND2(c->dirty_rentals, r, dprev, dnext);
 }
 
--- a/tests/sim_checks.c
+++ b/tests/sim_checks.c
@@ -178,7 +178,13 @@
 			v = (double)s->changes;
 		else if (!strcmp(a, "commands"))
 			v = (double)s->commands;
-		else if (sim_leader(s) >= 0)
+		else if (sim_leader(s) < 0)
+			sim_fail(s, "nobody leads");
+		else if (!strcmp(a, "idle-looks"))
+			v = (double)s->nodes[sim_leader(s)].core->flush_idle;
+		else if (!strcmp(a, "machines"))
+			v = (double)s->nodes[sim_leader(s)].core->sweep_steps;
+		else
 			v = (double)s->nodes[sim_leader(s)].core->steps;
 		if (!of || v / of > atof(b))
 			sim_fail(s, "%.3f %s %s", of ? v / of : -1, a, what);
