--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -309,7 +309,8 @@
 
 /*
  * Only answers to reports renew a lease. A machine that can't reach us loses all that is placed on
- * it, however well commands reach it; it is given a while to find a new leader, or us when it is up.
+ * it, however well commands reach it; it is given a while to find a new leader, or us when it is
+ * up.
  */
 static bool ws_machine_reports(const struct ws_core *c, const struct ws_machine *m)
 {
@@ -321,8 +322,8 @@
 	return ws_machine_hears(m) && !m->mute && !m->odd && m->reported && m->type && !m->gone &&
 	       !m->returning && !m->failed && m->tenure &&
 	       c->now - m->heard < 3 * c->set->report_s && ws_machine_reports(c, m) &&
-	       c->now < m->alive_until &&
-	       c->now >= m->quarantine_until && c->now >= m->refused_until && !m->noticed;
+	       c->now < m->alive_until && c->now >= m->quarantine_until &&
+	       c->now >= m->refused_until && !m->noticed;
 }
 
 static void ws_cache_touch(struct ws_core *c, struct ws_machine *m, int image)
@@ -591,6 +592,38 @@
 	return n;
 }
 
+static void ws_push_done(struct ws_core *c, struct ws_call *call, const struct ws_result *r);
+
+/* A direct command to a machine, without orders as yet. */
+static struct ws_call *ws_orders_call(struct ws_core *c, struct ws_machine *m)
+{
+	struct ws_call *call = ws_call(c, WS_CALL_ORDERS, ws_push_done);
+
+	snprintf(call->host, sizeof(call->host), "%s", m->host);
+	call->port = m->port;
+	call->epoch = m->token;
+	call->tenure = m->tenure;
+	snprintf(call->ctx_name, sizeof(call->ctx_name), "%s", m->name);
+	m->commands++;
+	return call;
+}
+
+/*
+ * A machine that did not show yet that it hears this leader is probed: the answer is the machine's
+ * report, with the token in it, and ends what the last leader may still have on its way. Waiting
+ * for its reports instead costs a report period and a worker's search for the leader. So is one
+ * that has not reported for longer than it may take to.
+ */
+static bool ws_machine_probe(struct ws_core *c, struct ws_machine *m)
+{
+	if ((ws_machine_hears(m) && !ws_overdue(c, m->heard)) || !m->port || !m->host[0] ||
+	    m->gone || m->returning || m->commands || c->now < m->probe_next)
+		return false;
+	m->probe_next = c->now + c->set->report_s;
+	ws_orders_call(c, m);
+	return true;
+}
+
 void ws_core_report(struct ws_core *c, double now, uint64_t token, const struct ws_report *r,
 		    bool relayed)
 {
@@ -649,8 +682,8 @@
 		if (a->orders)
 			a->norders = ws_orders(c, m, newer ? r : NULL, a->orders, max, false);
 	}
-	if (!ws_machine_hears(m)) /* soon, not with the next sweep's turn */
-		c->sweep_next = fmin(c->sweep_next, c->now);
+	if (!ws_machine_hears(m) && ws_entitled(c) && !c->in_outage)
+		ws_machine_probe(c, m); /* now, not with the next sweep's turn */
 	ws_core_tick(c, now);
 }
 
@@ -703,20 +736,6 @@
 		}
 }
 
-/* A direct command to a machine, without orders as yet. */
-static struct ws_call *ws_orders_call(struct ws_core *c, struct ws_machine *m)
-{
-	struct ws_call *call = ws_call(c, WS_CALL_ORDERS, ws_push_done);
-
-	snprintf(call->host, sizeof(call->host), "%s", m->host);
-	call->port = m->port;
-	call->epoch = m->token;
-	call->tenure = m->tenure;
-	snprintf(call->ctx_name, sizeof(call->ctx_name), "%s", m->name);
-	m->commands++;
-	return call;
-}
-
 /* Commands straight to a worker that is known to listen, for speed; replies carry them again. */
 void ws_fleet_push(struct ws_core *c, struct ws_machine *m)
 {
@@ -739,25 +758,15 @@
 	call->norders = ws_orders(c, m, NULL, call->orders, max, true);
 }
 
-/*
- * Machines that did not show yet that they hear this leader are called on, so many at a time: the
- * answer is the machine's report, with the token in it, and ends what the last leader may still
- * have on its way. Waiting for the reports instead costs a report period and a worker's search for
- * the leader.
- */
-static void ws_fleet_greet(struct ws_core *c)
+/* So many at a time. */
+static void ws_fleet_probe(struct ws_core *c)
 {
 	struct ws_machine *m, *t;
 	int most = 32 + (int)HASH_COUNT(c->machines) / 8;
 
 	HASH_ITER (hh, c->machines, m, t) {
-		/* so is one that has not reported for longer than it may take to */
-		if ((ws_machine_hears(m) && !ws_overdue(c, m->heard)) || !m->port || !m->host[0] ||
-		    m->gone || m->returning || m->commands || c->now < m->probe_next)
-			continue;
-		m->probe_next = c->now + c->set->report_s;
-		ws_orders_call(c, m);
-		if (--most <= 0)
+		c->sweep_steps++;
+		if (ws_machine_probe(c, m) && --most <= 0)
 			break;
 	}
 }
@@ -890,9 +899,10 @@
 		return;
 	c->sweep_next = c->now + ws_sweep_every(c);
 	if (ws_entitled(c) && !c->in_outage)
-		ws_fleet_greet(c);
+		ws_fleet_probe(c);
 	ws_tombs_clear(c, false);
 	HASH_ITER (hh, c->machines, m, t) {
+		c->sweep_steps++;
 		if (m->gone) {
 			if (!m->slots)
 				ws_machine_forget(c, m);
