A report takes fewer and smaller allocations, a placement pass none

Cause: malloc and what it does to its lists were 14% of all samples; anything above 1 KB goes past its caches and has it tidy up each time. Per report these were a copy of the request, kept in case it had to be passed on (the connection has it until it is answered anyway), and room for 25 commands where mostly none is given; per pass 130 KB for its lists. Ruled out: JSON (takes no malloc any more).

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -181,6 +181,8 @@
 		ws_action_free(a);
 	}
 	ws_requests_free(c);
+	free(c->orders);
+	free(c->pass_memory);
 	free(c);
 }
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -539,6 +539,9 @@
 	}
 }
 
+/* Commands in the answer to a report: keeps it under the line limit. */
+#define WS_ANSWER_ORDERS 400
+
 static bool ws_reap_ok(struct ws_core *c, struct ws_machine *m, const struct ws_task_report *t)
 {
 	struct ws_job *j;
@@ -556,40 +559,68 @@
 	return true;
 }
 
-static size_t ws_orders(struct ws_core *c, struct ws_machine *m, const struct ws_report *r,
-			struct ws_order *o, size_t max, bool direct)
+/* One more command for a machine, in the core's scratch. */
+static struct ws_order *ws_order_add(struct ws_core *c, enum ws_verb verb, const char *job,
+				     uint32_t task, uint64_t attempt)
 {
-	size_t n = 0;
+	struct ws_order *o;
+
+	if (c->norders == c->orders_cap) {
+		c->orders_cap = c->orders_cap ? 2 * c->orders_cap : 64;
+		c->orders = realloc(c->orders, c->orders_cap * sizeof(*c->orders));
+		if (!c->orders)
+			abort();
+	}
+	o = &c->orders[c->norders++];
+	o->verb = verb;
+	snprintf(o->job, sizeof(o->job), "%s", job);
+	o->task = task;
+	o->attempt = attempt;
+	o->grace_s = 0;
+	return o;
+}
 
-	for (struct ws_slot *s = m->slots; s && n < max; s = s->next) {
+/* What is to start or end on a machine, and what of a report may be forgotten there. */
+static void ws_orders_collect(struct ws_core *c, struct ws_machine *m, const struct ws_report *r,
+			      size_t max, bool direct)
+{
+	c->norders = 0;
+	for (struct ws_slot *s = m->slots; s && c->norders < max; s = s->next) {
 		bool stop = s->stop && s->state != WS_SLOT_LEAVING && s->tenure == m->tenure &&
 			    (s->sent || s->seen);
 
 		if (!stop && !(ws_slot_runnable(c, s) && (!direct || !s->sent)))
 			continue;
-		o[n].verb = stop ? WS_STOP : WS_RUN;
-		snprintf(o[n].job, sizeof(o[n].job), "%s", s->job_id);
-		o[n].task = s->task;
-		o[n].attempt = s->attempt;
-		o[n].grace_s = s->grace;
+		ws_order_add(c, stop ? WS_STOP : WS_RUN, s->job_id, s->task, s->attempt)->grace_s =
+		    s->grace;
 		if (stop)
 			s->told = true;
 		else
 			s->sent = true;
-		n++;
 	}
-	for (size_t i = 0; r && i < r->ntasks && n < max; i++) {
+	for (size_t i = 0; r && i < r->ntasks && c->norders < max; i++) {
 		const struct ws_task_report *t = &r->tasks[i];
 
-		if (t->state != WS_TASK_EXITED || !ws_reap_ok(c, m, t))
-			continue;
-		o[n].verb = WS_REAP;
-		snprintf(o[n].job, sizeof(o[n].job), "%s", t->job);
-		o[n].task = t->task;
-		o[n].attempt = t->attempt;
-		n++;
+		if (t->state == WS_TASK_EXITED && ws_reap_ok(c, m, t))
+			ws_order_add(c, WS_REAP, t->job, t->task, t->attempt);
 	}
-	return n;
+}
+
+/* The same, as a list of its own; NULL if there is nothing to say. */
+static struct ws_order *ws_orders(struct ws_core *c, struct ws_machine *m,
+				  const struct ws_report *r, size_t max, bool direct, size_t *n)
+{
+	struct ws_order *list;
+
+	ws_orders_collect(c, m, r, max, direct);
+	*n = c->norders;
+	if (!c->norders)
+		return NULL;
+	list = malloc(c->norders * sizeof(*list));
+	if (!list)
+		abort();
+	memcpy(list, c->orders, c->norders * sizeof(*list));
+	return list;
 }
 
 static void ws_push_done(struct ws_core *c, struct ws_call *call, const struct ws_result *r);
@@ -673,15 +704,8 @@
 	a->status = 200;
 	a->epoch = m->token;
 	m->alive_until = ws_lease_out(c, c->now);
-	if (r->tenure == m->tenure) {
-		size_t max = m->nslots + r->ntasks + 1;
-
-		if (max > 400)
-			max = 400; /* keeps the answer under the line limit */
-		a->orders = calloc(max, sizeof(*a->orders));
-		if (a->orders)
-			a->norders = ws_orders(c, m, newer ? r : NULL, a->orders, max, false);
-	}
+	if (r->tenure == m->tenure)
+		a->orders = ws_orders(c, m, newer ? r : NULL, WS_ANSWER_ORDERS, false, &a->norders);
 	if (!ws_machine_hears(m) && ws_entitled(c) && !c->in_outage)
 		ws_machine_probe(c, m); /* now, not with the next sweep's turn */
 	ws_core_tick(c, now);
@@ -741,7 +765,6 @@
 {
 	struct ws_call *call;
 	struct ws_slot *s;
-	size_t max = m->nslots + 1;
 
 	if (!m->reported || !m->port || m->commands || m->fence || m->gone || m->returning ||
 	    !ws_entitled(c) || c->now - m->heard > 1.5 * c->set->report_s)
@@ -752,10 +775,7 @@
 	if (c->in_outage && !s)
 		return;
 	call = ws_orders_call(c, m);
-	call->orders = calloc(max, sizeof(*call->orders));
-	if (!call->orders)
-		abort();
-	call->norders = ws_orders(c, m, NULL, call->orders, max, true);
+	call->orders = ws_orders(c, m, NULL, SIZE_MAX, true, &call->norders);
 }
 
 /* So many at a time. */
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -301,6 +301,10 @@
 	uint64_t steps;	     /* of work in placement */
 	/* counted for tests: looks for records to write that found none, machines in sweeps */
 	uint64_t flush_idle, sweep_steps;
+	struct ws_order *orders; /* scratch of the message under way */
+	size_t norders, orders_cap;
+	void *pass_memory; /* of placement passes, kept from one to the next */
+	size_t pass_cap;
 	uint64_t steps_most; /* of any one pass, for tests */
 	bool flushing;
 	double flush_next, chunk_next;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -911,22 +911,40 @@
 	c->order_stale = false;
 }
 
+/*
+ * Room for the lists of one pass, which is taken anew only when the fleet or the jobs have outgrown
+ * it: taking and clearing it each time was felt.
+ */
+static void *ws_pass_memory(struct ws_core *c, size_t machines, size_t jobs)
+{
+	size_t need = (machines + 1) * (sizeof(struct ws_victim) + 4 * sizeof(void *)) +
+		      (jobs + 1) * sizeof(void *);
+
+	if (need > c->pass_cap) {
+		free(c->pass_memory);
+		c->pass_cap = need + need / 2;
+		c->pass_memory = malloc(c->pass_cap);
+		if (!c->pass_memory)
+			abort();
+	}
+	return c->pass_memory;
+}
+
 void ws_place(struct ws_core *c)
 {
 	size_t nj = HASH_COUNT(c->jobs), n = 0, nw = 0;
-	struct ws_job **all = calloc(nj + 1, sizeof(*all)), *j, *jt;
+	struct ws_job **all, *j, *jt;
 	struct ws_pass p = {.c = c, .lowest = 1000};
 	uint64_t began = c->steps;
 
 	ws_order(c);
-	p.ms = calloc(4 * c->norder + 1, sizeof(*p.ms));
+	p.victims = ws_pass_memory(c, c->norder, nj);
+	p.ms = (struct ws_machine **)(p.victims + c->norder);
 	p.fit = p.ms + c->norder;
 	p.open = p.fit + c->norder;
 	p.ending = p.open + c->norder;
+	all = (struct ws_job **)(p.ending + c->norder);
 	p.least = 1e18;
-	p.victims = calloc(c->norder + 1, sizeof(*p.victims));
-	if (!all || !p.ms || !p.victims)
-		abort();
 	c->place_wanted = false;
 	c->place_next = c->now + ws_sweep_every(c) / 2;
 	c->pass_at = c->now;
@@ -975,7 +993,4 @@
 	c->steps_most = c->steps - began > c->steps_most ? c->steps - began : c->steps_most;
 	if (!nw)
 		ws_consolidate(c, p.ms, p.n);
-	free(all);
-	free(p.ms);
-	free(p.victims);
 }
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -61,6 +61,9 @@
 	c->dirty_rentals = NULL;
 	free(c->order);
 	c->order = NULL;
+	free(c->pass_memory);
+	c->pass_memory = NULL;
+	c->pass_cap = 0;
 	c->norder = 0;
 	c->order_stale = true;
 	free(c->chunks);
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -446,6 +446,20 @@
 	return c;
 }
 
+/* What a connection holds of its request stays until it is answered: only then it is read again. */
+bool ws_server_request(const struct ws_server *s, uint64_t token, struct ws_server_request *to)
+{
+	const struct ws_conn *c = ws_conn_find(s, token);
+
+	if (!c)
+		return false;
+	to->method = http_method_str(c->parser.method);
+	to->url = c->path.p ? c->path.p : "";
+	to->body = c->body.p ? c->body.p : "";
+	to->len = c->body.len;
+	return true;
+}
+
 void ws_server_kind(struct ws_server *s, uint64_t token, enum ws_conn_kind kind)
 {
 	struct ws_conn *c = ws_conn_find(s, token);
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -31,6 +31,12 @@
 struct ws_server *ws_server_new(struct ev_loop *loop, const char *host, int port,
 				const struct ws_server_opts *o, ws_request_fn fn, void *ctx,
 				char *err, size_t n);
+/* A request that waits for its answer, as it came; good until then. False: its sender is gone. */
+struct ws_server_request {
+	const char *method, *url, *body;
+	size_t len;
+};
+bool ws_server_request(const struct ws_server *s, uint64_t token, struct ws_server_request *to);
 /* Says whose connection a request came by. */
 void ws_server_kind(struct ws_server *s, uint64_t token, enum ws_conn_kind kind);
 void ws_server_answer(struct ws_server *s, uint64_t token, int status, const char *body, size_t len,
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -18,8 +18,6 @@
 	uint64_t token;
 	enum ws_ask_kind kind;
 	uint64_t from, id; /* the peer's pipe and frame; from 0: straight from a client */
-	char *method, *path, *body;
-	size_t len;
 	struct ws_service *service;
 	UT_hash_handle hh;
 };
@@ -85,9 +83,6 @@
 	HASH_DEL(p->service->pending, p);
 	if (p->kind == WS_ASK_USER)
 		p->service->users--;
-	free(p->method);
-	free(p->path);
-	free(p->body);
 	free(p);
 }
 
@@ -176,16 +171,31 @@
 			 (int)f->retry_after);
 }
 
+/* A server takes no longer paths than this. */
+#define WS_URL_LOCAL 1100
+
+/* The path of a URL, without query and fragment. */
+static void ws_local_path(const char *url, char *path)
+{
+	snprintf(path, WS_URL_LOCAL, "%.*s", (int)strcspn(url, "?#"), url);
+}
+
 static void ws_relay(struct ws_service *v, uint64_t token, const char *node, bool pinned)
 {
 	struct ws_pending *p;
+	struct ws_server_request q;
 	Ws__PeerFrame f = WS__PEER_FRAME__INIT;
 	struct ws_flight *x;
+	char path[WS_URL_LOCAL];
 	bool get;
 
 	HASH_FIND(hh, v->pending, &token, sizeof(token), p);
 	if (!p)
 		return;
+	if (!ws_server_request(v->server, token, &q)) { /* who asked is gone, or it was a peer */
+		ws_reply_plain(v, token, 503);
+		return;
+	}
 	x = calloc(1, sizeof(*x));
 	if (!x) {
 		ws_reply_plain(v, token, 503);
@@ -206,14 +216,15 @@
 	}
 	x->service = v;
 	x->call = (struct ws_call *)(uintptr_t)token;
-	get = !strcmp(p->method, "GET");
+	ws_local_path(q.url, path);
+	get = !strcmp(q.method, "GET");
 	f.kind =
 	    p->kind == WS_ASK_REPORT ? WS__PEER_FRAME__KIND__REPORT : WS__PEER_FRAME__KIND__USER;
 	f.node = (char *)v->set->node;
-	f.method = p->method;
-	f.path = p->path;
-	f.body.data = (uint8_t *)p->body;
-	f.body.len = p->len;
+	f.method = (char *)q.method;
+	f.path = path;
+	f.body.data = (uint8_t *)q.body;
+	f.body.len = q.len;
 	/* within what the asker waits: 4 s for workers, 5 s for submissions */
 	if (!ws_peers_send(v->peers, node, &f,
 			   p->kind == WS_ASK_REPORT ? 3
@@ -509,9 +520,7 @@
 
 /* ---- requests ---- */
 
-static struct ws_pending *ws_pend(struct ws_service *v, uint64_t token, enum ws_ask_kind kind,
-				  const char *method, const char *path, const char *body,
-				  size_t len)
+static struct ws_pending *ws_pend(struct ws_service *v, uint64_t token, enum ws_ask_kind kind)
 {
 	struct ws_pending *p = calloc(1, sizeof(*p));
 
@@ -520,20 +529,6 @@
 	p->token = token;
 	p->kind = kind;
 	p->service = v;
-	p->method = strdup(method);
-	p->path = strdup(path);
-	p->body = malloc(len + 1);
-	if (!p->method || !p->path || !p->body) {
-		free(p->method);
-		free(p->path);
-		free(p->body);
-		free(p);
-		return NULL;
-	}
-	if (len) /* a frame without a body has none to point to */
-		memcpy(p->body, body, len);
-	p->body[len] = 0;
-	p->len = len;
 	HASH_ADD(hh, v->pending, token, sizeof(p->token), p);
 	if (kind == WS_ASK_USER)
 		v->users++;
@@ -621,12 +616,12 @@
 		       const char *body, size_t len)
 {
 	struct ws_service *v = ctx;
-	char path[1100];
+	char path[WS_URL_LOCAL];
 	bool report;
 
-	snprintf(path, sizeof(path), "%.*s", (int)strcspn(url, "?#"), url);
+	ws_local_path(url, path);
 	report = !strcmp(path, "/checkin");
-	if (!ws_pend(v, token, report ? WS_ASK_REPORT : WS_ASK_USER, method, path, body, len)) {
+	if (!ws_pend(v, token, report ? WS_ASK_REPORT : WS_ASK_USER)) {
 		ws_server_answer(v->server, token, 503, "{}", 2, 1);
 		return;
 	}
@@ -658,22 +653,24 @@
 	enum ws_ask_kind kind = f->kind == WS__PEER_FRAME__KIND__REPORT ? WS_ASK_REPORT
 				: f->kind == WS__PEER_FRAME__KIND__USER ? WS_ASK_USER
 									: WS_ASK_TESTIFY;
+	/* a frame without a body has none to point to */
+	const char *body = f->body.len ? (const char *)f->body.data : "";
 	struct ws_pending *p;
 
 	if (f->body.len > WS_BODY_MAX || strlen(f->path) > 1000) {
 		ws_logf(WS_LOG_ERROR, "a frame of %s is too long: refused", f->node);
 		return;
 	}
-	p = ws_pend(v, token, kind, f->method, f->path, (const char *)f->body.data, f->body.len);
+	p = ws_pend(v, token, kind);
 	if (!p)
 		return;
 	p->from = from;
 	p->id = f->id;
 	if (kind == WS_ASK_REPORT) {
-		ws_report_in(v, token, p->body, p->len, true);
+		ws_report_in(v, token, body, f->body.len, true);
 	} else if (kind == WS_ASK_USER) {
-		if (!strncmp(p->path, "/v2/runs", 8))
-			ws_user(v, token, p->method, p->path, p->body, p->len, true);
+		if (!strncmp(f->path, "/v2/runs", 8))
+			ws_user(v, token, f->method, f->path, body, f->body.len, true);
 		else
 			ws_reply_plain(v, token, 404);
 	} else if (f->kind == WS__PEER_FRAME__KIND__TESTIFY) {
