A watch brings both the leader's replica of the jobs and its job cache up to date

Each answer is now applied to both. Of two watches under way one may be answered after the other with less, so only changes newer than what is held count; without that scenario garbled fails.

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -461,10 +461,12 @@
 bool ws_entitled(const struct ws_core *c);
 void ws_lead_end(struct ws_core *c, const char *why);
 void ws_flush(struct ws_core *c);
+void ws_jobs_news(struct ws_core *c, const struct ws_call *call, const struct ws_result *r);
 
 /* requests.c */
 bool ws_withdrawn_since(struct ws_core *c, uint64_t since, const char *after,
 			struct ws_withdrawal **list, size_t *n, size_t most, bool *more);
+void ws_cache_apply(struct ws_core *c, const struct ws_call *call, const struct ws_result *r);
 void ws_requests_tick(struct ws_core *c);
 bool ws_cut_off(const struct ws_core *c);
 void ws_report_answer(struct ws_core *c, uint64_t token, int status, const char *leader);
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -564,6 +564,32 @@
 		ws_loaded(c);
 }
 
+/*
+ * What a watch of the jobs brought, to the leader's replica of them. Of two watches one may be
+ * answered after the other, with less: a change that it brings and that the replica held already
+ * may since have been undone, so only what is newer than the replica counts.
+ */
+static void ws_replica_apply(struct ws_core *c, const struct ws_call *call,
+			     const struct ws_result *r)
+{
+	uint64_t held = c->watch_rev;
+
+	if (c->role != WS_LEADER || call->since > held)
+		return;
+	for (size_t i = 0; i < r->nkvs; i++)
+		if (r->kvs[i].stamp > held && !strncmp(r->kvs[i].key, "job/", 4))
+			ws_job_event(c, r->kvs[i].key + 4, r->kvs[i].value, r->kvs[i].stamp);
+	c->watch_rev = r->rev > held ? r->rev : held;
+	c->view_at = fmax(c->view_at, call->made);
+}
+
+/* A leader watches the jobs for its replica and for its job cache: each brings both up to date. */
+void ws_jobs_news(struct ws_core *c, const struct ws_call *call, const struct ws_result *r)
+{
+	ws_replica_apply(c, call, r);
+	ws_cache_apply(c, call, r);
+}
+
 static void ws_job_news(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
 	if (call->generation != c->generation)
@@ -577,13 +603,9 @@
 		c->watch_next = c->now + c->ttl / 16;
 		return;
 	}
-	c->watch_rev = r->rev > c->watch_rev ? r->rev : c->watch_rev;
-	c->view_at = fmax(c->view_at, call->made);
 	/* what comes within a moment comes together: an eighth of the requests allowed at most */
 	c->watch_next = c->now + 8 / c->set->state_rps;
-	for (size_t i = 0; i < r->nkvs; i++)
-		if (!strncmp(r->kvs[i].key, "job/", 4))
-			ws_job_event(c, r->kvs[i].key + 4, r->kvs[i].value, r->kvs[i].stamp);
+	ws_jobs_news(c, call, r);
 }
 
 void ws_leader_tick(struct ws_core *c)
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -486,18 +486,27 @@
 	}
 }
 
+/* What a watch of the jobs brought, to the cache of their phases: only what is newer than it. */
+void ws_cache_apply(struct ws_core *c, const struct ws_call *call, const struct ws_result *r)
+{
+	uint64_t held = c->seen_rev;
+
+	if (!c->seen_ready || call->since > held)
+		return;
+	for (size_t i = 0; i < r->nkvs; i++)
+		if (r->kvs[i].stamp > held)
+			ws_seen_event(c, &r->kvs[i]);
+	c->seen_rev = r->rev > held ? r->rev : held;
+	c->seen_at = c->now;
+}
+
 static void ws_seen_news(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
-	(void)call;
 	c->seen_inflight = false;
 	if (r->status != 429)
 		ws_state_seen(c, r->status);
 	if (r->status == 200) {
-		c->seen_at = c->now;
-		if (r->rev > c->seen_rev)
-			c->seen_rev = r->rev;
-		for (size_t i = 0; i < r->nkvs; i++)
-			ws_seen_event(c, &r->kvs[i]);
+		ws_jobs_news(c, call, r);
 		ws_polls_answer(c, 200);
 	} else if (r->status == 410) { /* the copy is too old to be brought up to date */
 		ws_seen_clear(c);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -239,6 +239,8 @@
 			result_clear(&f->res);
 			f->res.status = s->now < nd->cut_state ? 0 : 503;
 		}
+		if (nd == &s->nodes[sim_leader(s) < 0 ? 0 : sim_leader(s)])
+			s->watched += f->res.nkvs;
 	} else if (is_state(c->kind)) {
 		sim_state_do(s, c, &f->res);
 		if (c->kind == WS_CALL_TXN && s->lose_txn > 0 && sim_leader(s) == f->node) {
--- a/tests/sim_checks.c
+++ b/tests/sim_checks.c
@@ -178,6 +178,8 @@
 			v = (double)s->changes;
 		else if (!strcmp(a, "commands"))
 			v = (double)s->commands;
+		else if (!strcmp(a, "watched"))
+			v = (double)s->watched;
 		else if (sim_leader(s) < 0)
 			sim_fail(s, "nobody leads");
 		else if (!strcmp(a, "idle-looks"))
