Scenario: what an open watch brings is overtaken by the answer to a later question

The stand-in for the state service delays what open watches bring (late-watches). A first form delayed all watches; there the stand-in's user also judged answers by what other nodes had said since the question was asked, which no node can know, so it was not kept.

--- a/tests/sim.c
+++ b/tests/sim.c
@@ -241,6 +241,12 @@
 		}
 		if (nd == &s->nodes[sim_leader(s) < 0 ? 0 : sim_leader(s)])
 			s->watched += f->res.nkvs;
+		if (c->ms && s->now < s->watch_late) { /* one that is not left open overtakes it */
+			f->stage = 1;
+			f->at = s->now + s->watch_late_by * sim_rnd(s);
+			flight_add(s, f);
+			return;
+		}
 	} else if (is_state(c->kind)) {
 		sim_state_do(s, c, &f->res);
 		if (c->kind == WS_CALL_TXN && s->lose_txn > 0 && sim_leader(s) == f->node) {
@@ -823,6 +829,9 @@
 	} else if (!strcmp(verb, "slow-state")) { /* slow-state BY for=SPAN */
 		s->state_slow = s->now + span;
 		s->state_slow_by = atof(who);
+	} else if (!strcmp(verb, "late-watches")) { /* late-watches BY for=SPAN */
+		s->watch_late = s->now + span;
+		s->watch_late_by = atof(who);
 	} else if (!strcmp(verb, "cloud-outage")) {
 		s->cloud_down = s->now + span;
 	} else if (!strcmp(verb, "zone-cut")) {
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -141,6 +141,8 @@
 	struct sim_look looks[SIM_LOOKS];
 	size_t nlooks;
 	double state_slow, state_slow_by; /* it answers later by up to so much */
+	double watch_late,
+	    watch_late_by; /* what open watches brought comes later by up to so much */
 	double looks_until, abort_share, end_until, end_share;
 	double lag_until, lag_share, lag_most; /* that share of changes gets no answer, */
 	bool lag_at_once;		       /* and is carried out at once, or late */
