--- a/tests/sim.c
+++ b/tests/sim.c
@@ -108,6 +108,15 @@
 	nd->core = NULL;
 }
 
+/* What the leader has to read of what a watch brings. */
+static void sim_count_watched(struct sim *s, const struct ws_result *r)
+{
+	s->watched += r->nkvs;
+	for (size_t i = 0; i < r->nkvs; i++)
+		if (r->kvs[i].value)
+			s->watched_size += json_dumpb(r->kvs[i].value, NULL, 0, JSON_COMPACT);
+}
+
 static bool is_state(enum ws_call_kind k)
 {
 	return k <= WS_CALL_HOLD_DROP;
@@ -240,7 +249,7 @@
 			f->res.status = s->now < nd->cut_state ? 0 : 503;
 		}
 		if (nd == &s->nodes[sim_leader(s) < 0 ? 0 : sim_leader(s)])
-			s->watched += f->res.nkvs;
+			sim_count_watched(s, &f->res);
 		if (c->ms && s->now < s->watch_late) { /* one that is not left open overtakes it */
 			f->stage = 1;
 			f->at = s->now + s->watch_late_by * sim_rnd(s);
--- a/tests/sim_checks.c
+++ b/tests/sim_checks.c
@@ -180,6 +180,10 @@
 			v = (double)s->commands;
 		else if (!strcmp(a, "watched"))
 			v = (double)s->watched;
+		else if (!strcmp(a, "bytes-watched"))
+			v = (double)s->watched_size;
+		else if (!strcmp(a, "bytes-written"))
+			v = (double)s->written_size;
 		else if (sim_leader(s) < 0)
 			sim_fail(s, "nobody leads");
 		else if (!strcmp(a, "idle-looks"))
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -147,7 +147,9 @@
 	double lag_until, lag_share, lag_most; /* that share of changes gets no answer, */
 	bool lag_at_once;		       /* and is carried out at once, or late */
 	uint64_t commands, starts, polls, asked, changes; /* counts, for their ratios */
-	uint64_t watched; /* records that watches brought to the leader */
+	uint64_t watched;      /* records that watches brought to the leader, */
+	uint64_t watched_size; /* their bytes, */
+	uint64_t written_size; /* and those of the records that leaders wrote */
 	enum ws_call_kind crash_kind;
 	enum sim_crash crash;
 	int crash_skip;
--- a/tests/sim_state.c
+++ b/tests/sim_state.c
@@ -108,6 +108,7 @@
 					 ? json_dumpb(c->ops[i].value, NULL, 0, JSON_COMPACT)
 					 : 0;
 
+			s->written_size += c->paced ? len : 0;
 			if (c->nops <= (size_t)s->txn_ops && (double)len <= s->value_kb * 1024)
 				continue;
 			s->refused_writes++;
