--- a/tests/sim.c
+++ b/tests/sim.c
@@ -248,7 +248,7 @@
 			result_clear(&f->res);
 			f->res.status = s->now < nd->cut_state ? 0 : 503;
 		}
-		if (nd == &s->nodes[sim_leader(s) < 0 ? 0 : sim_leader(s)])
+		if (f->node == sim_leader(s))
 			sim_count_watched(s, &f->res);
 		if (c->ms && s->now < s->watch_late) { /* one that is not left open overtakes it */
 			f->stage = 1;
