A border between the core and its subsystems: typed hooks and requests

Later wishes are to hang on one border instead of reaching into the core. Change: src/core/hooks.h declares hooks (elected, records loaded, heartbeat seen, command answered, machine lost, placement and rental filters, survey, tick) and requests (write, delete and read records, survey, move); src/core/subsystems.c dispatches them and keeps the records, written in the leader's own transactions under their own revisions. Machines that a filter avoids are used by work that found no other room for a lease. Room can be asked for ahead; a service's first replica can go before the rest.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -181,6 +181,7 @@
 		ws_action_free(a);
 	}
 	ws_requests_free(c);
+	ws_subsystems_free(c);
 	free(c->orders);
 	free(c->pass_memory);
 	free(c);
@@ -234,6 +235,7 @@
 	ws_leader_tick(c);
 	if (c->role == WS_LEADER) {
 		ws_fleet_tick(c);
+		ws_subsystems_tick(c);
 		if (c->now > c->place_next + c->set->report_s / 4)
 			c->place_wanted = true; /* back-offs end without an event */
 		if (c->place_wanted && c->now >= c->place_next && ws_entitled(c) && !c->in_outage)
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -446,6 +446,7 @@
 		snprintf(m->host, sizeof(m->host), "%s", r->host);
 		m->port = r->port;
 		ws_machine_dirty(c, m);
+		ws_subsystems_machine(c, m);
 	}
 	if (r->tenure > m->tenure) {
 		if (m->tenure && m->nslots)
@@ -701,6 +702,8 @@
 	a->token = token;
 	a->status = 200;
 	a->epoch = m->token;
+	if (ws_machine_hears(m))
+		ws_subsystems_heartbeat(c, m);
 	m->alive_until = ws_lease_out(c, c->now);
 	if (r->tenure == m->tenure)
 		a->orders = ws_orders(c, m, newer ? r : NULL, WS_ANSWER_ORDERS, false, &a->norders);
@@ -728,6 +731,7 @@
 	m->commands--;
 	if (r->status < 0)
 		return; /* never left us: the next reply carries it */
+	ws_subsystems_answered(c, m, r->report != NULL);
 	if (r->report && !strcmp(r->report->machine, m->name)) {
 		c->relay_since = 0; /* it can be reached from here */
 		m->mute = false;
@@ -804,6 +808,7 @@
 		return;
 	ws_log(c, WS_LOG_INFO, "machine %s is gone: %s", m->name, why);
 	m->gone = true;
+	ws_subsystems_lost(c, m, WS_LOSS_RETURNED);
 	ws_bury(&c->tombs, m->name, c->now + c->set->lease_s + 4 * c->set->list_lag_s);
 	ws_machine_clear(c, m);
 	c->rentals_stale = true;
@@ -850,6 +855,7 @@
 {
 	if (m->chunk >= 0)
 		c->chunks[m->chunk].n--;
+	ws_subsystems_machine_removed(c, m);
 	HASH_DEL(c->machines, m);
 	c->order_stale = true;
 	free(m);
@@ -884,6 +890,7 @@
 	if (h->phase == WS_HOST_FAILED && !m->failed && !m->gone &&
 	    c->now > m->heard + c->set->report_s) {
 		m->failed = true;
+		ws_subsystems_lost(c, m, WS_LOSS_FAILED);
 		ws_log(c, WS_LOG_INFO, "machine %s failed, says the cloud", m->name);
 		ws_machine_clear(c, m);
 	}
@@ -929,6 +936,7 @@
 		if (m->nslots && c->now > m->alive_until && m->tenure) {
 			ws_log(c, WS_LOG_INFO, "machine %s: its lease has surely run out", m->name);
 			m->least_tenure = m->tenure + 1;
+			ws_subsystems_lost(c, m, WS_LOSS_LEASE);
 			ws_machine_clear(c, m);
 		}
 		if (m->noticed && c->now < m->notice_until + c->set->lease_s) {
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -3,6 +3,7 @@
 #define WS_INTERNAL_H
 #include "core.h"
 #include "sizing.h"
+#include "subsystems.h"
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -21,6 +22,8 @@
 /* A leader whose watch of the jobs brought nothing for so many ttl no longer knows what was
  * withdrawn: twice the time a watch is left open, with its time-out and a second try. */
 #define WS_VIEW_TTLS 6
+/* Of the 64 KiB that a transaction may have, so much is filled before another record is added. */
+#define WS_TRANSACTION_BYTES 32768
 /* Withdrawals a frame of testimony carries. */
 #define WS_TESTIMONY_MAX 64
 
@@ -77,6 +80,11 @@
 	uint32_t gang_stops;	    /* how often it made room for others */
 	int gang_zone;		    /* of a gang that waits: the zone it gathers room in, from 1 */
 	uint32_t pieces;	    /* records beside its own that name attempts: see record.c */
+	uint32_t move_position;	    /* asked for by a subsystem, see struct ws_move */
+	uint32_t room_ahead;
+	bool first_replica;
+	uint32_t place_most; /* tasks to be placed in this round of a pass; 0: all */
+	bool takes_avoided;  /* no other room was found for it: avoided machines are used */
 	struct ws_job *dprev, *dnext;
 	UT_hash_handle hh;
 };
@@ -159,6 +167,8 @@
 	bool push; /* has starts to be sent when the write's outcome is taken in */
 	double virt_cpus, virt_gpus, virt_mem; /* scratch of one placement pass */
 	int rank;
+	bool avoided; /* by a subsystem's filter, in the pass under way */
+	void *handles[WS_SUBSYSTEMS_MAX];
 	UT_hash_handle hh;
 };
 
@@ -275,7 +285,7 @@
 	uint64_t epoch;
 	uint64_t attempt_seq;
 	uint64_t rental_seq;
-	int loading;
+	size_t loading;
 	uint64_t load_rev;
 	bool job_watch;
 	uint64_t watch_rev;
@@ -334,6 +344,8 @@
 	size_t nlacks, lacks_cap;
 	uint64_t list_pass;
 
+	struct ws_subsystems subsystems;
+
 	/* sizing */
 	int k;
 	double size_next;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -67,6 +67,9 @@
 
 	if (ws_turn(a) != ws_turn(b))
 		return ws_turn(a) > ws_turn(b) ? -1 : 1;
+	/* those that a subsystem moves, in its order; 0 stands for none and becomes the largest */
+	if (a->move_position != b->move_position)
+		return a->move_position - 1 < b->move_position - 1 ? -1 : 1;
 	double da = a->submitted_wall + (a->spec.deadline_s >= 0 ? a->spec.deadline_s : 1e9);
 	double db = b->submitted_wall + (b->spec.deadline_s >= 0 ? b->spec.deadline_s : 1e9);
 	if (da != db)
@@ -143,7 +146,8 @@
 
 static bool ws_kind_ok(const struct ws_job *j, const struct ws_machine *m)
 {
-	return m->type && (j->fits >> m->ti & 1) && (!m->spot || j->spec.spot);
+	return m->type && (j->fits >> m->ti & 1) && (!m->spot || j->spec.spot) &&
+	       (!m->avoided || j->takes_avoided);
 }
 
 static bool ws_room(const struct ws_job *j, const struct ws_machine *m)
@@ -812,6 +816,8 @@
 	want = ws_team_fits(j);
 	if (want < j->waiting)
 		ws_why_waits(c, j, "its team is at its limit");
+	if (j->place_most && want > j->place_most)
+		want = j->place_most;
 	if (!want)
 		return;
 	room = ws_record_room(c, j);
@@ -931,6 +937,91 @@
 	return c->pass_memory;
 }
 
+/*
+ * Places what waits, in order. Of a service with a move only the first replica is placed at first;
+ * its others come after all else of the same rank.
+ */
+static void ws_place_jobs(struct ws_pass *p, struct ws_job **jobs, size_t n)
+{
+	for (size_t from = 0, to; from < n; from = to) {
+		for (to = from; to < n && ws_turn(jobs[to]) == ws_turn(jobs[from]); to++) {
+			jobs[to]->waiting_before = jobs[to]->waiting;
+			jobs[to]->place_most = jobs[to]->first_replica;
+			ws_place_job(p, jobs[to]);
+		}
+		for (size_t i = from; i < to; i++) {
+			if (!jobs[i]->place_most)
+				continue;
+			jobs[i]->place_most = 0;
+			ws_place_job(p, jobs[i]);
+		}
+	}
+}
+
+/* The zones that a job's attempts may move to, as if those in avoided zones were gone. */
+static uint32_t ws_zones_ahead(const struct ws_core *c, const struct ws_job *j)
+{
+	uint32_t open = ~c->subsystems.zones_avoided, zones = 0;
+	uint32_t kept = 0; /* zones in which attempts stay */
+
+	for (int z = 0; z < c->nzones; z++)
+		if (j->zone_n[z] && (open >> z & 1))
+			kept |= 1u << z;
+	for (int z = 0; z < c->nzones; z++) {
+		bool ok = (open >> z & 1) && (j->zone < 0 || j->zone == z);
+
+		if (j->spec.one_zone && kept && kept != 1u << z)
+			ok = false;
+		if (j->spec.spread && j->zone_n[z] >= (j->spec.tasks + 1) / 2)
+			ok = false;
+		if (ok)
+			zones |= 1u << z;
+	}
+	return zones;
+}
+
+/*
+ * Room for attempts that will surely end on machines that went silent together: what stays free
+ * elsewhere after this pass, and rentals for the rest. Nothing is placed and nothing is stopped.
+ */
+static void ws_room_ahead(struct ws_pass *p, struct ws_job *j)
+{
+	struct ws_core *c = p->c;
+	uint32_t zones = ws_zones_ahead(c, j), want = j->room_ahead;
+
+	for (size_t i = 0; i < p->n && want && zones; i++) {
+		struct ws_machine *m = p->ms[i];
+		uint32_t fit;
+
+		c->steps++;
+		if (!ws_kind_ok(j, m) || m->zi < 0 || !(zones >> m->zi & 1))
+			continue;
+		fit = ws_fit(j, m, want, false);
+		if (fit && !m->nslots) /* it does not go back as empty meanwhile */
+			m->held_until = c->now + c->set->report_s;
+		want -= fit;
+		while (fit--)
+			ws_virt_take(j, m);
+	}
+	if (want && zones)
+		ws_rentals_want(c, j, want, zones);
+}
+
+static void ws_place_ahead(struct ws_pass *p, struct ws_job **jobs)
+{
+	struct ws_job *j, *next;
+	size_t n = 0;
+
+	if (!p->c->subsystems.moves)
+		return;
+	HASH_ITER (hh, p->c->jobs, j, next)
+		if (j->room_ahead && j->team && !ws_job_over(j))
+			jobs[n++] = j;
+	qsort(jobs, n, sizeof(*jobs), ws_want_cmp);
+	for (size_t i = 0; i < n; i++)
+		ws_room_ahead(p, jobs[i]);
+}
+
 void ws_place(struct ws_core *c)
 {
 	size_t nj = HASH_COUNT(c->jobs), n = 0, nw = 0;
@@ -954,6 +1045,7 @@
 		if (!ws_job_over(j))
 			all[n++] = j;
 	ws_mark_guaranteed(c, all, n);
+	ws_subsystems_pass(c);
 	for (size_t i = 0; i < c->set->nteams; i++)
 		c->teams[i].held_cpus = c->teams[i].held_gpus = 0;
 	for (size_t i = 0; i < n; i++) {
@@ -963,6 +1055,8 @@
 		if (all[i]->nslots && ws_rank(all[i]) < p.lowest)
 			p.lowest = ws_rank(all[i]);
 		all[i]->aged = all[i]->waiting && ws_aged(c, all[i]);
+		all[i]->takes_avoided =
+		    all[i]->lack_since > 0 && c->now - all[i]->lack_since > c->set->lease_s;
 		if (all[i]->waiting) {
 			p.least = fmin(p.least, all[i]->spec.cpus);
 			all[nw++] = all[i];
@@ -979,6 +1073,7 @@
 		if (!ws_machine_usable(c, m))
 			continue;
 		p.ms[p.n++] = m;
+		m->avoided = ws_subsystems_avoided(c, m);
 		m->virt_cpus = m->type->cpus - m->used_cpus + m->stop_cpus;
 		m->virt_gpus = m->type->gpus - m->used_gpus + m->stop_gpus;
 		m->virt_mem = m->type->mem - m->used_mem + m->stop_mem;
@@ -986,10 +1081,8 @@
 		if (m->stop_cpus > 0 || m->stop_mem > 0)
 			p.ending[p.nending++] = m;
 	}
-	for (size_t w = 0; w < nw; w++) {
-		all[w]->waiting_before = all[w]->waiting;
-		ws_place_job(&p, all[w]);
-	}
+	ws_place_jobs(&p, all, nw);
+	ws_place_ahead(&p, all);
 	ws_rentals_plan(c);
 	c->steps_most = c->steps - began > c->steps_most ? c->steps - began : c->steps_most;
 	if (!nw)
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -35,6 +35,7 @@
 	if (why && c->role != WS_FOLLOWER)
 		ws_log(c, WS_LOG_INFO, "no longer leading: %s", why);
 	c->generation++;
+	ws_subsystems_step_down(c);
 	HASH_ITER (hh, c->machines, m, mt) {
 		m->nslots = 0;
 		for (struct ws_slot *s; (s = m->slots);) {
@@ -408,14 +409,23 @@
 	call->urgent = true;
 }
 
-static const char *const ws_load_order[] = {"owned", "rental/", "fleet/", "job/", "more/", NULL};
+static const char *const ws_load_order[] = {"owned", "rental/", "fleet/", "job/", "more/"};
+
+/* The prefix read as the i-th; NULL behind the last. Those of subsystems come at the end. */
+static const char *ws_load_prefix(const struct ws_core *c, size_t i)
+{
+	const size_t own = sizeof(ws_load_order) / sizeof(ws_load_order[0]);
+
+	return i < own ? ws_load_order[i] : ws_subsystems_prefix(c, i - own);
+}
 
 static void ws_load(struct ws_core *c)
 {
 	c->loading = 0;
+	ws_subsystems_elected(c);
 	c->load_rev = 0;
 	c->view_at = c->now;
-	ws_load_from(c, ws_load_order[0], "");
+	ws_load_from(c, ws_load_prefix(c, 0), "");
 }
 
 static void ws_loaded(struct ws_core *c)
@@ -439,6 +449,7 @@
 			ws_machine_dirty(c, m);
 	HASH_ITER (hh, c->jobs, j, jt)
 		ws_job_check_end(c, j);
+	ws_subsystems_loaded(c);
 	ws_log(c, WS_LOG_INFO, "leading: %u jobs, %u machines, %u rentals on record",
 	       HASH_COUNT(c->jobs), HASH_COUNT(c->machines), HASH_COUNT(c->rentals));
 }
@@ -533,11 +544,15 @@
 			ws_load_attempts(c, id, kv->value);
 		else if (strlen(kv->key) < WS_NAME_MAX) /* its job is over */
 			ws_bury(&c->strays, kv->key, 1e18);
+	} else {
+		ws_subsystems_record(c, kv);
 	}
 }
 
 static void ws_load_page(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
 {
+	const char *prefix;
+
 	if (call->generation != c->generation || c->role != WS_LOADING)
 		return;
 	if (r->status != 200) {
@@ -558,8 +573,9 @@
 		ws_load_from(c, call->key, r->kvs[r->nkvs - 1].key);
 		return;
 	}
-	if (ws_load_order[++c->loading])
-		ws_load_from(c, ws_load_order[c->loading], "");
+	prefix = ws_load_prefix(c, ++c->loading);
+	if (prefix)
+		ws_load_from(c, prefix, "");
 	else
 		ws_loaded(c);
 }
@@ -714,6 +730,8 @@
 	} else if (!strcmp(call->key, "owned")) {
 		c->owned_known = r->status == 200;
 		c->owned_writing = false;
+	} else {
+		ws_subsystems_reread(c, call->key, stamp);
 	}
 }
 
@@ -775,6 +793,8 @@
 		       c->owned_upto[0] ? c->owned_upto : "none");
 	} else if (!strcmp(op->key, "types")) {
 		c->types_saved = true;
+	} else {
+		ws_subsystems_written(c, op, rev);
 	}
 }
 
@@ -811,7 +831,7 @@
 	} else if (!strcmp(op->key, "owned")) {
 		if (!reread)
 			c->owned_writing = false;
-	} else {
+	} else if (!ws_subsystems_undone(c, op, reread)) {
 		return;
 	}
 	if (reread) {
@@ -1073,7 +1093,7 @@
 	}
 	/* room is left below the transaction's 64 KiB */
 	DL_FOREACH_SAFE2 (c->dirty_rentals, r, rn, dnext) {
-		if (t->nops == max || bytes > 32768)
+		if (t->nops == max || bytes > WS_TRANSACTION_BYTES)
 			break;
 		if (r->writing)
 			continue;
@@ -1093,14 +1113,16 @@
 		bytes += 512 + r->nhosts * 64;
 		ws_put(t, "rental/", r->booking, r->stamp, v);
 	}
+	ws_subsystems_flush(c, t, max, &bytes, true);
 	for (int rank = 2; rank >= 0; rank--)
 		DL_FOREACH_SAFE2 (c->dirty_jobs, j, jn, dnext) {
-			if (t->nops + 2 > max || bytes > 32768)
+			if (t->nops + 2 > max || bytes > WS_TRANSACTION_BYTES)
 				break;
 			if (ws_job_rank(c, j) == rank && ws_job_due(c, j))
 				ws_flush_job(c, t, j, &bytes);
 		}
-	for (int i = 0; i < c->nchunks && t->nops < max && bytes < 32768 && c->now >= c->chunk_next;
+	for (int i = 0; i < c->nchunks && t->nops < max && bytes < WS_TRANSACTION_BYTES &&
+			c->now >= c->chunk_next;
 	     i++) {
 		struct ws_chunk *k = &c->chunks[i];
 		char name[16];
@@ -1116,6 +1138,7 @@
 		ws_put(t, "fleet/", name, k->stamp, ws_record_chunk(c, i));
 		break; /* one at a time: what users wait for goes before */
 	}
+	ws_subsystems_flush(c, t, max, &bytes, false);
 	if (!t->nops) {
 		c->flush_idle++;
 		ws_call_free(t);
--- /dev/null
+++ b/src/core/subsystems.c
@@ -0,0 +1,504 @@
+/*
+ * Dispatch of hooks to the attached subsystems, their requests, and their records.
+ *
+ * A subsystem's records are written in the leader's own transactions: under the leader key's
+ * revision and under the revision at which each record was last read or written. A record that
+ * somebody else changed is read again and then written over, since only the leader owns it.
+ */
+#include "internal.h"
+
+enum ws_request_kind {
+	WS_REQUEST_WRITE,
+	WS_REQUEST_DELETE,
+	WS_REQUEST_READ,
+	WS_REQUEST_SURVEY,
+	WS_REQUEST_MOVE,
+};
+
+struct ws_request {
+	enum ws_request_kind kind;
+	char name[WS_KEY_MAX]; /* of a record or a job, or a prefix of names */
+	json_t *value;
+	bool urgent;
+	struct ws_move move; /* its job is `name` */
+	struct ws_request *next;
+};
+
+struct ws_request_queue {
+	struct ws_request *head, **tail;
+};
+
+/* ---- requests ---- */
+
+static struct ws_request *ws_request_add(struct ws_request_queue *queue, enum ws_request_kind kind,
+					 const char *name)
+{
+	struct ws_request *request = calloc(1, sizeof(*request));
+
+	if (!request)
+		abort();
+	request->kind = kind;
+	snprintf(request->name, sizeof(request->name), "%s", name);
+	*queue->tail = request;
+	queue->tail = &request->next;
+	return request;
+}
+
+void ws_request_write(struct ws_request_queue *queue, const char *name, json_t *value, bool urgent)
+{
+	struct ws_request *request = ws_request_add(queue, WS_REQUEST_WRITE, name);
+
+	request->value = value;
+	request->urgent = urgent;
+}
+
+void ws_request_delete(struct ws_request_queue *queue, const char *name)
+{
+	ws_request_add(queue, WS_REQUEST_DELETE, name);
+}
+
+void ws_request_read(struct ws_request_queue *queue, const char *name_prefix)
+{
+	ws_request_add(queue, WS_REQUEST_READ, name_prefix);
+}
+
+void ws_request_survey(struct ws_request_queue *queue)
+{
+	ws_request_add(queue, WS_REQUEST_SURVEY, "");
+}
+
+void ws_request_move(struct ws_request_queue *queue, const struct ws_move *move)
+{
+	ws_request_add(queue, WS_REQUEST_MOVE, move->job)->move = *move;
+}
+
+/* ---- attaching ---- */
+
+bool ws_core_attach(struct ws_core *core, const struct ws_subsystem_ops *ops, void *self)
+{
+	struct ws_subsystems *all = &core->subsystems;
+
+	if (all->count == WS_SUBSYSTEMS_MAX)
+		return false;
+	all->list[all->count].ops = ops;
+	all->list[all->count].self = self;
+	all->count++;
+	return true;
+}
+
+bool ws_subsystems_active(const struct ws_core *c)
+{
+	return c->subsystems.count > 0;
+}
+
+const char *ws_subsystems_prefix(const struct ws_core *c, size_t i)
+{
+	return i < c->subsystems.count ? c->subsystems.list[i].ops->prefix : NULL;
+}
+
+/* The subsystem whose record a key names; NULL: none. */
+static struct ws_subsystem *ws_subsystem_of(struct ws_core *c, const char *key)
+{
+	for (size_t i = 0; i < c->subsystems.count; i++) {
+		const char *prefix = c->subsystems.list[i].ops->prefix;
+
+		if (!strncmp(key, prefix, strlen(prefix)))
+			return &c->subsystems.list[i];
+	}
+	return NULL;
+}
+
+/* ---- records ---- */
+
+static struct ws_subsystem_record *ws_subsystem_record_find(struct ws_core *c, const char *key)
+{
+	struct ws_subsystem_record *record;
+
+	HASH_FIND_STR(c->subsystems.records, key, record);
+	return record;
+}
+
+static struct ws_subsystem_record *ws_subsystem_record_get(struct ws_core *c, const char *key)
+{
+	struct ws_subsystem_record *record = ws_subsystem_record_find(c, key);
+
+	if (record)
+		return record;
+	record = calloc(1, sizeof(*record));
+	if (!record)
+		abort();
+	snprintf(record->key, sizeof(record->key), "%s", key);
+	HASH_ADD_STR(c->subsystems.records, key, record);
+	return record;
+}
+
+static void ws_subsystem_record_free(struct ws_core *c, struct ws_subsystem_record *record)
+{
+	c->subsystems.dirty_records -= record->dirty;
+	HASH_DEL(c->subsystems.records, record);
+	json_decref(record->value);
+	free(record);
+}
+
+static void ws_subsystem_record_dirty(struct ws_core *c, struct ws_subsystem_record *record)
+{
+	c->subsystems.dirty_records += !record->dirty;
+	record->dirty = true;
+	c->flush_wanted = true;
+}
+
+/* What is to be on record under a key from now on; NULL: nothing. */
+static void ws_subsystem_record_set(struct ws_core *c, const char *key, json_t *value, bool urgent)
+{
+	struct ws_subsystem_record *record = ws_subsystem_record_get(c, key);
+
+	json_decref(record->value);
+	record->value = value;
+	record->urgent = urgent;
+	ws_subsystem_record_dirty(c, record);
+}
+
+bool ws_subsystems_record(struct ws_core *c, const struct ws_kv *kv)
+{
+	struct ws_subsystem *subsystem = ws_subsystem_of(c, kv->key);
+
+	if (!subsystem)
+		return false;
+	ws_subsystem_record_get(c, kv->key)->revision = kv->stamp;
+	if (subsystem->ops->record_loaded)
+		subsystem->ops->record_loaded(subsystem->self,
+					      kv->key + strlen(subsystem->ops->prefix), kv->value);
+	return true;
+}
+
+/* One record as a change of a transaction, under the revision that we know of it. */
+static void ws_subsystem_record_put(struct ws_core *c, struct ws_call *transaction,
+				    struct ws_subsystem_record *record)
+{
+	struct ws_cond *condition = &transaction->conds[transaction->nconds++];
+	struct ws_op *change = &transaction->ops[transaction->nops++];
+
+	snprintf(condition->key, sizeof(condition->key), "%s", record->key);
+	condition->stamp = record->revision;
+	snprintf(change->key, sizeof(change->key), "%s", record->key);
+	change->value = json_incref(record->value);
+	record->dirty = false;
+	record->writing = true;
+	c->subsystems.dirty_records--;
+}
+
+void ws_subsystems_flush(struct ws_core *c, struct ws_call *transaction, size_t most, size_t *bytes,
+			 bool urgent)
+{
+	struct ws_subsystem_record *record, *next;
+
+	if (!c->subsystems.dirty_records)
+		return;
+	HASH_ITER (hh, c->subsystems.records, record, next) {
+		size_t size;
+
+		if (transaction->nops >= most || *bytes > WS_TRANSACTION_BYTES)
+			return;
+		if (!record->dirty || record->writing || record->urgent != urgent)
+			continue;
+		if (!record->value && !record->revision) { /* never written */
+			ws_subsystem_record_free(c, record);
+			continue;
+		}
+		size = record->value ? ws_record_size(record->value) : 0;
+		if ((double)size >= c->value_most) {
+			ws_log(c, WS_LOG_ERROR, "%s has %zu bytes, too many for a value: left out",
+			       record->key, size);
+			record->dirty = false;
+			c->subsystems.dirty_records--;
+			continue;
+		}
+		*bytes += size + WS_KEY_MAX;
+		ws_subsystem_record_put(c, transaction, record);
+	}
+}
+
+bool ws_subsystems_written(struct ws_core *c, const struct ws_op *op, uint64_t revision)
+{
+	struct ws_subsystem_record *record = ws_subsystem_record_find(c, op->key);
+
+	if (!record)
+		return false;
+	record->writing = false;
+	record->revision = op->value ? revision : 0;
+	if (!op->value && !record->dirty)
+		ws_subsystem_record_free(c, record);
+	return true;
+}
+
+bool ws_subsystems_undone(struct ws_core *c, const struct ws_op *op, bool reread)
+{
+	struct ws_subsystem_record *record = ws_subsystem_record_find(c, op->key);
+
+	if (!record)
+		return false;
+	if (!reread) {
+		record->writing = false;
+		ws_subsystem_record_dirty(c, record);
+	}
+	return true;
+}
+
+bool ws_subsystems_reread(struct ws_core *c, const char *key, uint64_t revision)
+{
+	struct ws_subsystem_record *record = ws_subsystem_record_find(c, key);
+
+	if (!record)
+		return false;
+	record->revision = revision;
+	record->writing = false;
+	ws_subsystem_record_dirty(c, record);
+	return true;
+}
+
+/* ---- leadership ---- */
+
+/* Calls one hook of every subsystem that has it. */
+#define WS_EACH_HOOK(c, hook, ...)                                                                 \
+	for (size_t i_ = 0; i_ < (c)->subsystems.count; i_++)                                      \
+		if ((c)->subsystems.list[i_].ops->hook)                                            \
+	(c)->subsystems.list[i_].ops->hook((c)->subsystems.list[i_].self, ##__VA_ARGS__)
+
+void ws_subsystems_elected(struct ws_core *c)
+{
+	WS_EACH_HOOK(c, elected, c->now);
+}
+
+void ws_subsystems_loaded(struct ws_core *c)
+{
+	struct ws_machine *m, *next;
+
+	if (!ws_subsystems_active(c))
+		return;
+	HASH_ITER (hh, c->machines, m, next)
+		if (m->tenure)
+			ws_subsystems_machine(c, m);
+	WS_EACH_HOOK(c, records_loaded, c->now);
+}
+
+void ws_subsystems_step_down(struct ws_core *c)
+{
+	struct ws_subsystem_record *record, *next;
+
+	WS_EACH_HOOK(c, stepped_down);
+	HASH_ITER (hh, c->subsystems.records, record, next)
+		ws_subsystem_record_free(c, record);
+	c->subsystems.tick_next = 0;
+	c->subsystems.zones_avoided = 0;
+	c->subsystems.moves = false;
+}
+
+void ws_subsystems_free(struct ws_core *c)
+{
+	WS_EACH_HOOK(c, destroy);
+	c->subsystems.count = 0;
+}
+
+/* ---- machines ---- */
+
+void ws_subsystems_machine(struct ws_core *c, struct ws_machine *m)
+{
+	const struct ws_machine_facts facts = {
+	    .name = m->name, .address = m->host, .zone = m->zone, .expected = !m->reported};
+
+	for (size_t i = 0; i < c->subsystems.count; i++) {
+		const struct ws_subsystem *subsystem = &c->subsystems.list[i];
+
+		if (m->handles[i] && subsystem->ops->machine_changed)
+			subsystem->ops->machine_changed(subsystem->self, m->handles[i], &facts);
+		else if (!m->handles[i] && subsystem->ops->machine_added)
+			m->handles[i] =
+			    subsystem->ops->machine_added(subsystem->self, c->now, &facts);
+	}
+}
+
+/* Calls one hook about a machine, of every subsystem that keeps a handle of it. */
+#define WS_EACH_MACHINE_HOOK(c, m, hook, ...)                                                      \
+	for (size_t i_ = 0; i_ < (c)->subsystems.count; i_++)                                      \
+		if ((m)->handles[i_] && (c)->subsystems.list[i_].ops->hook)                        \
+	(c)->subsystems.list[i_].ops->hook((c)->subsystems.list[i_].self, __VA_ARGS__)
+
+void ws_subsystems_machine_removed(struct ws_core *c, struct ws_machine *m)
+{
+	WS_EACH_MACHINE_HOOK(c, m, machine_removed, m->handles[i_]);
+	memset(m->handles, 0, sizeof(m->handles));
+}
+
+void ws_subsystems_heartbeat(struct ws_core *c, struct ws_machine *m)
+{
+	WS_EACH_MACHINE_HOOK(c, m, heartbeat_seen, c->now, m->handles[i_]);
+}
+
+void ws_subsystems_answered(struct ws_core *c, struct ws_machine *m, bool answered)
+{
+	WS_EACH_MACHINE_HOOK(c, m, command_answered, m->handles[i_], answered);
+}
+
+void ws_subsystems_lost(struct ws_core *c, struct ws_machine *m, enum ws_machine_loss loss)
+{
+	WS_EACH_MACHINE_HOOK(c, m, machine_lost, c->now, m->handles[i_], loss);
+}
+
+/* ---- placement ---- */
+
+bool ws_subsystems_avoided(struct ws_core *c, const struct ws_machine *m)
+{
+	for (size_t i = 0; i < c->subsystems.count; i++) {
+		const struct ws_subsystem *subsystem = &c->subsystems.list[i];
+
+		if (m->handles[i] && subsystem->ops->machine_avoided &&
+		    subsystem->ops->machine_avoided(subsystem->self, c->now, m->handles[i]))
+			return true;
+	}
+	return false;
+}
+
+void ws_subsystems_pass(struct ws_core *c)
+{
+	c->subsystems.zones_avoided = 0;
+	for (size_t i = 0; i < c->subsystems.count; i++) {
+		const struct ws_subsystem *subsystem = &c->subsystems.list[i];
+
+		for (int z = 0; subsystem->ops->zone_avoided && z < c->nzones; z++)
+			if (subsystem->ops->zone_avoided(subsystem->self, c->zones[z]))
+				c->subsystems.zones_avoided |= 1u << z;
+	}
+}
+
+/* ---- carrying out requests ---- */
+
+static void ws_survey_job(const struct ws_subsystem *subsystem, size_t i, const struct ws_job *j)
+{
+	const struct ws_spec *spec = &j->spec;
+	struct ws_job_facts facts = {
+	    .id = spec->id,
+	    .job_class = spec->job_class,
+	    .pinned_zone = spec->zone,
+	    .priority = (int)spec->tier,
+	    .guaranteed = j->guaranteed,
+	    .service = spec->service,
+	    .waiting = j->waiting,
+	    .latest_start = INFINITY,
+	};
+	const struct ws_slot *s;
+
+	if (spec->deadline_s >= 0)
+		facts.latest_start = j->submitted_wall + spec->deadline_s - spec->estimate_s;
+	DL_FOREACH2 (j->slots, s, jnext) {
+		const void *machine = s->machine->handles[i];
+
+		if (s->state == WS_SLOT_LEAVING || s->orphan)
+			continue;
+		if (machine && subsystem->ops->survey_includes(subsystem->self, machine))
+			facts.affected++;
+		else
+			facts.elsewhere++;
+	}
+	subsystem->ops->job_surveyed(subsystem->self, &facts);
+}
+
+static void ws_survey(struct ws_core *c, size_t i)
+{
+	const struct ws_subsystem *subsystem = &c->subsystems.list[i];
+	struct ws_job *j, *next;
+
+	HASH_ITER (hh, c->jobs, j, next)
+		if (!ws_job_over(j))
+			ws_survey_job(subsystem, i, j);
+	subsystem->ops->survey_done(subsystem->self, c->now);
+}
+
+static void ws_subsystem_read(struct ws_core *c, const char *prefix, const char *after);
+
+/* One page of the records that a subsystem asked for. */
+static void ws_subsystem_page(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
+	struct ws_subsystem *subsystem = ws_subsystem_of(c, call->key);
+
+	if (call->generation != c->generation || c->role != WS_LEADER || !subsystem ||
+	    r->status != 200)
+		return;
+	for (size_t i = 0; i < r->nkvs; i++)
+		ws_subsystems_record(c, &r->kvs[i]);
+	if (r->more && r->nkvs)
+		ws_subsystem_read(c, call->key, r->kvs[r->nkvs - 1].key);
+	else if (subsystem->ops->records_read)
+		subsystem->ops->records_read(subsystem->self,
+					     call->key + strlen(subsystem->ops->prefix));
+}
+
+static void ws_subsystem_read(struct ws_core *c, const char *prefix, const char *after)
+{
+	struct ws_call *call = ws_call(c, WS_CALL_LIST, ws_subsystem_page);
+
+	snprintf(call->key, sizeof(call->key), "%s", prefix);
+	snprintf(call->after, sizeof(call->after), "%s", after);
+}
+
+static void ws_subsystem_move(struct ws_core *c, const struct ws_request *request)
+{
+	struct ws_job *j = ws_job_find(c, request->name);
+
+	if (!j)
+		return;
+	j->move_position = request->move.position;
+	j->room_ahead = request->move.room_ahead;
+	j->first_replica = request->move.first_replica;
+	c->subsystems.moves = true;
+	c->place_wanted = true;
+}
+
+static void ws_request_carry_out(struct ws_core *c, size_t i, struct ws_request *request)
+{
+	char key[2 * WS_KEY_MAX];
+
+	snprintf(key, sizeof(key), "%s%s", c->subsystems.list[i].ops->prefix, request->name);
+	if (request->kind != WS_REQUEST_MOVE && strlen(key) >= WS_KEY_MAX) {
+		ws_log(c, WS_LOG_ERROR, "the key %s is too long: left out", key);
+		json_decref(request->value);
+		return;
+	}
+	switch (request->kind) {
+	case WS_REQUEST_WRITE:
+		ws_subsystem_record_set(c, key, request->value, request->urgent);
+		break;
+	case WS_REQUEST_DELETE: ws_subsystem_record_set(c, key, NULL, false); break;
+	case WS_REQUEST_READ: ws_subsystem_read(c, key, ""); break;
+	case WS_REQUEST_SURVEY: ws_survey(c, i); break;
+	case WS_REQUEST_MOVE: ws_subsystem_move(c, request); break;
+	}
+}
+
+void ws_subsystems_tick(struct ws_core *c)
+{
+	const struct ws_tick_facts facts = {
+	    .now = c->now,
+	    .elected_at = c->elected_at,
+	    .resumed_at = fmax(c->woke_at, c->served_at),
+	    .serving = ws_entitled(c) && !c->in_outage,
+	};
+
+	if (!ws_subsystems_active(c) || c->now < c->subsystems.tick_next)
+		return;
+	c->subsystems.tick_next = c->now + ws_sweep_every(c);
+	for (size_t i = 0; i < c->subsystems.count; i++) {
+		const struct ws_subsystem *subsystem = &c->subsystems.list[i];
+		struct ws_request_queue queue = {.tail = &queue.head};
+
+		if (!subsystem->ops->tick)
+			continue;
+		subsystem->ops->tick(subsystem->self, &facts, &queue);
+		while (queue.head) {
+			struct ws_request *request = queue.head;
+
+			queue.head = request->next;
+			ws_request_carry_out(c, i, request);
+			free(request);
+		}
+	}
+}
--- /dev/null
+++ b/src/core/subsystems.h
@@ -0,0 +1,63 @@
+/* The core's side of the border to subsystems (hooks.h): dispatch, requests, records. */
+#ifndef WS_SUBSYSTEMS_H
+#define WS_SUBSYSTEMS_H
+#include "core.h"
+#include "hooks.h"
+
+struct ws_machine;
+struct ws_job;
+
+/* A record of a subsystem, as this leader last wrote or read it. */
+struct ws_subsystem_record {
+	char key[WS_KEY_MAX];
+	json_t *value; /* to be written; NULL: to be deleted */
+	uint64_t revision;
+	bool dirty, writing, urgent;
+	UT_hash_handle hh;
+};
+
+struct ws_subsystem {
+	const struct ws_subsystem_ops *ops;
+	void *self;
+};
+
+struct ws_subsystems {
+	struct ws_subsystem list[WS_SUBSYSTEMS_MAX];
+	size_t count;
+	struct ws_subsystem_record *records;
+	size_t dirty_records;
+	double tick_next;
+	uint32_t zones_avoided; /* for rentals: a bit each; of the pass under way */
+	bool moves;		/* some job has a move */
+};
+
+bool ws_subsystems_active(const struct ws_core *c);
+void ws_subsystems_free(struct ws_core *c);
+void ws_subsystems_elected(struct ws_core *c);
+void ws_subsystems_loaded(struct ws_core *c);
+void ws_subsystems_step_down(struct ws_core *c);
+void ws_subsystems_tick(struct ws_core *c);
+
+/* Prefix of the i-th subsystem's records; NULL behind the last. */
+const char *ws_subsystems_prefix(const struct ws_core *c, size_t i);
+/* A record read at the election; false if no subsystem owns the key. */
+bool ws_subsystems_record(struct ws_core *c, const struct ws_kv *kv);
+
+void ws_subsystems_machine(struct ws_core *c, struct ws_machine *m);
+void ws_subsystems_machine_removed(struct ws_core *c, struct ws_machine *m);
+void ws_subsystems_heartbeat(struct ws_core *c, struct ws_machine *m);
+void ws_subsystems_answered(struct ws_core *c, struct ws_machine *m, bool answered);
+void ws_subsystems_lost(struct ws_core *c, struct ws_machine *m, enum ws_machine_loss loss);
+
+/* Asks the filters what this placement pass must avoid. */
+void ws_subsystems_pass(struct ws_core *c);
+bool ws_subsystems_avoided(struct ws_core *c, const struct ws_machine *m);
+
+/* Adds records that are due to a transaction of the leader with room for so many changes. */
+void ws_subsystems_flush(struct ws_core *c, struct ws_call *transaction, size_t most, size_t *bytes,
+			 bool urgent);
+bool ws_subsystems_written(struct ws_core *c, const struct ws_op *op, uint64_t revision);
+/* A write that did not happen; true if the key is a subsystem's. */
+bool ws_subsystems_undone(struct ws_core *c, const struct ws_op *op, bool reread);
+bool ws_subsystems_reread(struct ws_core *c, const char *key, uint64_t revision);
+#endif
