--- a/src/core/hooks.h
+++ b/src/core/hooks.h
@@ -78,8 +78,9 @@
 	void (*elected)(void *self, double now);
 	void (*record_loaded)(void *self, const char *name, json_t *value);
 	void (*records_loaded)(void *self, double now);
+	/* After machine_removed() for each machine. */
 	void (*stepped_down)(void *self);
-	/* Answer to WS_REQUEST_READ: record_loaded() for each record, then this. */
+	/* Answer to a read: record_loaded() for each record, then this. */
 	void (*records_read)(void *self, const char *name_prefix);
 
 	/* Machines. The handle that machine_added() returns is passed back in the other hooks. */
@@ -94,10 +95,13 @@
 	/* Placement filter: machines to be used only by work that has found no other room. */
 	bool (*machine_avoided)(void *self, double now, const void *machine);
 	/* The same for rentals: no machine is rented in this zone. */
-	bool (*zone_avoided)(void *self, const char *zone);
+	bool (*zone_avoided)(void *self, double now, const char *zone);
 
-	/* Answer to WS_REQUEST_SURVEY: whose attempts count as affected, then each live job. */
-	bool (*survey_includes)(void *self, const void *machine);
+	/*
+	 * Answer to a survey: whether an attempt on this machine is affected, for each attempt that
+	 * may be alive; then each live job.
+	 */
+	bool (*attempt_surveyed)(void *self, void *machine);
 	void (*job_surveyed)(void *self, const struct ws_job_facts *facts);
 	void (*survey_done)(void *self, double now);
 
@@ -124,7 +128,7 @@
 	const char *job;
 	uint32_t position;   /* from 1, before other jobs of the same rank; 0: its ordinary turn */
 	uint32_t room_ahead; /* tasks to find room for before they may be placed */
-	bool first_replica;  /* one task goes before the rest of them */
+	bool replicas_apart; /* of a service: a first replica goes now, others after the rank */
 };
 void ws_request_move(struct ws_request_queue *queue, const struct ws_move *move);
 #endif
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -82,9 +82,11 @@
 	uint32_t pieces;	    /* records beside its own that name attempts: see record.c */
 	uint32_t move_position;	    /* asked for by a subsystem, see struct ws_move */
 	uint32_t room_ahead;
-	bool first_replica;
-	uint32_t place_most; /* tasks to be placed in this round of a pass; 0: all */
-	bool takes_avoided;  /* no other room was found for it: avoided machines are used */
+	bool replicas_apart;
+	bool place_later;	/* the rest of its replicas come in the second round */
+	uint32_t room_reserved; /* of the room ahead, in the pass under way */
+	uint32_t place_most;	/* tasks to be placed in this round of a pass; 0: all */
+	bool takes_avoided;	/* no other room was found for it: avoided machines are used */
 	struct ws_job *dprev, *dnext;
 	UT_hash_handle hh;
 };
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -349,10 +349,10 @@
 	if (c->steps > p->steps_end || ws_rank(j) <= p->lowest ||
 	    !(j->guaranteed || j->prompt || j->spec.tier == WS_PRODUCTION))
 		return 0;
-	if (p->vain && ws_rank(j) <= p->vain_rank && j->spec.cpus >= p->vain_cpus &&
-	    j->spec.gpus >= p->vain_gpus && j->spec.mem >= p->vain_mem &&
-	    (!j->spec.spot || p->vain_spot) && !(j->fits & ~p->vain_types) &&
-	    !(zones & ~p->vain_zones))
+	if (p->vain && !j->takes_avoided && ws_rank(j) <= p->vain_rank &&
+	    j->spec.cpus >= p->vain_cpus && j->spec.gpus >= p->vain_gpus &&
+	    j->spec.mem >= p->vain_mem && (!j->spec.spot || p->vain_spot) &&
+	    !(j->fits & ~p->vain_types) && !(zones & ~p->vain_zones))
 		return 0;
 	/* the cheapest of some, looked for from another machine on each time */
 	for (size_t k = 0, from = p->n > WS_VICTIMS ? c->pass : 0;
@@ -937,27 +937,6 @@
 	return c->pass_memory;
 }
 
-/*
- * Places what waits, in order. Of a service with a move only the first replica is placed at first;
- * its others come after all else of the same rank.
- */
-static void ws_place_jobs(struct ws_pass *p, struct ws_job **jobs, size_t n)
-{
-	for (size_t from = 0, to; from < n; from = to) {
-		for (to = from; to < n && ws_turn(jobs[to]) == ws_turn(jobs[from]); to++) {
-			jobs[to]->waiting_before = jobs[to]->waiting;
-			jobs[to]->place_most = jobs[to]->first_replica;
-			ws_place_job(p, jobs[to]);
-		}
-		for (size_t i = from; i < to; i++) {
-			if (!jobs[i]->place_most)
-				continue;
-			jobs[i]->place_most = 0;
-			ws_place_job(p, jobs[i]);
-		}
-	}
-}
-
 /* The zones that a job's attempts may move to, as if those in avoided zones were gone. */
 static uint32_t ws_zones_ahead(const struct ws_core *c, const struct ws_job *j)
 {
@@ -981,13 +960,12 @@
 }
 
 /*
- * Room for attempts that will surely end on machines that went silent together: what stays free
- * elsewhere after this pass, and rentals for the rest. Nothing is placed and nothing is stopped.
+ * Keeps room for tasks whose attempts will surely end on machines that went silent together, out of
+ * what stays free elsewhere; how many found none. Nothing is placed and nothing is stopped.
  */
-static void ws_room_ahead(struct ws_pass *p, struct ws_job *j)
+static uint32_t ws_room_reserve(struct ws_pass *p, struct ws_job *j, uint32_t zones, uint32_t want)
 {
 	struct ws_core *c = p->c;
-	uint32_t zones = ws_zones_ahead(c, j), want = j->room_ahead;
 
 	for (size_t i = 0; i < p->n && want && zones; i++) {
 		struct ws_machine *m = p->ms[i];
@@ -1003,8 +981,88 @@
 		while (fit--)
 			ws_virt_take(j, m);
 	}
+	return want;
+}
+
+/* Whether a replica may be alive on a machine that is not silent. */
+static bool ws_has_replica(const struct ws_core *c, const struct ws_job *j)
+{
+	const struct ws_slot *s;
+
+	DL_FOREACH2 (j->slots, s, jnext)
+		if (s->state != WS_SLOT_LEAVING && !s->stop && !ws_overdue(c, s->machine->heard))
+			return true;
+	return false;
+}
+
+/* Services whose replicas may all be alive still, on silent machines: room for one of each. */
+static void ws_first_replicas_ahead(struct ws_pass *p)
+{
+	struct ws_core *c = p->c;
+	struct ws_job *j, *next;
+
+	HASH_ITER (hh, c->jobs, j, next)
+		if (j->replicas_apart && j->room_ahead && !j->waiting && j->team &&
+		    !ws_job_over(j) && !ws_has_replica(c, j))
+			j->room_reserved = 1 - ws_room_reserve(p, j, ws_zones_ahead(c, j), 1);
+}
+
+/*
+ * Places what waits, in order. Of a service with its replicas apart the first is placed in its
+ * turn, the others after all else of the same rank.
+ */
+static void ws_place_jobs(struct ws_pass *p, struct ws_job **jobs, size_t n)
+{
+	bool reserved = false;
+
+	for (size_t from = 0, to; from < n; from = to) {
+		for (to = from; to < n && ws_turn(jobs[to]) == ws_turn(jobs[from]); to++) {
+			struct ws_job *j = jobs[to];
+
+			j->waiting_before = j->waiting;
+			j->place_later = j->replicas_apart;
+			j->place_most = j->replicas_apart;
+			if (!j->replicas_apart || !ws_has_replica(p->c, j))
+				ws_place_job(p, j);
+			j->place_most = 0;
+		}
+		for (size_t i = from; i < to; i++) {
+			if (!jobs[i]->place_later || !jobs[i]->waiting)
+				continue;
+			if (!reserved)
+				ws_first_replicas_ahead(p);
+			reserved = true;
+			ws_place_job(p, jobs[i]);
+		}
+	}
+}
+
+/*
+ * Attempts of a job on silent machines. A subsystem's figure may be a survey old: meanwhile some
+ * may be gone, and wait as tasks already, or be heard again.
+ */
+static uint32_t ws_silent_attempts(const struct ws_core *c, const struct ws_job *j)
+{
+	const struct ws_slot *s;
+	uint32_t n = 0;
+
+	DL_FOREACH2 (j->slots, s, jnext)
+		n += s->state != WS_SLOT_LEAVING && !s->stop && ws_overdue(c, s->machine->heard);
+	return n;
+}
+
+/* Room ahead, and rentals for what has none. */
+static void ws_room_ahead(struct ws_pass *p, struct ws_job *j)
+{
+	uint32_t zones = ws_zones_ahead(p->c, j);
+	uint32_t want = ws_silent_attempts(p->c, j);
+
+	if (want > j->room_ahead)
+		want = j->room_ahead;
+	want = ws_room_reserve(p, j, zones, want > j->room_reserved ? want - j->room_reserved : 0);
+	j->room_reserved = 0;
 	if (want && zones)
-		ws_rentals_want(c, j, want, zones);
+		ws_rentals_want(p->c, j, want, zones);
 }
 
 static void ws_place_ahead(struct ws_pass *p, struct ws_job **jobs)
--- a/src/core/subsystems.c
+++ b/src/core/subsystems.c
@@ -284,7 +284,12 @@
 void ws_subsystems_step_down(struct ws_core *c)
 {
 	struct ws_subsystem_record *record, *next;
+	struct ws_machine *m, *next_machine;
 
+	if (!ws_subsystems_active(c))
+		return;
+	HASH_ITER (hh, c->machines, m, next_machine)
+		ws_subsystems_machine_removed(c, m);
 	WS_EACH_HOOK(c, stepped_down);
 	HASH_ITER (hh, c->subsystems.records, record, next)
 		ws_subsystem_record_free(c, record);
@@ -365,7 +370,7 @@
 		const struct ws_subsystem *subsystem = &c->subsystems.list[i];
 
 		for (int z = 0; subsystem->ops->zone_avoided && z < c->nzones; z++)
-			if (subsystem->ops->zone_avoided(subsystem->self, c->zones[z]))
+			if (subsystem->ops->zone_avoided(subsystem->self, c->now, c->zones[z]))
 				c->subsystems.zones_avoided |= 1u << z;
 	}
 }
@@ -390,11 +395,11 @@
 	if (spec->deadline_s >= 0)
 		facts.latest_start = j->submitted_wall + spec->deadline_s - spec->estimate_s;
 	DL_FOREACH2 (j->slots, s, jnext) {
-		const void *machine = s->machine->handles[i];
+		void *machine = s->machine->handles[i];
 
 		if (s->state == WS_SLOT_LEAVING || s->orphan)
 			continue;
-		if (machine && subsystem->ops->survey_includes(subsystem->self, machine))
+		if (machine && subsystem->ops->attempt_surveyed(subsystem->self, machine))
 			facts.affected++;
 		else
 			facts.elsewhere++;
@@ -448,7 +453,7 @@
 		return;
 	j->move_position = request->move.position;
 	j->room_ahead = request->move.room_ahead;
-	j->first_replica = request->move.first_replica;
+	j->replicas_apart = request->move.replicas_apart;
 	c->subsystems.moves = true;
 	c->place_wanted = true;
 }
--- /dev/null
+++ b/src/zones/domains.c
@@ -0,0 +1,254 @@
+/*
+ * Which domains a machine belongs to: its zone, and the declared domain whose network holds its
+ * address with the longest prefix. Networks are kept by prefix, so that one look-up for each prefix
+ * length in use finds the longest, however many there are; it is made when a machine's address or
+ * zone changes, not at its heartbeats.
+ */
+#include "internal.h"
+#include <libcidr.h>
+
+#define IPV4_BITS 32
+#define IPV6_BITS 128
+#define IPV4_OFFSET 12 /* of an IPv4 address within libcidr's 16 bytes */
+
+struct ws_zones_domain *ws_zones_domain_find(struct ws_zones *zones, const char *name)
+{
+	struct ws_zones_domain *domain;
+
+	HASH_FIND_STR(zones->domains, name, domain);
+	return domain;
+}
+
+/* Shortens a prefix, clearing the bits behind its new length. */
+static void prefix_cut(struct ws_zones_prefix *prefix, int length)
+{
+	int start = prefix->version == 4 ? IPV4_OFFSET : 0;
+
+	prefix->length = (uint8_t)length;
+	for (int i = start; i < 16; i++) {
+		int kept = length - 8 * (i - start);
+
+		if (kept <= 0)
+			prefix->bytes[i] = 0;
+		else if (kept < 8)
+			prefix->bytes[i] &= (uint8_t)(0xff << (8 - kept));
+	}
+}
+
+/* An address or network in text; an IPv4 address within IPv6 is taken as IPv4. */
+static bool prefix_read(const char *text, struct ws_zones_prefix *prefix)
+{
+	CIDR *cidr = cidr_from_str(text);
+	uint8_t *bytes;
+	bool mapped;
+	int length;
+
+	if (!cidr)
+		return false;
+	mapped = cidr_get_proto(cidr) == CIDR_IPV6 && cidr_is_v4mapped(cidr) == 0;
+	length = cidr_get_pflen(cidr);
+	bytes = cidr_get_addr(cidr);
+	memset(prefix, 0, sizeof(*prefix));
+	prefix->version = mapped || cidr_get_proto(cidr) == CIDR_IPV4 ? 4 : 6;
+	cidr_free(cidr);
+	if (!bytes || length < 0) {
+		free(bytes);
+		return false;
+	}
+	if (prefix->version == 4)
+		memcpy(prefix->bytes + IPV4_OFFSET, bytes + IPV4_OFFSET, 4);
+	else
+		memcpy(prefix->bytes, bytes, 16);
+	free(bytes);
+	if (mapped)
+		length -= IPV6_BITS - IPV4_BITS;
+	if (length < 0)
+		return false;
+	prefix->length = (uint8_t)length;
+	return true;
+}
+
+static struct ws_zones_network *network_find(const struct ws_zones_networks *networks,
+					     const struct ws_zones_prefix *prefix)
+{
+	struct ws_zones_network *network;
+
+	HASH_FIND(hh, networks->table, prefix, sizeof(*prefix), network);
+	return network;
+}
+
+/* The declared domain of an address; false if the address can't be read. */
+static bool network_lookup(const struct ws_zones_networks *networks, const char *address,
+			   struct ws_zones_domain **domain)
+{
+	struct ws_zones_prefix prefix;
+	int bits;
+
+	*domain = NULL;
+	if (!prefix_read(address, &prefix))
+		return false;
+	bits = prefix.version == 4 ? IPV4_BITS : IPV6_BITS;
+	if (prefix.length != bits) /* a network where one machine's address should be */
+		return false;
+	for (int length = bits; length >= 0; length--) {
+		const struct ws_zones_network *network;
+
+		if (!networks->used[prefix.version == 6][length])
+			continue;
+		prefix_cut(&prefix, length);
+		network = network_find(networks, &prefix);
+		if (network) {
+			*domain = network->domain;
+			return true;
+		}
+	}
+	return true;
+}
+
+static enum ws_zones_error_code network_add(struct ws_zones *zones, struct ws_zones_domain *domain,
+					    const char *text)
+{
+	struct ws_zones_network *network;
+	struct ws_zones_prefix prefix, cut;
+
+	if (!prefix_read(text, &prefix))
+		return WS_ZONES_BAD_NETWORK;
+	cut = prefix;
+	prefix_cut(&cut, prefix.length);
+	if (memcmp(&cut, &prefix, sizeof(cut)) != 0)
+		return WS_ZONES_HOST_BITS;
+	if (network_find(&zones->networks, &prefix))
+		return WS_ZONES_NETWORK_TWICE;
+	network = calloc(1, sizeof(*network));
+	if (!network)
+		abort();
+	network->prefix = prefix;
+	network->domain = domain;
+	HASH_ADD(hh, zones->networks.table, prefix, sizeof(network->prefix), network);
+	zones->networks.used[prefix.version == 6][prefix.length] = true;
+	return WS_ZONES_OK;
+}
+
+static enum ws_zones_error_code domain_add(struct ws_zones *zones, const char *name, bool is_zone,
+					   struct ws_zones_domain **added)
+{
+	struct ws_zones_domain *domain;
+
+	/* names are part of keys, which hold no spaces */
+	if (!name[0] || strpbrk(name, " \t/") != NULL)
+		return WS_ZONES_BAD_NAME;
+	if (ws_zones_domain_find(zones, name))
+		return WS_ZONES_NAME_TWICE;
+	domain = calloc(1, sizeof(*domain));
+	if (!domain)
+		abort();
+	snprintf(domain->name, sizeof(domain->name), "%s", name);
+	domain->is_zone = is_zone;
+	HASH_ADD_STR(zones->domains, name, domain);
+	*added = domain;
+	return WS_ZONES_OK;
+}
+
+static bool declared_add(struct ws_zones *zones, const struct ws_zones_declared *declared,
+			 struct ws_zones_error *error)
+{
+	struct ws_zones_domain *domain;
+
+	snprintf(error->domain, sizeof(error->domain), "%s", declared->name);
+	error->code = domain_add(zones, declared->name, false, &domain);
+	for (size_t i = 0; error->code == WS_ZONES_OK && i < declared->network_count; i++) {
+		snprintf(error->network, sizeof(error->network), "%s", declared->networks[i]);
+		error->code = network_add(zones, domain, declared->networks[i]);
+	}
+	return error->code == WS_ZONES_OK;
+}
+
+bool ws_zones_domains_create(struct ws_zones *zones, struct ws_zones_error *error)
+{
+	struct ws_zones_domain *domain;
+
+	memset(error, 0, sizeof(*error));
+	for (size_t i = 0; i < zones->limits.zone_count; i++) /* a zone listed twice is one */
+		domain_add(zones, zones->limits.zones[i], true, &domain);
+	for (size_t i = 0; i < zones->settings.declared_count; i++)
+		if (!declared_add(zones, &zones->settings.declared[i], error))
+			return false;
+	return true;
+}
+
+void ws_zones_domains_free(struct ws_zones *zones)
+{
+	struct ws_zones_domain *domain, *next_domain;
+	struct ws_zones_network *network, *next_network;
+
+	HASH_ITER (hh, zones->networks.table, network, next_network) {
+		HASH_DEL(zones->networks.table, network);
+		free(network);
+	}
+	HASH_ITER (hh, zones->domains, domain, next_domain) {
+		HASH_DEL(zones->domains, domain);
+		free(domain);
+	}
+}
+
+/* Adds a machine to a domain, or takes it off, in the domain's counts. */
+static void domain_count(struct ws_zones_domain *domain, const struct ws_zones_machine *machine,
+			 int sign)
+{
+	size_t change = (size_t)(ssize_t)sign;
+
+	if (machine->presence == WS_ZONES_LIVE)
+		domain->live += change;
+	if (machine->presence == WS_ZONES_SILENT) {
+		domain->silent += change;
+		domain->unanswered += machine->unanswered ? change : 0;
+	}
+}
+
+static void member_add(struct ws_zones_machine *machine, size_t i, struct ws_zones_domain *domain)
+{
+	struct ws_zones_member *member = &machine->memberships[i];
+
+	if (!domain)
+		return;
+	member->domain = domain;
+	member->machine = machine;
+	DL_APPEND(domain->members, member);
+	domain_count(domain, machine, 1);
+}
+
+void ws_zones_leave(struct ws_zones_machine *machine)
+{
+	for (size_t i = 0; i < WS_ZONES_MEMBERSHIPS; i++) {
+		struct ws_zones_member *member = &machine->memberships[i];
+
+		if (!member->domain)
+			continue;
+		domain_count(member->domain, machine, -1);
+		DL_DELETE(member->domain->members, member);
+		member->domain = NULL;
+	}
+}
+
+void ws_zones_join(struct ws_zones *zones, struct ws_zones_machine *machine,
+		   const struct ws_machine_facts *facts)
+{
+	struct ws_zones_domain *declared = NULL, *zone = NULL;
+
+	if (facts->zone[0]) {
+		zone = ws_zones_domain_find(zones, facts->zone);
+		if (!zone) /* the settings don't list it */
+			domain_add(zones, facts->zone, true, &zone);
+		if (zone && !zone->is_zone) {
+			ws_zones_logf(zones, "zones: zone %s of machine %s is named like a domain",
+				      facts->zone, facts->name);
+			zone = NULL;
+		}
+	}
+	if (zones->networks.table && facts->address[0] &&
+	    !network_lookup(&zones->networks, facts->address, &declared))
+		ws_zones_logf(zones, "zones: address %s of machine %s can't be read: by its zone",
+			      facts->address, facts->name);
+	member_add(machine, 0, zone);
+	member_add(machine, 1, declared);
+}
--- /dev/null
+++ b/src/zones/health.c
@@ -0,0 +1,310 @@
+/*
+ * Health of the failure domains.
+ *
+ * Live machines stand on one list in the order in which they were last heard, silent ones on
+ * another in the order in which they fell silent. A heartbeat moves its machine to the end of the
+ * first; a tick takes from the fronts what is overdue. So the work is in proportion to what
+ * changed, and each domain is judged by counts alone.
+ */
+#include "internal.h"
+
+/* ---- presence ---- */
+
+static struct ws_zones_machine **presence_list(struct ws_zones *zones,
+					       const struct ws_zones_machine *machine)
+{
+	switch (machine->presence) {
+	case WS_ZONES_EXPECTED: return &zones->expected;
+	case WS_ZONES_LIVE: return &zones->live;
+	case WS_ZONES_SILENT: return machine->kept ? NULL : &zones->silent;
+	case WS_ZONES_SINGLE: break;
+	}
+	return NULL;
+}
+
+/* Adds a machine to the counts of its presence, or takes it off. */
+static void presence_count(struct ws_zones *zones, struct ws_zones_machine *machine, int sign)
+{
+	size_t change = (size_t)(ssize_t)sign;
+
+	zones->live_count += machine->presence == WS_ZONES_LIVE ? change : 0;
+	zones->silent_count += machine->presence == WS_ZONES_SILENT ? change : 0;
+	for (size_t i = 0; i < WS_ZONES_MEMBERSHIPS; i++) {
+		struct ws_zones_domain *domain = machine->memberships[i].domain;
+
+		if (!domain)
+			continue;
+		domain->live += machine->presence == WS_ZONES_LIVE ? change : 0;
+		domain->silent += machine->presence == WS_ZONES_SILENT ? change : 0;
+		if (machine->presence == WS_ZONES_SILENT && machine->unanswered)
+			domain->unanswered += change;
+	}
+}
+
+void ws_zones_set_presence(struct ws_zones *zones, struct ws_zones_machine *machine,
+			   enum ws_zones_presence presence, double now)
+{
+	struct ws_zones_machine **list = presence_list(zones, machine);
+
+	zones->steps++;
+	if (list)
+		DL_DELETE(*list, machine);
+	presence_count(zones, machine, -1);
+	machine->presence = presence;
+	machine->changed_at = now;
+	machine->kept = false;
+	if (presence != WS_ZONES_SILENT)
+		machine->unanswered = false;
+	presence_count(zones, machine, 1);
+	list = presence_list(zones, machine);
+	if (list)
+		DL_APPEND(*list, machine);
+}
+
+void ws_zones_set_unanswered(struct ws_zones_machine *machine, bool unanswered)
+{
+	if (machine->presence != WS_ZONES_SILENT || machine->unanswered == unanswered)
+		return;
+	machine->unanswered = unanswered;
+	for (size_t i = 0; i < WS_ZONES_MEMBERSHIPS; i++)
+		if (machine->memberships[i].domain)
+			machine->memberships[i].domain->unanswered += unanswered ? 1 : (size_t)-1;
+}
+
+/* Whether one of its domains is in trouble: then its silence is not a single failure. */
+static bool machine_in_trouble(const struct ws_zones_machine *machine)
+{
+	for (size_t i = 0; i < WS_ZONES_MEMBERSHIPS; i++) {
+		const struct ws_zones_domain *domain = machine->memberships[i].domain;
+
+		if (domain && domain->state != WS_ZONES_HEALTHY)
+			return true;
+	}
+	return false;
+}
+
+static void expire(struct ws_zones *zones, const struct ws_tick_facts *facts)
+{
+	const double report_s = zones->limits.report_s;
+	struct ws_zones_machine *machine;
+
+	while ((machine = zones->live) &&
+	       facts->now - fmax(machine->changed_at, facts->resumed_at) >
+		   WS_ZONES_SILENT_REPORTS * report_s)
+		ws_zones_set_presence(zones, machine, WS_ZONES_SILENT, facts->now);
+	while ((machine = zones->expected))
+		ws_zones_set_presence(zones, machine, WS_ZONES_SILENT, facts->now);
+	while ((machine = zones->silent) &&
+	       facts->now - machine->changed_at > WS_ZONES_SINGLE_REPORTS * report_s) {
+		if (!machine_in_trouble(machine)) {
+			ws_zones_set_presence(zones, machine, WS_ZONES_SINGLE, facts->now);
+			continue;
+		}
+		DL_DELETE(zones->silent, machine);
+		machine->kept = true;
+	}
+}
+
+/* ---- judgement ---- */
+
+/* Machines of a domain that stopped together, those that are gone since included. */
+static size_t domain_out(const struct ws_zones_domain *domain)
+{
+	return domain->silent + domain->removed;
+}
+
+static bool domain_out_by(const struct ws_zones_domain *domain, double share)
+{
+	size_t out = domain_out(domain);
+
+	return out >= WS_ZONES_MACHINES_MIN && (double)out >= share * (double)(out + domain->live);
+}
+
+static size_t less(size_t a, size_t b)
+{
+	return a > b ? a - b : 0;
+}
+
+/*
+ * Whether what we see outside a domain speaks for our own connections: most of the rest is live,
+ * and it is not our own zone alone that we see while several others fell silent.
+ */
+static bool view_is_sound(struct ws_zones *zones, const struct ws_zones_domain *domain)
+{
+	const struct ws_zones_domain *own = ws_zones_domain_find(zones, zones->node_zone);
+	size_t live = less(zones->live_count, domain->live);
+	size_t silent = less(zones->silent_count, domain->silent);
+	size_t zones_out = 0;
+
+	for (const struct ws_zones_domain *other = zones->domains; other; other = other->hh.next) {
+		if (other != domain && other->state == WS_ZONES_DARK)
+			silent = less(silent, other->silent);
+		else if (other->is_zone && domain_out_by(other, WS_ZONES_HALF))
+			zones_out++;
+	}
+	if (!live || (double)live < WS_ZONES_HALF * (double)(live + silent))
+		return false;
+	return zones_out < 2 || !own || live > own->live;
+}
+
+static void enter(struct ws_zones *zones, struct ws_zones_domain *domain, enum ws_zones_state state,
+		  enum ws_zones_evidence evidence, double now)
+{
+	ws_zones_logf(zones,
+		      "zones: domain %s is %s (%s) after %.1f s %s: %zu live, %zu silent, "
+		      "%zu of them left a command unanswered, %zu gone",
+		      domain->name, ws_zones_state_name(state), ws_zones_evidence_name(evidence),
+		      now - domain->since, ws_zones_state_name(domain->state), domain->live,
+		      domain->silent, domain->unanswered, domain->removed);
+	domain->state = state;
+	domain->evidence = evidence;
+	domain->since = now;
+	/* a suspicion is not on record: it is found again, or was unfounded */
+	domain->record_due |= state != WS_ZONES_SUSPECT;
+}
+
+double ws_zones_penalty(const struct ws_zones *zones, const struct ws_zones_domain *domain,
+			double now)
+{
+	return domain->penalty * exp2(-(now - domain->penalty_at) / zones->settings.half_life_s);
+}
+
+static void enter_dark(struct ws_zones *zones, struct ws_zones_domain *domain,
+		       enum ws_zones_evidence evidence, double now)
+{
+	domain->penalty =
+	    fmin(zones->settings.penalty_max, ws_zones_penalty(zones, domain, now) + 1);
+	domain->penalty_at = now;
+	enter(zones, domain, WS_ZONES_DARK, evidence, now);
+}
+
+/* Machines that fell silent with the domain and stayed so are single failures from now on. */
+static void enter_healthy(struct ws_zones *zones, struct ws_zones_domain *domain,
+			  enum ws_zones_evidence evidence, double now)
+{
+	struct ws_zones_member *member, *next;
+
+	/* a suspicion that passed changed nothing on record */
+	bool recorded = domain->state != WS_ZONES_SUSPECT;
+
+	enter(zones, domain, WS_ZONES_HEALTHY, evidence, now);
+	domain->record_due = recorded;
+	domain->removed = 0;
+	DL_FOREACH_SAFE (domain->members, member, next) {
+		zones->steps++;
+		if (member->machine->kept && !machine_in_trouble(member->machine))
+			ws_zones_set_presence(zones, member->machine, WS_ZONES_SINGLE, now);
+	}
+}
+
+double ws_zones_hold_down(const struct ws_zones *zones, const struct ws_zones_domain *domain)
+{
+	return zones->settings.stable_s * exp2(fmax(0, domain->penalty - 1));
+}
+
+static void judge_suspect(struct ws_zones *zones, struct ws_zones_domain *domain, double now)
+{
+	double span = now - domain->since;
+
+	if (!domain_out_by(domain, WS_ZONES_HALF)) {
+		enter_healthy(zones, domain, WS_ZONES_HEARD, now);
+		return;
+	}
+	if (domain->held || !domain_out_by(domain, zones->settings.dark_share))
+		return;
+	if (view_is_sound(zones, domain)) {
+		if (2 * domain->unanswered >= domain_out(domain))
+			enter_dark(zones, domain, WS_ZONES_UNANSWERED, now);
+		else if (span > WS_ZONES_CONFIRM_REPORTS * zones->limits.report_s)
+			enter_dark(zones, domain, WS_ZONES_SILENCE, now);
+	} else if (zones->live_count > domain->live &&
+		   span > zones->limits.lease_s * WS_ZONES_LEASE_MARGIN) {
+		enter_dark(zones, domain, WS_ZONES_LEASES_OUT, now);
+	}
+}
+
+static void judge_dark(struct ws_zones *zones, struct ws_zones_domain *domain, double now)
+{
+	size_t left = domain->live + domain->silent;
+
+	if (domain->held)
+		return;
+	if (left && (double)domain->live >= WS_ZONES_HALF * (double)left) {
+		domain->clean_since = now;
+		domain->removed = 0;
+		enter(zones, domain, WS_ZONES_RECOVERING, WS_ZONES_HEARD, now);
+	} else if (!left && now - domain->since > ws_zones_hold_down(zones, domain)) {
+		domain->clean_since = now - ws_zones_hold_down(zones, domain);
+		domain->removed = 0;
+		enter(zones, domain, WS_ZONES_RECOVERING, WS_ZONES_NONE_LEFT, now);
+	}
+}
+
+/* The share of a recovering domain's machines that is in use. */
+static double ramp_share(const struct ws_zones *zones, const struct ws_zones_domain *domain,
+			 double now)
+{
+	double span = now - domain->clean_since - ws_zones_hold_down(zones, domain);
+
+	return zones->settings.ramp_s > 0 ? span / zones->settings.ramp_s : span >= 0;
+}
+
+static void judge_recovering(struct ws_zones *zones, struct ws_zones_domain *domain, double now)
+{
+	if (domain_out_by(domain, WS_ZONES_HALF)) {
+		domain->clean_since = now;
+		if (!domain->held && domain_out_by(domain, zones->settings.dark_share) &&
+		    view_is_sound(zones, domain))
+			enter_dark(zones, domain, WS_ZONES_SILENCE, now);
+		return;
+	}
+	if (!domain->held && ramp_share(zones, domain, now) >= 1)
+		enter_healthy(zones, domain, WS_ZONES_STABLE, now);
+}
+
+static void judge(struct ws_zones *zones, struct ws_zones_domain *domain, double now)
+{
+	switch (domain->state) {
+	case WS_ZONES_HEALTHY:
+		if (domain_out_by(domain, WS_ZONES_HALF))
+			enter(zones, domain, WS_ZONES_SUSPECT, WS_ZONES_SILENCE, now);
+		break;
+	case WS_ZONES_SUSPECT: judge_suspect(zones, domain, now); break;
+	case WS_ZONES_DARK: judge_dark(zones, domain, now); break;
+	case WS_ZONES_RECOVERING: judge_recovering(zones, domain, now); break;
+	}
+}
+
+void ws_zones_health_tick(struct ws_zones *zones, const struct ws_tick_facts *facts)
+{
+	const double report_s = zones->limits.report_s;
+
+	/* who was silent meanwhile may have been talking to us all the time */
+	if (facts->now < facts->elected_at + WS_ZONES_SETTLE_REPORTS * report_s ||
+	    facts->now < facts->resumed_at + WS_ZONES_SILENT_REPORTS * report_s)
+		return;
+	expire(zones, facts);
+	for (struct ws_zones_domain *domain = zones->domains; domain; domain = domain->hh.next)
+		judge(zones, domain, facts->now);
+}
+
+bool ws_zones_domain_avoids(const struct ws_zones *zones, const struct ws_zones_domain *domain,
+			    const struct ws_zones_machine *machine, double now)
+{
+	switch (domain->state) {
+	case WS_ZONES_HEALTHY: return false;
+	case WS_ZONES_SUSPECT: return machine->presence == WS_ZONES_SILENT;
+	case WS_ZONES_DARK: return true;
+	case WS_ZONES_RECOVERING: return machine->ramp >= ramp_share(zones, domain, now);
+	}
+	return false;
+}
+
+bool ws_zones_in_state(const struct ws_zones *zones, enum ws_zones_state state)
+{
+	for (const struct ws_zones_domain *domain = zones->domains; domain;
+	     domain = domain->hh.next)
+		if (domain->state == state)
+			return true;
+	return false;
+}
--- /dev/null
+++ b/src/zones/plan.c
@@ -0,0 +1,438 @@
+/*
+ * The evacuation plan: which jobs lose attempts with a dark domain, in which order they are to be
+ * placed again, and room asked for ahead.
+ *
+ * The order is on record, in parts of a value's size each. Progress is not: each survey derives it
+ * from the core's own view of the jobs, so that the two can't disagree after a crash.
+ */
+#include "internal.h"
+
+/* Bytes of a plan record besides its entries, and of an entry besides its job's name. */
+#define PART_BYTES 64
+#define ENTRY_BYTES 40
+/* The share of the state service's changes in a report period that moves may take. */
+#define WINDOW_SHARE 0.25
+#define WINDOW_MIN 8
+/* Progress is written so often at most, in leases. */
+#define PROGRESS_LEASES 0.25
+
+/* ---- entries ---- */
+
+static struct ws_zones_entry *entry_get(struct ws_zones_plan *plan, const char *job)
+{
+	struct ws_zones_entry *entry;
+
+	HASH_FIND_STR(plan->entries, job, entry);
+	if (entry)
+		return entry;
+	entry = calloc(1, sizeof(*entry));
+	if (!entry)
+		abort();
+	snprintf(entry->job, sizeof(entry->job), "%s", job);
+	entry->part = -1;
+	entry->round = plan->surveys;
+	HASH_ADD_STR(plan->entries, job, entry);
+	return entry;
+}
+
+static struct ws_zones_part *part_get(struct ws_zones_plan *plan, int64_t number)
+{
+	struct ws_zones_part *part;
+
+	HASH_FIND(hh, plan->parts, &number, sizeof(number), part);
+	if (part)
+		return part;
+	part = calloc(1, sizeof(*part));
+	if (!part)
+		abort();
+	part->number = number;
+	HASH_ADD(hh, plan->parts, number, sizeof(part->number), part);
+	if (number >= plan->next_part)
+		plan->next_part = number + 1;
+	return part;
+}
+
+/* The entry is finished: its part may go when all of it is. */
+static void entry_free(struct ws_zones_plan *plan, struct ws_zones_entry *entry)
+{
+	if (entry->part >= 0)
+		part_get(plan, entry->part)->entries--;
+	HASH_DEL(plan->entries, entry);
+	free(entry);
+}
+
+void ws_zones_plan_free(struct ws_zones *zones)
+{
+	struct ws_zones_plan *plan = &zones->plan;
+	struct ws_zones_entry *entry, *next_entry;
+	struct ws_zones_part *part, *next_part;
+
+	HASH_ITER (hh, plan->entries, entry, next_entry)
+		entry_free(plan, entry);
+	HASH_ITER (hh, plan->parts, part, next_part) {
+		HASH_DEL(plan->parts, part);
+		free(part);
+	}
+	memset(plan, 0, sizeof(*plan));
+}
+
+/* ---- order ---- */
+
+static size_t class_position(const struct ws_zones_settings *settings, const char *job_class)
+{
+	for (size_t i = 0; i < settings->class_count; i++)
+		if (!strcmp(settings->class_order[i], job_class))
+			return i;
+	return settings->class_count;
+}
+
+/* Why the entry stands where it does: the first of the rules that speaks for it. */
+static enum ws_zones_reason reason_of(const struct ws_zones *zones,
+				      const struct ws_zones_entry *entry)
+{
+	if (entry->pinned)
+		return WS_ZONES_PINNED;
+	if (entry->class_position < zones->settings.class_count)
+		return WS_ZONES_BY_CLASS;
+	if (entry->first_replica)
+		return WS_ZONES_BY_FIRST_REPLICA;
+	if (entry->guaranteed)
+		return WS_ZONES_BY_GUARANTEE;
+	if (isfinite(entry->latest_start))
+		return WS_ZONES_BY_DEADLINE;
+	return WS_ZONES_BY_PRIORITY;
+}
+
+static int compare_sizes(size_t a, size_t b)
+{
+	return (a > b) - (a < b);
+}
+
+static int compare_entries(const struct ws_zones_entry *a, const struct ws_zones_entry *b)
+{
+	if (a->round != b->round)
+		return a->round < b->round ? -1 : 1;
+	if (a->recorded_position != b->recorded_position)
+		return compare_sizes(a->recorded_position, b->recorded_position);
+	if (a->class_position != b->class_position)
+		return compare_sizes(a->class_position, b->class_position);
+	if (a->guaranteed != b->guaranteed)
+		return a->guaranteed ? -1 : 1;
+	if (a->priority != b->priority)
+		return a->priority > b->priority ? -1 : 1;
+	if (a->first_replica != b->first_replica)
+		return a->first_replica ? -1 : 1;
+	if (a->latest_start != b->latest_start)
+		return a->latest_start < b->latest_start ? -1 : 1;
+	return strcmp(a->job, b->job);
+}
+
+/* ---- survey ---- */
+
+bool ws_zones_attempt_surveyed(void *self, void *machine_handle)
+{
+	struct ws_zones_machine *machine = machine_handle;
+
+	(void)self;
+	if (machine->presence != WS_ZONES_SILENT)
+		return false;
+	for (size_t i = 0; i < WS_ZONES_MEMBERSHIPS; i++) {
+		const struct ws_zones_domain *domain = machine->memberships[i].domain;
+
+		if (domain && (domain->state == WS_ZONES_DARK ||
+			       domain->state == WS_ZONES_RECOVERING)) {
+			machine->affected++;
+			return true;
+		}
+	}
+	return false;
+}
+
+static bool pinned_to_dark(struct ws_zones *zones, const char *zone)
+{
+	const struct ws_zones_domain *domain = zone[0] ? ws_zones_domain_find(zones, zone) : NULL;
+
+	return domain && domain->state == WS_ZONES_DARK;
+}
+
+void ws_zones_job_surveyed(void *self, const struct ws_job_facts *facts)
+{
+	struct ws_zones *zones = self;
+	struct ws_zones_plan *plan = &zones->plan;
+	struct ws_zones_entry *entry;
+
+	HASH_FIND_STR(plan->entries, facts->id, entry);
+	if (!entry && !facts->affected)
+		return;
+	entry = entry_get(plan, facts->id);
+	entry->seen = plan->surveys;
+	entry->affected = facts->affected;
+	entry->waiting = facts->waiting;
+	entry->planned = entry->planned > facts->affected ? entry->planned : facts->affected;
+	entry->class_position = class_position(&zones->settings, facts->job_class);
+	entry->guaranteed = facts->guaranteed;
+	entry->priority = facts->priority;
+	entry->latest_start = facts->latest_start;
+	entry->service = facts->service;
+	entry->first_replica = facts->service && !facts->elsewhere;
+	entry->pinned = pinned_to_dark(zones, facts->pinned_zone);
+	if (entry->part < 0) /* what is on record keeps the reason it was given */
+		entry->reason = reason_of(zones, entry);
+}
+
+void ws_zones_survey_done(void *self, double now)
+{
+	struct ws_zones *zones = self;
+	struct ws_zones_plan *plan = &zones->plan;
+	struct ws_zones_entry *entry, *next;
+
+	(void)now;
+	HASH_ITER (hh, plan->entries, entry, next) {
+		/* over, or all of it placed anew or heard again */
+		bool over = entry->seen != plan->surveys;
+
+		if (!over && (entry->affected || entry->waiting))
+			continue;
+		/* what is not in the core's hands any more needs no request to undo it */
+		if (!over &&
+		    (entry->sent.position || entry->sent.room_ahead || entry->sent.replicas_apart))
+			continue; /* the next tick takes its request back first */
+		plan->finished += entry->planned;
+		entry_free(plan, entry);
+	}
+	HASH_SORT(plan->entries, compare_entries);
+	plan->surveyed = true;
+}
+
+void ws_zones_called_off(struct ws_zones *zones, struct ws_zones_machine *machine)
+{
+	zones->plan.called_off += machine->affected;
+	machine->affected = 0;
+}
+
+/* ---- records ---- */
+
+static json_t *plan_record(json_t *jobs)
+{
+	return json_pack("{s:i,s:o}", "v", WS_ZONES_FORMAT, "jobs", jobs);
+}
+
+static void part_write(struct ws_zones_plan *plan, json_t *jobs, struct ws_request_queue *out)
+{
+	char name[64];
+
+	snprintf(name, sizeof(name), "plan/%lld", (long long)plan->next_part);
+	part_get(plan, plan->next_part)->entries = json_array_size(jobs);
+	ws_request_write(out, name, plan_record(jobs), false);
+}
+
+/* Puts on record what is not yet, in the order of the plan. */
+static void plan_write(struct ws_zones *zones, struct ws_request_queue *out)
+{
+	struct ws_zones_plan *plan = &zones->plan;
+	size_t bytes = PART_BYTES;
+	json_t *jobs = NULL;
+
+	for (struct ws_zones_entry *entry = plan->entries; entry; entry = entry->hh.next) {
+		size_t size = ENTRY_BYTES + strlen(entry->job);
+
+		if (entry->part >= 0)
+			continue;
+		if (jobs && bytes + size > zones->limits.value_bytes) {
+			part_write(plan, jobs, out);
+			jobs = NULL;
+		}
+		if (!jobs) {
+			jobs = json_array();
+			bytes = PART_BYTES;
+		}
+		bytes += size;
+		entry->part = plan->next_part;
+		json_array_append_new(jobs,
+				      json_pack("[s,I,s]", entry->job, (json_int_t)entry->planned,
+						ws_zones_reason_name(entry->reason)));
+	}
+	if (jobs)
+		part_write(plan, jobs, out);
+}
+
+static void parts_delete(struct ws_zones_plan *plan, struct ws_request_queue *out)
+{
+	struct ws_zones_part *part, *next;
+
+	HASH_ITER (hh, plan->parts, part, next) {
+		char name[64];
+
+		if (part->entries)
+			continue;
+		snprintf(name, sizeof(name), "plan/%lld", (long long)part->number);
+		ws_request_delete(out, name);
+		HASH_DEL(plan->parts, part);
+		free(part);
+	}
+}
+
+/* An earlier leader's order is kept; jobs that are over drop out with the first survey. */
+void ws_zones_plan_loaded(struct ws_zones *zones, const char *number, json_t *value)
+{
+	struct ws_zones_plan *plan = &zones->plan;
+	struct ws_zones_part *part = part_get(plan, strtoll(number, NULL, 10));
+	json_t *jobs = json_object_get(value, "jobs"), *job;
+	size_t i;
+
+	json_array_foreach (jobs, i, job) {
+		const char *id = json_string_value(json_array_get(job, 0));
+		struct ws_zones_entry *entry;
+
+		if (!id || strlen(id) >= WS_ZONES_NAME_MAX)
+			continue;
+		entry = entry_get(plan, id);
+		if (entry->part >= 0)
+			continue;
+		entry->part = part->number;
+		entry->recorded_position = HASH_COUNT(plan->entries);
+		entry->planned = (size_t)json_integer_value(json_array_get(job, 1));
+		part->entries++;
+	}
+}
+
+static void progress_write(struct ws_zones *zones, double now, struct ws_request_queue *out)
+{
+	struct ws_zones_plan *plan = &zones->plan;
+	struct ws_zones_progress progress = {.planned = plan->finished,
+					     .called_off = plan->called_off};
+	size_t open = 0;
+
+	for (struct ws_zones_entry *entry = plan->entries; entry; entry = entry->hh.next) {
+		size_t pinned = entry->pinned ? entry->affected + entry->waiting : 0;
+
+		progress.planned += entry->planned;
+		progress.moving += entry->affected;
+		progress.waiting += entry->waiting - (entry->pinned ? entry->waiting : 0);
+		progress.pinned += pinned;
+		open += entry->affected + entry->waiting;
+	}
+	progress.moved = progress.planned > open + progress.called_off
+			     ? progress.planned - open - progress.called_off
+			     : 0;
+	if (!memcmp(&progress, &plan->told, sizeof(progress)) ||
+	    now - plan->told_at < PROGRESS_LEASES * zones->limits.lease_s)
+		return;
+	plan->told = progress;
+	plan->told_at = now;
+	ws_zones_logf(zones,
+		      "zones: of %zu tasks planned %zu moved, %zu called off, %zu may be alive "
+		      "still, %zu wait for room, %zu for their zone",
+		      progress.planned, progress.moved, progress.called_off, progress.moving,
+		      progress.waiting, progress.pinned);
+	ws_request_write(
+	    out, "progress",
+	    json_pack("{s:i,s:I,s:I,s:I,s:I,s:I,s:I}", "v", WS_ZONES_FORMAT, "planned",
+		      (json_int_t)progress.planned, "moved", (json_int_t)progress.moved, "moving",
+		      (json_int_t)progress.moving, "waiting", (json_int_t)progress.waiting,
+		      "pinned", (json_int_t)progress.pinned, "called_off",
+		      (json_int_t)progress.called_off),
+	    false);
+}
+
+/* ---- what the core is asked ---- */
+
+/* A domain that flaps gets room ahead only after a while, longer with each flap. */
+static bool ahead_due(const struct ws_zones *zones, double now)
+{
+	for (const struct ws_zones_domain *domain = zones->domains; domain;
+	     domain = domain->hh.next) {
+		double patience = zones->limits.lease_s / 4 * fmax(0, domain->penalty - 1);
+
+		if (domain->state == WS_ZONES_DARK &&
+		    now - domain->since >= fmin(patience, zones->limits.lease_s))
+			return true;
+	}
+	return false;
+}
+
+static size_t window(const struct ws_zones *zones)
+{
+	double most = WINDOW_SHARE * zones->limits.state_write_rps * zones->limits.report_s;
+
+	return most > WINDOW_MIN ? (size_t)most : WINDOW_MIN;
+}
+
+/* Whether some service of the plan has no replica that is surely heard. */
+static bool replica_missing(const struct ws_zones_plan *plan)
+{
+	for (const struct ws_zones_entry *entry = plan->entries; entry; entry = entry->hh.next)
+		if (entry->first_replica && !entry->pinned)
+			return true;
+	return false;
+}
+
+static void moves_request(struct ws_zones *zones, double now, struct ws_request_queue *out)
+{
+	const size_t most = window(zones);
+	const bool ahead = ahead_due(zones, now);
+	const bool trouble = ws_zones_in_state(zones, WS_ZONES_DARK) ||
+			     ws_zones_in_state(zones, WS_ZONES_RECOVERING);
+	const bool apart = replica_missing(&zones->plan);
+	uint32_t position = 0;
+
+	for (struct ws_zones_entry *entry = zones->plan.entries; entry; entry = entry->hh.next) {
+		struct ws_move move = {0};
+		bool open = trouble && !entry->pinned && (entry->affected || entry->waiting);
+
+		if (open && position < most)
+			move.position = ++position;
+		if (open && ahead)
+			move.room_ahead = (uint32_t)entry->affected;
+		move.replicas_apart = open && apart && entry->service;
+		if (move.position == entry->sent.position &&
+		    move.room_ahead == entry->sent.room_ahead &&
+		    move.replicas_apart == entry->sent.replicas_apart)
+			continue;
+		entry->sent = move;
+		move.job = entry->job;
+		ws_request_move(out, &move);
+	}
+}
+
+static void plan_log(const struct ws_zones *zones)
+{
+	const struct ws_zones_entry *first = zones->plan.entries;
+	size_t jobs = 0;
+
+	for (const struct ws_zones_entry *entry = first; entry; entry = entry->hh.next)
+		jobs += entry->part < 0;
+	if (jobs)
+		ws_zones_logf(zones, "zones: %zu jobs more in the plan, first of all %s (%s)", jobs,
+			      first->job, ws_zones_reason_name(first->reason));
+}
+
+void ws_zones_plan_tick(struct ws_zones *zones, double now, struct ws_request_queue *out)
+{
+	struct ws_zones_plan *plan = &zones->plan;
+
+	if (plan->surveyed) {
+		plan->surveyed = false;
+		plan_log(zones);
+		moves_request(zones, now, out);
+		plan_write(zones, out);
+		parts_delete(plan, out);
+		progress_write(zones, now, out);
+	}
+	if ((!plan->entries && !plan->parts && !ws_zones_in_state(zones, WS_ZONES_DARK)) ||
+	    now < plan->survey_next)
+		return;
+	if (!plan->entries && !plan->parts) { /* the counts of one trouble, from its beginning */
+		plan->finished = plan->called_off = 0;
+		plan->told = (struct ws_zones_progress){0};
+	}
+	plan->survey_next = now + zones->limits.report_s;
+	plan->surveys++;
+	for (struct ws_zones_domain *domain = zones->domains; domain; domain = domain->hh.next)
+		for (struct ws_zones_member *member = domain->members; member;
+		     member = member->next) {
+			zones->steps++;
+			member->machine->affected = 0;
+		}
+	ws_request_survey(out);
+}
--- /dev/null
+++ b/src/zones/zones.c
@@ -0,0 +1,354 @@
+/* The zones package's hooks: what the core reports goes to health and plan, requests come back. */
+#include "internal.h"
+#include <stdarg.h>
+
+/* Defaults as ratios to the platform's settings. */
+#define STABLE_LEASES 1.0
+#define RAMP_LEASES 2.0
+#define HALF_LIFE_LEASES 30.0
+#define PENALTY_MAX 5.0
+#define DARK_SHARE 0.8
+/* Operators' holds are read so often, in leases; records of domains in trouble written. */
+#define HOLD_READ_LEASES 0.25
+#define RECORD_LEASES 1.0
+/* The golden section: spreads machines evenly over the ramp, in whatever number they come. */
+#define RAMP_STEP 0.6180339887498949
+
+void ws_zones_logf(const struct ws_zones *zones, const char *format, ...)
+{
+	char text[512];
+	va_list arguments;
+
+	va_start(arguments, format);
+	vsnprintf(text, sizeof(text), format, arguments);
+	va_end(arguments);
+	if (zones->log)
+		zones->log(text);
+}
+
+const char *ws_zones_error_text(enum ws_zones_error_code code)
+{
+	switch (code) {
+	case WS_ZONES_OK: return "fine";
+	case WS_ZONES_BAD_NETWORK: return "is no IP network";
+	case WS_ZONES_HOST_BITS: return "has bits behind its prefix: an address, no network";
+	case WS_ZONES_NETWORK_TWICE: return "is declared twice";
+	case WS_ZONES_NAME_TWICE: return "is the name of another domain or zone";
+	case WS_ZONES_BAD_NAME: return "is no name: empty, or with a space or slash";
+	}
+	return "";
+}
+
+void ws_zones_defaults(struct ws_zones_settings *settings)
+{
+	*settings = (struct ws_zones_settings){
+	    .dark_share = DARK_SHARE,
+	    .stable_s = -1,
+	    .ramp_s = -1,
+	    .half_life_s = -1,
+	    .penalty_max = PENALTY_MAX,
+	};
+}
+
+void ws_zones_settings_free(struct ws_zones_settings *settings)
+{
+	for (size_t i = 0; i < settings->declared_count; i++)
+		free(settings->declared[i].networks);
+	free(settings->declared);
+	free(settings->class_order);
+	settings->declared = NULL;
+	settings->class_order = NULL;
+	settings->declared_count = settings->class_count = 0;
+}
+
+/* A copy of an array; NULL if it is empty. */
+static void *copy_array(const void *from, size_t count, size_t size)
+{
+	void *copy;
+
+	if (!count)
+		return NULL;
+	copy = malloc(count * size);
+	if (!copy)
+		abort();
+	memcpy(copy, from, count * size);
+	return copy;
+}
+
+static void settings_copy(struct ws_zones_settings *to, const struct ws_zones_settings *from,
+			  double lease_s)
+{
+	*to = *from;
+	to->class_order =
+	    copy_array(from->class_order, from->class_count, sizeof(*from->class_order));
+	to->declared = copy_array(from->declared, from->declared_count, sizeof(*from->declared));
+	for (size_t i = 0; i < to->declared_count; i++)
+		to->declared[i].networks =
+		    copy_array(from->declared[i].networks, from->declared[i].network_count,
+			       sizeof(*from->declared[i].networks));
+	if (to->stable_s < 0)
+		to->stable_s = STABLE_LEASES * lease_s;
+	if (to->ramp_s < 0)
+		to->ramp_s = RAMP_LEASES * lease_s;
+	if (to->half_life_s <= 0)
+		to->half_life_s = HALF_LIFE_LEASES * lease_s;
+}
+
+struct ws_zones *ws_zones_new(const struct ws_zones_settings *settings,
+			      const struct ws_cluster_limits *limits, ws_zones_log_fn log,
+			      struct ws_zones_error *error)
+{
+	struct ws_zones *zones = calloc(1, sizeof(*zones));
+
+	if (!zones)
+		abort();
+	settings_copy(&zones->settings, settings, limits->lease_s);
+	zones->limits = *limits;
+	zones->log = log;
+	snprintf(zones->node_zone, sizeof(zones->node_zone), "%s", limits->node_zone);
+	if (!ws_zones_domains_create(zones, error)) {
+		ws_zones_free(zones);
+		return NULL;
+	}
+	zones->limits.zones = NULL; /* the caller's */
+	zones->limits.node_zone = zones->node_zone;
+	return zones;
+}
+
+void ws_zones_free(struct ws_zones *zones)
+{
+	if (!zones)
+		return;
+	ws_zones_plan_free(zones);
+	ws_zones_domains_free(zones);
+	ws_zones_settings_free(&zones->settings);
+	free(zones);
+}
+
+/* ---- leadership ---- */
+
+uint64_t ws_zones_steps(const struct ws_zones *zones)
+{
+	return zones->steps;
+}
+
+static void destroy(void *self)
+{
+	ws_zones_free(self);
+}
+
+static void elected(void *self, double now)
+{
+	struct ws_zones *zones = self;
+
+	for (struct ws_zones_domain *domain = zones->domains; domain; domain = domain->hh.next) {
+		domain->state = WS_ZONES_HEALTHY;
+		domain->evidence = WS_ZONES_NO_EVIDENCE;
+		domain->penalty = 0;
+		domain->since = domain->penalty_at = domain->clean_since = domain->recorded_at =
+		    now;
+		domain->held = domain->held_read = domain->record_due = false;
+		domain->removed = 0;
+	}
+	zones->later_format = zones->unknown_records = false;
+	zones->hold_read_next = 0;
+}
+
+/* The listing of holds is complete: what it did not name is not held. */
+static void holds_read(struct ws_zones *zones)
+{
+	for (struct ws_zones_domain *domain = zones->domains; domain; domain = domain->hh.next) {
+		if (domain->held != domain->held_read) {
+			ws_zones_logf(zones, "zones: domain %s is %s by operators", domain->name,
+				      domain->held_read ? "held" : "released");
+			domain->record_due = true;
+		}
+		domain->held = domain->held_read;
+		domain->held_read = false;
+	}
+}
+
+static void records_loaded(void *self, double now)
+{
+	struct ws_zones *zones = self;
+
+	(void)now;
+	holds_read(zones);
+	for (struct ws_zones_domain *domain = zones->domains; domain; domain = domain->hh.next)
+		if (domain->state != WS_ZONES_HEALTHY)
+			ws_zones_logf(zones, "zones: domain %s is %s on record, penalty %.2f",
+				      domain->name, ws_zones_state_name(domain->state),
+				      domain->penalty);
+}
+
+static void records_read(void *self, const char *name_prefix)
+{
+	if (!strcmp(name_prefix, "hold/"))
+		holds_read(self);
+}
+
+static void stepped_down(void *self)
+{
+	struct ws_zones *zones = self;
+
+	ws_zones_plan_free(zones);
+}
+
+/* ---- machines ---- */
+
+static void *machine_added(void *self, double now, const struct ws_machine_facts *facts)
+{
+	struct ws_zones *zones = self;
+	struct ws_zones_machine *machine = calloc(1, sizeof(*machine));
+
+	if (!machine)
+		abort();
+	machine->presence = WS_ZONES_SINGLE; /* counts from its first heartbeat on */
+	machine->ramp = fmod((double)zones->machine_count++ * RAMP_STEP, 1);
+	ws_zones_join(zones, machine, facts);
+	if (facts->expected)
+		ws_zones_set_presence(zones, machine, WS_ZONES_EXPECTED, now);
+	return machine;
+}
+
+static void machine_changed(void *self, void *handle, const struct ws_machine_facts *facts)
+{
+	ws_zones_leave(handle);
+	ws_zones_join(self, handle, facts);
+}
+
+/* A silent machine that is gone still speaks for its domain's loss. */
+static void count_removed(const struct ws_zones_machine *machine)
+{
+	for (size_t i = 0; i < WS_ZONES_MEMBERSHIPS; i++) {
+		struct ws_zones_domain *domain = machine->memberships[i].domain;
+
+		if (domain && domain->state != WS_ZONES_HEALTHY)
+			domain->removed++;
+	}
+}
+
+static void machine_removed(void *self, void *handle)
+{
+	struct ws_zones *zones = self;
+	struct ws_zones_machine *machine = handle;
+
+	ws_zones_set_presence(zones, machine, WS_ZONES_SINGLE, 0);
+	ws_zones_leave(machine);
+	free(machine);
+}
+
+static void machine_lost(void *self, double now, void *handle, enum ws_machine_loss loss)
+{
+	struct ws_zones *zones = self;
+	struct ws_zones_machine *machine = handle;
+
+	machine->affected = 0;
+	if (loss == WS_LOSS_LEASE)
+		return;
+	if (machine->presence == WS_ZONES_SILENT)
+		count_removed(machine);
+	ws_zones_set_presence(zones, machine, WS_ZONES_SINGLE, now);
+}
+
+static void heartbeat_seen(void *self, double now, void *handle)
+{
+	struct ws_zones_machine *machine = handle;
+
+	if (machine->presence == WS_ZONES_SILENT)
+		ws_zones_called_off(self, machine);
+	ws_zones_set_presence(self, machine, WS_ZONES_LIVE, now);
+}
+
+static void command_answered(void *self, void *handle, bool answered)
+{
+	(void)self;
+	ws_zones_set_unanswered(handle, !answered);
+}
+
+/* ---- placement ---- */
+
+static bool machine_avoided(void *self, double now, const void *handle)
+{
+	const struct ws_zones *zones = self;
+	const struct ws_zones_machine *machine = handle;
+
+	for (size_t i = 0; i < WS_ZONES_MEMBERSHIPS && !zones->later_format; i++) {
+		const struct ws_zones_domain *domain = machine->memberships[i].domain;
+
+		if (domain && ws_zones_domain_avoids(zones, domain, machine, now))
+			return true;
+	}
+	return false;
+}
+
+/* Nothing is rented where a domain is dark, or recovering within its hold-down. */
+static bool zone_avoided(void *self, double now, const char *zone)
+{
+	struct ws_zones *zones = self;
+	const struct ws_zones_domain *domain = ws_zones_domain_find(zones, zone);
+
+	if (!domain || !domain->is_zone || zones->later_format)
+		return false;
+	return domain->state == WS_ZONES_DARK ||
+	       (domain->state == WS_ZONES_RECOVERING &&
+		now - domain->clean_since < ws_zones_hold_down(zones, domain));
+}
+
+/* ---- tick ---- */
+
+static void domains_write(struct ws_zones *zones, double now, struct ws_request_queue *out)
+{
+	for (struct ws_zones_domain *domain = zones->domains; domain; domain = domain->hh.next) {
+		char name[WS_ZONES_NAME_MAX + 16];
+		bool trouble =
+		    domain->state == WS_ZONES_DARK || domain->state == WS_ZONES_RECOVERING;
+		bool old =
+		    trouble && now - domain->recorded_at > RECORD_LEASES * zones->limits.lease_s;
+
+		if (!domain->record_due && !old)
+			continue;
+		snprintf(name, sizeof(name), "domain/%s", domain->name);
+		ws_request_write(out, name, ws_zones_domain_record(zones, domain, now),
+				 domain->record_due);
+		domain->record_due = false;
+		domain->recorded_at = now;
+	}
+}
+
+static void tick(void *self, const struct ws_tick_facts *facts, struct ws_request_queue *out)
+{
+	struct ws_zones *zones = self;
+
+	if (!facts->serving || zones->later_format)
+		return;
+	ws_zones_health_tick(zones, facts);
+	domains_write(zones, facts->now, out);
+	ws_zones_plan_tick(zones, facts->now, out);
+	if (facts->now >= zones->hold_read_next) {
+		zones->hold_read_next = facts->now + HOLD_READ_LEASES * zones->limits.lease_s;
+		ws_request_read(out, "hold/");
+	}
+}
+
+const struct ws_subsystem_ops ws_zones_ops = {
+    .prefix = "zones/",
+    .destroy = destroy,
+    .elected = elected,
+    .record_loaded = ws_zones_record_loaded,
+    .records_loaded = records_loaded,
+    .stepped_down = stepped_down,
+    .records_read = records_read,
+    .machine_added = machine_added,
+    .machine_changed = machine_changed,
+    .machine_removed = machine_removed,
+    .heartbeat_seen = heartbeat_seen,
+    .command_answered = command_answered,
+    .machine_lost = machine_lost,
+    .machine_avoided = machine_avoided,
+    .zone_avoided = zone_avoided,
+    .attempt_surveyed = ws_zones_attempt_surveyed,
+    .job_surveyed = ws_zones_job_surveyed,
+    .survey_done = ws_zones_survey_done,
+    .tick = tick,
+};
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -94,7 +94,7 @@
 	*p = f;
 }
 
-static void node_crash(struct sim *s, int i, double back)
+void sim_node_crash(struct sim *s, int i, double back)
 {
 	struct sim_node *nd = &s->nodes[i];
 
@@ -141,7 +141,7 @@
 		s->crash = CRASH_NONE;
 		free(f);
 		ws_call_free(c);
-		node_crash(s, node, s->down_for);
+		sim_node_crash(s, node, s->down_for);
 		return;
 	}
 	f->node = node;
@@ -185,7 +185,7 @@
 	if (mine) { /* carried out, but its sender is gone */
 		s->crash = CRASH_NONE;
 		flight_add(s, f);
-		node_crash(s, node, s->down_for);
+		sim_node_crash(s, node, s->down_for);
 		return;
 	}
 	flight_add(s, f);
@@ -277,7 +277,7 @@
 			return;
 		}
 	} else if (c->kind == WS_CALL_ORDERS) {
-		int i = atoi(strrchr(c->host, '.') + 1) - 1;
+		int i = sim_worker_at(c->host);
 		struct sim_worker *w = &s->w[i];
 		bool lost = !sim_worker_live(s, w) || sim_apart(s, w, nd);
 		double late = 0;
@@ -349,7 +349,8 @@
 		if (i < s->nnodes && s->nodes[i].up && s->now >= nd->cut_peers &&
 		    s->now >= s->nodes[i].cut_peers && s->now >= s->nodes[i].frozen) {
 			/* the answer comes back by the token, see node_drain */
-			uint64_t token = ++s->next_token << 12 | (uint64_t)f->node | 1ULL << 61;
+			uint64_t token =
+			    ++s->next_token << SIM_TOKEN_SHIFT | (uint64_t)f->node | 1ULL << 61;
 
 			f->token = token;
 			f->at = s->now + 0.5;
@@ -390,6 +391,7 @@
 	nd->up = true;
 	nd->core = nd->v->create(&nd->set, &s->pol, sim_log, s->now * (1 + nd->skew),
 				 nd->life * 977 + (uint64_t)i + 1);
+	sim_zones_attach(s, nd);
 }
 
 static void relay(struct sim *s, int from, const struct ws_action *a)
@@ -490,17 +492,17 @@
 	return w;
 }
 
-static double opt(const char *text, const char *name, double def)
+double sim_option(const char *text, const char *name, double otherwise)
 {
 	char key[64];
 	const char *p;
 
 	snprintf(key, sizeof(key), " %s=", name);
 	p = strstr(text, key);
-	return p ? atof(p + strlen(key)) : def;
+	return p ? atof(p + strlen(key)) : otherwise;
 }
 
-static bool opt_text(const char *text, const char *name, char *to, size_t n)
+bool sim_option_text(const char *text, const char *name, char *to, size_t n)
 {
 	char key[64];
 	const char *p;
@@ -536,32 +538,32 @@
 	memset(j, 0, sizeof(*j));
 	snprintf(p->id, sizeof(p->id), "%s", id);
 	strcpy(p->job_class, "c");
-	opt_text(text, "class", p->job_class, sizeof(p->job_class));
+	sim_option_text(text, "class", p->job_class, sizeof(p->job_class));
 	strcpy(p->team, "t");
-	opt_text(text, "team", p->team, sizeof(p->team));
+	sim_option_text(text, "team", p->team, sizeof(p->team));
 	p->service = flag(text, "service");
 	p->gang = flag(text, "gang");
 	p->spread = flag(text, "spread");
 	p->one_zone = flag(text, "one-zone");
 	p->spot = flag(text, "spot");
-	opt_text(text, "zone", p->zone, sizeof(p->zone));
-	if (opt_text(text, "type", list, sizeof(list)))
+	sim_option_text(text, "zone", p->zone, sizeof(p->zone));
+	if (sim_option_text(text, "type", list, sizeof(list)))
 		strcpy(p->types[p->ntypes++], list);
-	opt_text(text, "tier", tier, sizeof(tier));
+	sim_option_text(text, "tier", tier, sizeof(tier));
 	p->tier = !strcmp(tier, "production") ? WS_PRODUCTION
 		  : !strcmp(tier, "urgent")   ? WS_URGENT
 		  : !strcmp(tier, "best")     ? WS_BEST_EFFORT
 					      : WS_NORMAL;
-	p->tasks = (uint32_t)opt(text, "tasks", 1);
-	p->cpus = opt(text, "cpus", 4);
-	p->mem = opt(text, "mem", 1);
+	p->tasks = (uint32_t)sim_option(text, "tasks", 1);
+	p->cpus = sim_option(text, "cpus", 4);
+	p->mem = sim_option(text, "mem", 1);
 	strcpy(p->image, "img");
-	opt_text(text, "image", p->image, sizeof(p->image));
-	p->image_gb = opt(text, "gb", 0.5);
-	p->deadline_s = opt(text, "deadline", -1);
-	p->checkpoint_s = opt(text, "checkpoint", 0);
-	p->save_s = opt(text, "save", 0);
-	j->run_s = opt(text, "run", 10);
+	sim_option_text(text, "image", p->image, sizeof(p->image));
+	p->image_gb = sim_option(text, "gb", 0.5);
+	p->deadline_s = sim_option(text, "deadline", -1);
+	p->checkpoint_s = sim_option(text, "checkpoint", 0);
+	p->save_s = sim_option(text, "save", 0);
+	j->run_s = sim_option(text, "run", 10);
 	j->bad = flag(text, "bad");
 	j->submit_at = at;
 	j->node = s->njobs;
@@ -659,7 +661,7 @@
 			k = atoi(w);
 		while (k-- > 0 && t < s->ntypes)
 			sim_add_worker(s, t, zone, false, true);
-	} else {
+	} else if (!sim_zones_line(s, w, p, line)) {
 		snprintf(err, n, "line %d: %s?", s->line, w);
 		return false;
 	}
@@ -744,7 +746,7 @@
 	verb = sim_word(&p);
 	if (!verb)
 		return;
-	span = opt(full, "for", 5);
+	span = sim_option(full, "for", 5);
 	if (!strcmp(verb, "expect")) {
 		sim_expect(s, p);
 		return;
@@ -760,13 +762,13 @@
 	} else if (!strcmp(verb, "submit")) {
 		add_job(s, who, full, s->now);
 	} else if (!strcmp(verb, "submit-many")) { /* so many, one each step from now on */
-		int first = atoi(opt_text(full, "first", text, sizeof(text)) ? text : "1");
+		int first = atoi(sim_option_text(full, "first", text, sizeof(text)) ? text : "1");
 
 		for (i = 0; i < atoi(who) && s->njobs < SIM_JOBS; i++) {
 			char id[WS_ID_MAX];
 
 			snprintf(id, sizeof(id), "job-%06d", first + i);
-			add_job(s, id, full, s->now + i * opt(full, "every", STEP));
+			add_job(s, id, full, s->now + i * sim_option(full, "every", STEP));
 		}
 	} else if (!strcmp(verb, "ask")) { /* for a job that nobody submitted */
 		add_job(s, who, full, -1);
@@ -776,7 +778,7 @@
 
 		if (j)
 			j->abort_at = s->now;
-		if (j && opt_text(full, "at", at, sizeof(at))) /* of this node first */
+		if (j && sim_option_text(full, "at", at, sizeof(at))) /* of this node first */
 			j->node = node_named(s, at) - 1;
 	} else if (!strcmp(verb, "look")) { /* asked for and sent again, at all nodes */
 		if (sim_job_of(s, who))
@@ -786,26 +788,26 @@
 			char id[WS_ID_MAX];
 			struct sim_job *j;
 
-			snprintf(id, sizeof(id), "job-%06d", (int)opt(full, "first", 1) + i);
+			snprintf(id, sizeof(id), "job-%06d", (int)sim_option(full, "first", 1) + i);
 			if ((j = sim_job_of(s, id)))
-				j->abort_at = s->now + i * opt(full, "every", STEP);
+				j->abort_at = s->now + i * sim_option(full, "every", STEP);
 		}
 	} else if (!strcmp(verb, "crash")) {
 		for (i = 0; i < s->nnodes; i++)
 			if (!strcmp(who, "all") || i == node_named(s, who))
-				node_crash(s, i, span);
+				sim_node_crash(s, i, span);
 	} else if (!strcmp(verb, "upgrade")) { /* killed, and back with this version */
 		if ((i = node_named(s, who)) < 0) {
 			sim_fail(s, "nobody leads");
 			return;
 		}
-		node_crash(s, i, span);
+		sim_node_crash(s, i, span);
 		node_lower(s, i);
 	} else if (!strcmp(verb, "lower-limits")) {
 		s->lowered = true;
 		if (who[0]) { /* by more than the settings told */
 			s->next_value_kb = atof(who);
-			s->next_txn_ops = (int)opt(full, "ops", 12);
+			s->next_txn_ops = (int)sim_option(full, "ops", 12);
 		}
 		s->value_kb = s->next_value_kb;
 		s->txn_ops = s->next_txn_ops;
@@ -851,7 +853,7 @@
 		   !strcmp(verb, "reboot")) {
 		/* so many, the one with most on it first; those that are gone are not named again
 		 */
-		for (int k = (int)opt(full, "times", 1); k > 0; k--) {
+		for (int k = (int)sim_option(full, "times", 1); k > 0; k--) {
 			if (!(w = machine_named(s, who))) {
 				sim_fail(s, "no machine %s", who);
 				return;
@@ -859,7 +861,7 @@
 			trouble(s, w, verb, span);
 		}
 	} else if (!strcmp(verb, "lose-answer")) {
-		int k = (int)opt(full, "times", 1);
+		int k = (int)sim_option(full, "times", 1);
 
 		if (!strcmp(who, "rent"))
 			s->lose_rent = k;
@@ -869,11 +871,11 @@
 			s->lose_orders = k;
 	} else if (!strcmp(verb, "late")) {
 		if (!strcmp(who, "txn")) {
-			s->late_txn = (int)opt(full, "times", 1);
-			s->late_by = opt(full, "by", 5);
+			s->late_txn = (int)sim_option(full, "times", 1);
+			s->late_by = sim_option(full, "by", 5);
 		} else {
-			s->late_orders = (int)opt(full, "times", 1);
-			s->late_orders_by = opt(full, "by", 5);
+			s->late_orders = (int)sim_option(full, "times", 1);
+			s->late_orders_by = sim_option(full, "by", 5);
 		}
 	} else if (!strcmp(verb, "crash-on")) {
 		s->crash_kind = !strcmp(who, "txn")	 ? WS_CALL_TXN
@@ -881,12 +883,12 @@
 				: !strcmp(who, "rent")	 ? WS_CALL_RENT
 							 : WS_CALL_RETURN;
 		s->crash = flag(full, "after") ? CRASH_AFTER : CRASH_BEFORE;
-		s->crash_skip = (int)opt(full, "skip", 0);
+		s->crash_skip = (int)sim_option(full, "skip", 0);
 		s->down_for = span;
 	} else if (!strcmp(verb, "copies")) { /* copies BY for=SPAN */
 		s->copies_by = atof(who);
 		s->copies_until = s->now + span;
-		s->copies_share = opt(full, "share", 1);
+		s->copies_share = sim_option(full, "share", 1);
 		s->copies_for_next = flag(full, "for-next");
 	} else if (!strcmp(verb, "looks")) { /* looks SHARE for=SPAN: that share cancels at once */
 		s->looks_until = s->now + span;
@@ -897,7 +899,7 @@
 	} else if (!strcmp(verb, "late-writes")) { /* late-writes SHARE for=SPAN [at-once] */
 		s->lag_until = s->now + span;
 		s->lag_share = atof(who);
-		s->lag_most = opt(full, "most", 12);
+		s->lag_most = sim_option(full, "most", 12);
 		s->lag_at_once = flag(full, "at-once");
 	} else if (!strcmp(verb, "garble")) { /* a record that nobody can read */
 		json_t *v = json_pack("{s:i}", "x", 1);
@@ -915,7 +917,7 @@
 			return;
 		}
 		memset(&w->tasks[w->ntasks], 0, sizeof(w->tasks[0]));
-		opt_text(full, "job", w->tasks[w->ntasks].job, WS_ID_MAX);
+		sim_option_text(full, "job", w->tasks[w->ntasks].job, WS_ID_MAX);
 		w->tasks[w->ntasks].attempt = 7;
 		w->tasks[w->ntasks++].state = WS_TASK_FETCHING;
 		w->tasks[w->ntasks - 1].left = 1e6;
@@ -924,7 +926,7 @@
 		s->no_boot = atoi(who);
 	} else if (!strcmp(verb, "instant-boot")) {
 		s->instant_boot = 1;
-	} else {
+	} else if (!sim_zones_act(s, verb, who, full)) {
 		sim_fail(s, "line %d: %s?", o->line, verb);
 	}
 }
@@ -947,6 +949,7 @@
 	s->cap_limit = 100;
 	s->rnd = 12345;
 	ws_policy_defaults(&s->pol);
+	ws_zones_defaults(&s->zones_settings);
 	return s;
 }
 
@@ -1129,8 +1132,11 @@
 	for (size_t i = 0; i < s->nhist; i++)
 		json_decref(s->hist[i].value);
 	HASH_CLEAR(hh, s->by_id);
-	for (int i = 0; i < s->njobs; i++)
+	for (int i = 0; i < s->njobs; i++) {
 		free(s->jobs[i].task_done);
+		free(s->jobs[i].displaced_at);
+	}
+	ws_zones_settings_free(&s->zones_settings);
 	free(s->hist);
 	free(s->jobs);
 	free(s->w);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -6,12 +6,16 @@
 #define WS_SIM_H
 #include "../src/core/core.h"
 #include "../src/core/internal.h"
+#include "../src/zones/zones.h"
 
 #define SIM_NODES 5
-#define SIM_WORKERS 4096
+#define SIM_WORKERS 8192
 #define SIM_TASKS 64
 #define SIM_JOBS 4096
 #define SIM_GANGS 16
+#define SIM_CLASSES 8
+/* Of tokens: the lower bits number workers or jobs. */
+#define SIM_TOKEN_SHIFT 13
 
 struct sim_task {
 	char job[WS_ID_MAX];
@@ -57,6 +61,7 @@
 	double pending_at;
 	double started_at, answered_at;
 	int finishes;
+	double *displaced_at; /* of each task: when its machine went dark; 0: no */
 	double progress_saved; /* of a gang */
 	struct sim_gang {      /* its attempts */
 		uint64_t attempt;
@@ -99,6 +104,7 @@
 	uint64_t life;
 	double cut_state, cut_workers, cut_peers, refused, blind, frozen; /* until */
 	double skew;
+	struct ws_zones *zones; /* of the core, which owns it; NULL: off */
 };
 
 struct sim;
--- a/tests/sim_checks.c
+++ b/tests/sim_checks.c
@@ -55,6 +55,7 @@
 	if (j->told_cancelled > 0 && s->now > j->told_cancelled + s->cancel_s)
 		sim_fail(s, "ran_cancelled: %s/%u starts on %s", t->job, t->task, w->name);
 	s->starts++;
+	sim_zones_started(s, j, t->task);
 	if (!j->started_at)
 		j->started_at = s->now;
 }
@@ -219,7 +220,7 @@
 			n += s->w[i].up && s->w[i].tenure > 1;
 		if (n > atoi(a))
 			sim_fail(s, "%d machines lost their lease", n);
-	} else {
+	} else if (!sim_zones_expect(s, what, a, b, c)) {
 		sim_fail(s, "expect %s?", what);
 	}
 }
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -71,6 +71,12 @@
 	bool accepted, done, cancelled;
 };
 
+struct sim_moves { /* tasks that ran in a zone when it went dark, by class */
+	char job_class[WS_NAME_MAX];
+	int count;
+	double first, last, sum; /* until they ran again */
+};
+
 enum sim_crash { CRASH_NONE, CRASH_BEFORE, CRASH_AFTER };
 
 struct sim_order { /* a line with a time */
@@ -162,6 +168,11 @@
 	char err[512];
 	int line;
 	double down_for;
+	uint64_t reports; /* that workers sent */
+	bool zones_on;
+	struct ws_zones_settings zones_settings;
+	struct sim_moves moves[SIM_CLASSES];
+	int nmoves;
 };
 
 void sim_kv_put(struct sim *s, const char *key, json_t *v, uint64_t hold);
@@ -170,6 +181,8 @@
 bool sim_watch_ready(struct sim *s, struct ws_call *c, struct ws_result *r);
 void sim_worker_changed(struct sim_worker *w, double now);
 void sim_worker_report(struct sim_worker *w, struct ws_report *r, struct sim *s);
+void sim_node_crash(struct sim *s, int i, double back);
+int sim_worker_at(const char *host);
 bool sim_worker_live(const struct sim *s, const struct sim_worker *w);
 int sim_worker_command(struct sim *s, struct sim_worker *w, uint64_t epoch, uint64_t tenure,
 		       const struct ws_order *o, size_t n, struct ws_report *r);
@@ -196,6 +209,13 @@
 void sim_log(enum ws_log_level level, const char *text);
 int sim_leader(struct sim *s);
 const char *sim_word(char **p);
+double sim_option(const char *text, const char *name, double otherwise);
+bool sim_option_text(const char *text, const char *name, char *to, size_t n);
+void sim_zones_attach(struct sim *s, struct sim_node *node);
+bool sim_zones_line(struct sim *s, const char *word, char *rest, const char *full);
+bool sim_zones_act(struct sim *s, const char *verb, const char *name, const char *full);
+bool sim_zones_expect(struct sim *s, const char *what, const char *a, const char *b, const char *c);
+void sim_zones_started(struct sim *s, struct sim_job *j, uint32_t task);
 
 extern const struct sim_version sim_this_version;
 #endif
--- a/tests/sim_users.c
+++ b/tests/sim_users.c
@@ -32,7 +32,7 @@
 {
 	struct sim_look *l = &s->looks[s->nlooks++ % SIM_LOOKS];
 
-	l->token = (++s->next_token << 12) | (uint64_t)(j - s->jobs) | 1ULL << 59;
+	l->token = (++s->next_token << SIM_TOKEN_SHIFT) | (uint64_t)(j - s->jobs) | 1ULL << 59;
 	l->kind = kind;
 	l->accepted = j->accepted;
 	l->done = j->done;
@@ -62,7 +62,7 @@
 	nd = &s->nodes[j->node];
 	if (!nd->up || s->now < nd->frozen)
 		return;
-	j->pending = (++s->next_token << 12) | (uint64_t)(j - s->jobs);
+	j->pending = (++s->next_token << SIM_TOKEN_SHIFT) | (uint64_t)(j - s->jobs);
 	j->pending_kind = kind;
 	j->pending_at = s->now;
 	if (kind == ASK_SUBMIT)
--- a/tests/sim_workers.c
+++ b/tests/sim_workers.c
@@ -75,11 +75,21 @@
 	}
 }
 
+/* The number of the worker at an address, see sim_worker_report(). */
+int sim_worker_at(const char *host)
+{
+	int high = 0, low = 0;
+
+	sscanf(host, "10.1.%d.%d", &high, &low);
+	return high * 250 + low - 1;
+}
+
 void sim_worker_report(struct sim_worker *w, struct ws_report *r, struct sim *s)
 {
 	memset(r, 0, sizeof(*r));
 	strcpy(r->machine, w->name);
-	snprintf(r->host, sizeof(r->host), "10.1.0.%d", (int)(w - s->w) + 1);
+	snprintf(r->host, sizeof(r->host), "10.1.%d.%d", (int)(w - s->w) / 250,
+		 (int)(w - s->w) % 250 + 1);
 	r->port = 9000;
 	strcpy(r->type, s->types[w->type].t.name);
 	strcpy(r->zone, w->zone);
@@ -332,10 +342,12 @@
 		struct ws_report r;
 
 		w->sent_at = s->now;
+		s->reports++;
 		w->waiting = true;
 		sim_worker_report(w, &r, s);
 		w->next_report = s->now + s->report * (0.75 + 0.5 * sim_rnd(s));
-		w->report_id = (++s->next_token << 12) | (uint64_t)(w - s->w) | 1ULL << 62;
+		w->report_id =
+		    (++s->next_token << SIM_TOKEN_SHIFT) | (uint64_t)(w - s->w) | 1ULL << 62;
 		if (sim_apart(s, w, nd)) {
 			double until = fmax(fmax(w->cut_until, w->pin_until),
 					    fmax(fmax(nd->cut_workers, nd->frozen), s->zone_cut));
