--- /dev/null
+++ b/src/config_reader.c
@@ -0,0 +1,152 @@
+#include "config_reader.h"
+#include <arpa/inet.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* No setting is larger than this. */
+#define NUMBER_MAX 1e12
+
+bool ws_config_open(struct ws_config_reader *reader, const char *path, char *error,
+		    size_t error_size)
+{
+	*reader = (struct ws_config_reader){
+	    .file = path, .error = error, .error_size = error_size, .ok = true};
+	reader->toml = ws_toml_open(path, error, error_size);
+	return reader->toml != NULL;
+}
+
+bool ws_config_close(struct ws_config_reader *reader)
+{
+	ws_toml_close(reader->toml);
+	return reader->ok;
+}
+
+void ws_config_fail(struct ws_config_reader *reader, const char *field, const char *what)
+{
+	if (reader->ok)
+		snprintf(reader->error, reader->error_size, "%s: %s %s", reader->file, field, what);
+	reader->ok = false;
+}
+
+void ws_config_text(struct ws_config_reader *reader, const char *path, char *to, size_t size)
+{
+	enum ws_toml_got got = ws_toml_string(reader->toml, path, to, size);
+
+	if (got == WS_TOML_MISSING)
+		ws_config_fail(reader, path, "is missing");
+	else if (got == WS_TOML_WRONG_TYPE || !to[0])
+		ws_config_fail(reader, path, "must be a non-empty string of fair length");
+}
+
+void ws_config_optional_text(struct ws_config_reader *reader, const char *path, char *to,
+			     size_t size)
+{
+	ws_toml_string(reader->toml, path, to, size);
+}
+
+void ws_config_number(struct ws_config_reader *reader, const char *path, double *to, double least,
+		      bool needed)
+{
+	double value;
+	enum ws_toml_got got = ws_toml_number(reader->toml, path, &value);
+
+	if (got == WS_TOML_MISSING) {
+		if (needed)
+			ws_config_fail(reader, path, "is missing");
+		return;
+	}
+	if (got == WS_TOML_WRONG_TYPE || !isfinite(value) || value < least || value > NUMBER_MAX) {
+		char what[64];
+
+		snprintf(what, sizeof(what), "must be a number of at least %g", least);
+		ws_config_fail(reader, path, what);
+		return;
+	}
+	*to = value;
+}
+
+void ws_config_above_zero(struct ws_config_reader *reader, const char *path, double *to,
+			  bool needed)
+{
+	double value = 1;
+
+	ws_config_number(reader, path, &value, 0, needed);
+	if (value <= 0)
+		ws_config_fail(reader, path, "must be above 0");
+	else if (ws_toml_number(reader->toml, path, &value) != WS_TOML_MISSING)
+		*to = value;
+}
+
+void ws_config_lower(struct ws_config_reader *reader, const char *path, double least, double *to)
+{
+	double next = *to;
+
+	ws_config_number(reader, path, &next, least, false);
+	*to = next < *to ? next : *to;
+}
+
+void ws_config_endpoint(struct ws_config_reader *reader, const char *path, struct ws_endpoint *to)
+{
+	char text[64] = "", *colon, *end;
+	struct in_addr address;
+	long port;
+
+	ws_config_text(reader, path, text, sizeof(text));
+	if (!reader->ok)
+		return;
+	colon = strrchr(text, ':');
+	if (!colon) {
+		ws_config_fail(reader, path, "must be IPv4:port");
+		return;
+	}
+	*colon = 0;
+	port = strtol(colon + 1, &end, 10);
+	if (inet_pton(AF_INET, text, &address) != 1 || *end || end == colon + 1 || port < 0 ||
+	    port > 65535) {
+		ws_config_fail(reader, path, "must be IPv4:port");
+		return;
+	}
+	snprintf(to->host, sizeof(to->host), "%s", text);
+	to->port = (int)port;
+}
+
+size_t ws_config_count(struct ws_config_reader *reader, const char *path, size_t most, bool needed)
+{
+	long n = ws_toml_length(reader->toml, path);
+
+	if (n < 0) {
+		if (needed)
+			ws_config_fail(reader, path, "is missing or no array");
+		return 0;
+	}
+	if ((size_t)n > most) {
+		ws_config_fail(reader, path, "has too many entries");
+		return 0;
+	}
+	return (size_t)n;
+}
+
+static bool is_known(const char *key, const char *const *known, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		if (!strcmp(known[i], key))
+			return true;
+	return false;
+}
+
+void ws_config_known_keys(struct ws_config_reader *reader, const char *table,
+			  const char *const *known, size_t count)
+{
+	char key[128];
+
+	for (size_t i = 0; ws_toml_key(reader->toml, table, i, key, sizeof(key)); i++) {
+		char path[256];
+
+		if (is_known(key, known, count))
+			continue;
+		snprintf(path, sizeof(path), "%s%s%s", table, table[0] ? "." : "", key);
+		ws_config_fail(reader, path, "is not a setting of waystep");
+	}
+}
--- /dev/null
+++ b/src/config_reader.h
@@ -0,0 +1,43 @@
+/* Reads settings files field by field: the first wrong one is kept, with its name. */
+#ifndef WS_CONFIG_READER_H
+#define WS_CONFIG_READER_H
+#include "core/settings.h"
+#include "toml.h"
+
+/* A file being read. Once a field was wrong, `ok` stays false and later errors are dropped. */
+struct ws_config_reader {
+	struct ws_toml *toml;
+	const char *file;
+	char *error;
+	size_t error_size;
+	bool ok;
+};
+
+/* Opens a file; false with the message in `error`. */
+bool ws_config_open(struct ws_config_reader *reader, const char *path, char *error,
+		    size_t error_size);
+/* Closes it; whether all was read without an error. */
+bool ws_config_close(struct ws_config_reader *reader);
+/* Notes that a field is wrong. */
+void ws_config_fail(struct ws_config_reader *reader, const char *field, const char *what);
+
+/* A string that must be there and not be empty. */
+void ws_config_text(struct ws_config_reader *reader, const char *path, char *to, size_t size);
+/* A string that may be missing; then `to` stays as it is. */
+void ws_config_optional_text(struct ws_config_reader *reader, const char *path, char *to,
+			     size_t size);
+/* A number of at least `least`; if it is missing and not needed, `to` stays as it is. */
+void ws_config_number(struct ws_config_reader *reader, const char *path, double *to, double least,
+		      bool needed);
+/* A time or a share of which there must be some. */
+void ws_config_above_zero(struct ws_config_reader *reader, const char *path, double *to,
+			  bool needed);
+/* A limit that will hold from some later moment on: planned by from the start if it is lower. */
+void ws_config_lower(struct ws_config_reader *reader, const char *path, double least, double *to);
+void ws_config_endpoint(struct ws_config_reader *reader, const char *path, struct ws_endpoint *to);
+/* Entries of an array; 0 if it is missing. */
+size_t ws_config_count(struct ws_config_reader *reader, const char *path, size_t most, bool needed);
+/* Refuses keys of a table that are not among those known; an empty path is the file itself. */
+void ws_config_known_keys(struct ws_config_reader *reader, const char *table,
+			  const char *const *known, size_t count);
+#endif
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -251,6 +251,8 @@
 	struct ws_machine **ending; /* those on which something was told to stop */
 	size_t nending;
 	struct ws_machine **fit; /* scratch, of the same size */
+	size_t ahead_from;	 /* machines before this one have no room for any task ahead */
+	double least_ahead;	 /* CPUs of the smallest of those tasks; 0: not known yet */
 	double least;		 /* CPUs of the smallest task that waits */
 	uint64_t steps_end;	 /* beyond these nothing more is stopped in this pass */
 	struct ws_victim {
@@ -967,11 +969,13 @@
 {
 	struct ws_core *c = p->c;
 
-	for (size_t i = 0; i < p->n && want && zones; i++) {
+	for (size_t i = p->ahead_from; i < p->n && want && zones; i++) {
 		struct ws_machine *m = p->ms[i];
 		uint32_t fit;
 
 		c->steps++;
+		if (i == p->ahead_from && m->virt_cpus + 1e-9 < p->least_ahead)
+			p->ahead_from++;
 		if (!ws_kind_ok(j, m) || m->zi < 0 || !(zones >> m->zi & 1))
 			continue;
 		fit = ws_fit(j, m, want, false);
@@ -1075,7 +1079,12 @@
 	HASH_ITER (hh, p->c->jobs, j, next)
 		if (j->room_ahead && j->team && !ws_job_over(j))
 			jobs[n++] = j;
+	if (!n)
+		return;
 	qsort(jobs, n, sizeof(*jobs), ws_want_cmp);
+	p->least_ahead = jobs[0]->spec.cpus;
+	for (size_t i = 1; i < n; i++)
+		p->least_ahead = fmin(p->least_ahead, jobs[i]->spec.cpus);
 	for (size_t i = 0; i < n; i++)
 		ws_room_ahead(p, jobs[i]);
 }
--- a/src/io/service.c
+++ b/src/io/service.c
@@ -769,7 +769,9 @@
 }
 
 struct ws_service *ws_service_new(struct ev_loop *loop, const struct ws_settings *s,
-				  const struct ws_policy *p, char *err, size_t n)
+				  const struct ws_policy *p,
+				  const struct ws_subsystem_settings *subsystems, char *err,
+				  size_t n)
 {
 	struct ws_service *v = calloc(1, sizeof(*v));
 	uint64_t nonce = 0;
@@ -813,6 +815,10 @@
 	v->server = ws_server_new(loop, s->bind.host, s->bind.port, &server, ws_request, v, err, n);
 	if (v->server)
 		v->peers = ws_peers_new(loop, s, ws_peer_ask, v, err, n);
+	if (v->core && !ws_subsystem_attach(v->core, subsystems, s, err, n)) {
+		ws_service_free(v);
+		return NULL;
+	}
 	if (!v->core || !v->state || !v->watch || !v->cloud || !v->server || !v->peers) {
 		ws_service_free(v);
 		return NULL;
--- a/src/main.c
+++ b/src/main.c
@@ -3,6 +3,7 @@
 #include "io/pool.h"
 #include "io/service.h"
 #include "log.h"
+#include "subsystem_settings.h"
 #include <argp.h>
 #include <signal.h>
 #include <stdio.h>
@@ -17,13 +18,14 @@
 const char *argp_program_version = "waystep " WS_VERSION;
 
 struct ws_args {
-	const char *config, *policy;
+	const char *config, *policy, *subsystems;
 	bool check;
 };
 
 static const struct argp_option ws_options[] = {
     {"config", 'c', "FILE", 0, "The platform's settings (TOML); required", 0},
     {"policy", 'p', "FILE", 0, "The operators' own settings (TOML)", 0},
+    {"subsystems", 's', "FILE", 0, "Which subsystems are on, and their settings (TOML)", 0},
     {"check", 'k', NULL, 0, "Check the settings and exit", 0},
     {0},
 };
@@ -35,6 +37,7 @@
 	switch (key) {
 	case 'c': a->config = arg; return 0;
 	case 'p': a->policy = arg; return 0;
+	case 's': a->subsystems = arg; return 0;
 	case 'k': a->check = true; return 0;
 	case ARGP_KEY_ARG: argp_error(state, "unexpected argument: %s", arg); return 0;
 	case ARGP_KEY_END:
@@ -96,6 +99,7 @@
 	    NULL};
 	static struct ws_settings settings;
 	static struct ws_policy policy;
+	static struct ws_subsystem_settings subsystems;
 	struct ws_args args = {0};
 	struct ev_loop *loop;
 	struct ws_service *service;
@@ -106,8 +110,12 @@
 	argp_err_exit_status = 2;
 	argp_parse(&argp, argc, argv, 0, NULL, &args);
 	ws_policy_defaults(&policy);
+	ws_subsystem_defaults(&subsystems);
 	if (!ws_config_settings(args.config, &settings, err, sizeof(err)) ||
-	    (args.policy && !ws_config_policy(args.policy, &policy, err, sizeof(err)))) {
+	    (args.policy && !ws_config_policy(args.policy, &policy, err, sizeof(err))) ||
+	    (args.subsystems &&
+	     (!ws_subsystem_read(args.subsystems, &subsystems, err, sizeof(err)) ||
+	      !ws_subsystem_attach(NULL, &subsystems, &settings, err, sizeof(err))))) {
 		fprintf(stderr, "waystep: %s\n", err);
 		return 2;
 	}
@@ -129,7 +137,7 @@
 		fprintf(stderr, "waystep: no event loop\n");
 		return 1;
 	}
-	service = ws_service_new(loop, &settings, &policy, err, sizeof(err));
+	service = ws_service_new(loop, &settings, &policy, &subsystems, err, sizeof(err));
 	if (!service) {
 		fprintf(stderr, "waystep: %s\n", err);
 		return 1;
@@ -148,6 +156,7 @@
 	ev_run(loop, 0);
 	ws_logf(WS_LOG_INFO, "stopping");
 	ws_service_free(service);
+	ws_subsystem_free(&subsystems);
 	ev_loop_destroy(loop);
 	return 0;
 }
--- /dev/null
+++ b/src/subsystem_settings.c
@@ -0,0 +1,149 @@
+#include "subsystem_settings.h"
+#include "config_reader.h"
+#include "log.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PATH_LENGTH 160
+
+void ws_subsystem_defaults(struct ws_subsystem_settings *settings)
+{
+	settings->zones_on = false;
+	ws_zones_defaults(&settings->zones);
+}
+
+void ws_subsystem_free(struct ws_subsystem_settings *settings)
+{
+	ws_zones_settings_free(&settings->zones);
+}
+
+static void *allocate(size_t count, size_t size)
+{
+	void *memory = calloc(count ? count : 1, size);
+
+	if (!memory)
+		abort();
+	return memory;
+}
+
+static void read_networks(struct ws_config_reader *reader, struct ws_zones_declared *declared,
+			  size_t domain)
+{
+	char path[PATH_LENGTH];
+
+	snprintf(path, sizeof(path), "zones.domains[%zu].networks", domain);
+	declared->network_count = ws_config_count(reader, path, SIZE_MAX, true);
+	declared->networks = allocate(declared->network_count, sizeof(*declared->networks));
+	for (size_t i = 0; i < declared->network_count && reader->ok; i++) {
+		snprintf(path, sizeof(path), "zones.domains[%zu].networks[%zu]", domain, i);
+		ws_config_text(reader, path, declared->networks[i], WS_ZONES_NETWORK_MAX);
+	}
+}
+
+static void read_domains(struct ws_config_reader *reader, struct ws_zones_settings *zones)
+{
+	static const char *const known[] = {"name", "networks"};
+	size_t count = ws_config_count(reader, "zones.domains", SIZE_MAX, false);
+	char path[PATH_LENGTH];
+
+	zones->declared = allocate(count, sizeof(*zones->declared));
+	for (size_t i = 0; i < count && reader->ok; i++) {
+		snprintf(path, sizeof(path), "zones.domains[%zu]", i);
+		ws_config_known_keys(reader, path, known, sizeof(known) / sizeof(known[0]));
+		snprintf(path, sizeof(path), "zones.domains[%zu].name", i);
+		ws_config_text(reader, path, zones->declared[i].name, WS_ZONES_NAME_MAX);
+		zones->declared_count = i + 1;
+		read_networks(reader, &zones->declared[i], i);
+	}
+}
+
+static void read_class_order(struct ws_config_reader *reader, struct ws_zones_settings *zones)
+{
+	size_t count = ws_config_count(reader, "zones.class_order", SIZE_MAX, false);
+
+	zones->class_order = allocate(count, sizeof(*zones->class_order));
+	zones->class_count = count;
+	for (size_t i = 0; i < count && reader->ok; i++) {
+		char path[PATH_LENGTH];
+
+		snprintf(path, sizeof(path), "zones.class_order[%zu]", i);
+		ws_config_text(reader, path, zones->class_order[i], WS_ZONES_NAME_MAX);
+	}
+}
+
+static void read_zones(struct ws_config_reader *reader, struct ws_subsystem_settings *settings)
+{
+	static const char *const known[] = {"enabled",	   "dark_share",  "stable_s",	 "ramp_s",
+					    "half_life_s", "penalty_max", "class_order", "domains"};
+	struct ws_zones_settings *zones = &settings->zones;
+
+	ws_config_known_keys(reader, "zones", known, sizeof(known) / sizeof(known[0]));
+	if (ws_toml_bool(reader->toml, "zones.enabled", &settings->zones_on) != WS_TOML_OK)
+		ws_config_fail(reader, "zones.enabled", "must be true or false");
+	ws_config_number(reader, "zones.dark_share", &zones->dark_share, 0.5, false);
+	if (zones->dark_share > 1)
+		ws_config_fail(reader, "zones.dark_share", "must be at most 1");
+	ws_config_number(reader, "zones.stable_s", &zones->stable_s, 0, false);
+	ws_config_number(reader, "zones.ramp_s", &zones->ramp_s, 0, false);
+	ws_config_above_zero(reader, "zones.half_life_s", &zones->half_life_s, false);
+	ws_config_number(reader, "zones.penalty_max", &zones->penalty_max, 1, false);
+	if (zones->penalty_max > 16) /* the hold-down doubles with each */
+		ws_config_fail(reader, "zones.penalty_max", "must be at most 16");
+	read_class_order(reader, zones);
+	read_domains(reader, zones);
+}
+
+bool ws_subsystem_read(const char *path, struct ws_subsystem_settings *settings, char *error,
+		       size_t error_size)
+{
+	static const char *const known[] = {"zones"};
+	struct ws_config_reader reader;
+
+	if (!ws_config_open(&reader, path, error, error_size))
+		return false;
+	ws_config_known_keys(&reader, "", known, sizeof(known) / sizeof(known[0]));
+	if (ws_toml_table(reader.toml, "zones"))
+		read_zones(&reader, settings);
+	else if (ws_toml_has(reader.toml, "zones"))
+		ws_config_fail(&reader, "zones", "must be a table");
+	return ws_config_close(&reader);
+}
+
+static void log_line(const char *text)
+{
+	ws_log_write(WS_LOG_INFO, text);
+}
+
+bool ws_subsystem_attach(struct ws_core *core, const struct ws_subsystem_settings *settings,
+			 const struct ws_settings *platform, char *error, size_t error_size)
+{
+	const char *names[WS_MAX_ZONES];
+	struct ws_zones_error wrong;
+	struct ws_zones *zones;
+	struct ws_cluster_limits limits = {
+	    .report_s = platform->report_s,
+	    .lease_s = platform->lease_s,
+	    .state_write_rps = platform->state_write_rps,
+	    .value_bytes = (size_t)(platform->value_kb * 1024),
+	    .node_zone = platform->zone,
+	    .zones = names,
+	    .zone_count = platform->nzones,
+	};
+
+	if (!settings->zones_on && core)
+		return true;
+	for (size_t i = 0; i < platform->nzones; i++)
+		names[i] = platform->zones[i];
+	zones = ws_zones_new(&settings->zones, &limits, log_line, &wrong);
+	if (!zones) {
+		snprintf(error, error_size, "zones.domains: %s%s%s %s", wrong.domain,
+			 wrong.network[0] ? ": " : "", wrong.network,
+			 ws_zones_error_text(wrong.code));
+		return false;
+	}
+	if (core && ws_core_attach(core, &ws_zones_ops, zones))
+		return true;
+	ws_zones_free(zones);
+	return !core;
+}
--- /dev/null
+++ b/src/subsystem_settings.h
@@ -0,0 +1,24 @@
+/* The file of switches: which subsystems are on, and their settings. */
+#ifndef WS_SUBSYSTEM_SETTINGS_H
+#define WS_SUBSYSTEM_SETTINGS_H
+#include "core/core.h"
+#include "zones/zones.h"
+
+struct ws_subsystem_settings {
+	bool zones_on;
+	struct ws_zones_settings zones;
+};
+
+/* All off. */
+void ws_subsystem_defaults(struct ws_subsystem_settings *settings);
+void ws_subsystem_free(struct ws_subsystem_settings *settings);
+/* Reads the file; false with one line in `error` that names the field. */
+bool ws_subsystem_read(const char *path, struct ws_subsystem_settings *settings, char *error,
+		       size_t error_size);
+/*
+ * Attaches what is on to a core; with a NULL core the settings are only checked against the
+ * platform's. False with one line in `error`.
+ */
+bool ws_subsystem_attach(struct ws_core *core, const struct ws_subsystem_settings *settings,
+			 const struct ws_settings *platform, char *error, size_t error_size);
+#endif
--- a/src/toml.cpp
+++ b/src/toml.cpp
@@ -3,20 +3,15 @@
 #include <cstring>
 #include <string>
 #include <toml++/toml.h>
-#include <vector>
 
 struct ws_toml {
 	toml::table root;
-	std::vector<std::string> keys;
 };
 
 extern "C" struct ws_toml *ws_toml_open(const char *path, char *err, size_t n)
 {
 	try {
-		auto *t = new ws_toml{toml::parse_file(path), {}};
-		for (auto &&kv : t->root)
-			t->keys.emplace_back(kv.first.str());
-		return t;
+		return new ws_toml{toml::parse_file(path)};
 	} catch (const toml::parse_error &e) {
 		snprintf(err, n, "%s: line %u: %s", path, (unsigned)e.source().begin.line,
 			 std::string(e.description()).c_str());
@@ -60,6 +55,11 @@
 	return t->root.at_path(path).is_table();
 }
 
+extern "C" bool ws_toml_has(struct ws_toml *t, const char *path)
+{
+	return bool(t->root.at_path(path));
+}
+
 extern "C" long ws_toml_length(struct ws_toml *t, const char *path)
 {
 	auto v = t->root.at_path(path);
@@ -67,7 +67,27 @@
 	return a ? (long)a->size() : -1;
 }
 
-extern "C" const char *ws_toml_key(struct ws_toml *t, size_t i)
+extern "C" bool ws_toml_key(struct ws_toml *t, const char *path, size_t i, char *to, size_t n)
+{
+	const toml::table *table = path[0] ? t->root.at_path(path).as_table() : &t->root;
+	if (!table)
+		return false;
+	for (auto &&kv : *table)
+		if (!i--) {
+			snprintf(to, n, "%s", std::string(kv.first.str()).c_str());
+			return true;
+		}
+	return false;
+}
+
+extern "C" enum ws_toml_got ws_toml_bool(struct ws_toml *t, const char *path, bool *to)
 {
-	return i < t->keys.size() ? t->keys[i].c_str() : nullptr;
+	auto v = t->root.at_path(path);
+	if (!v)
+		return WS_TOML_MISSING;
+	auto b = v.value<bool>();
+	if (!v.is_boolean() || !b)
+		return WS_TOML_WRONG_TYPE;
+	*to = *b;
+	return WS_TOML_OK;
 }
--- a/src/toml.h
+++ b/src/toml.h
@@ -16,10 +16,12 @@
 enum ws_toml_got ws_toml_string(struct ws_toml *t, const char *path, char *to, size_t n);
 enum ws_toml_got ws_toml_number(struct ws_toml *t, const char *path, double *to);
 bool ws_toml_table(struct ws_toml *t, const char *path);
+bool ws_toml_has(struct ws_toml *t, const char *path);
 /* Length of an array; -1 if there is none. */
 long ws_toml_length(struct ws_toml *t, const char *path);
-/* Name of the i-th key of the root table; NULL behind the last. */
-const char *ws_toml_key(struct ws_toml *t, size_t i);
+/* Name of the i-th key of a table, of the root with an empty path; false behind the last. */
+bool ws_toml_key(struct ws_toml *t, const char *path, size_t i, char *to, size_t n);
+enum ws_toml_got ws_toml_bool(struct ws_toml *t, const char *path, bool *to);
 #ifdef __cplusplus
 }
 #endif
