Machines known from the cloud's list reach the subsystems; three controllers on loopback

Cause: a machine whose address the cloud's list had told before its first report was never made known to a subsystem; found by the loopback test, in which zone a never went dark. Change: facts go out with the first report and whenever zone or address change; work that may be nowhere else uses avoided machines at once; only a zone that flapped is closed for rentals while it recovers. tests/loopback.c plays state service, cloud, workers and users round real processes; zones_test reads the file of switches and looks addresses up (libcidr read short texts out of bounds: given room).

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -427,6 +427,9 @@
 static void ws_fleet_read(struct ws_core *c, struct ws_machine *m, const struct ws_report *r)
 {
 	struct ws_slot *s, *n;
+	/* the cloud's list may have told its address before it was ever heard */
+	bool moved = !m->reported || m->port != r->port || strcmp(m->host, r->host) != 0 ||
+		     strcmp(m->zone, r->zone) != 0;
 
 	ws_machine_place(c, m, r->type, r->zone, r->spot);
 	if (!m->reported) {
@@ -446,8 +449,9 @@
 		snprintf(m->host, sizeof(m->host), "%s", r->host);
 		m->port = r->port;
 		ws_machine_dirty(c, m);
-		ws_subsystems_machine(c, m);
 	}
+	if (moved)
+		ws_subsystems_machine(c, m);
 	if (r->tenure > m->tenure) {
 		if (m->tenure && m->nslots)
 			ws_log(c, WS_LOG_INFO, "machine %s began tenure %llu, %u tasks lost",
--- a/src/core/hooks.h
+++ b/src/core/hooks.h
@@ -94,8 +94,10 @@
 
 	/* Placement filter: machines to be used only by work that has found no other room. */
 	bool (*machine_avoided)(void *self, double now, const void *machine);
-	/* The same for rentals: no machine is rented in this zone. */
+	/* The same for whole zones: work that may be elsewhere goes elsewhere. */
 	bool (*zone_avoided)(void *self, double now, const char *zone);
+	/* No machine is rented in this zone. */
+	bool (*zone_closed)(void *self, double now, const char *zone);
 
 	/*
 	 * Answer to a survey: whether an attempt on this machine is affected, for each attempt that
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -144,6 +144,19 @@
 	return zones;
 }
 
+/*
+ * Whether a job may use machines that a subsystem would have avoided: it has found no other room
+ * for a lease, or may be nowhere else.
+ */
+static bool ws_takes_avoided(const struct ws_core *c, const struct ws_job *j)
+{
+	uint32_t avoided = c->subsystems.zones_avoided;
+
+	if (j->lack_since > 0 && c->now - j->lack_since > c->set->lease_s)
+		return true;
+	return avoided && j->waiting && !(ws_zones_ok(c, j) & ~avoided);
+}
+
 static bool ws_kind_ok(const struct ws_job *j, const struct ws_machine *m)
 {
 	return m->type && (j->fits >> m->ti & 1) && (!m->spot || j->spec.spot) &&
@@ -1122,8 +1135,7 @@
 		if (all[i]->nslots && ws_rank(all[i]) < p.lowest)
 			p.lowest = ws_rank(all[i]);
 		all[i]->aged = all[i]->waiting && ws_aged(c, all[i]);
-		all[i]->takes_avoided =
-		    all[i]->lack_since > 0 && c->now - all[i]->lack_since > c->set->lease_s;
+		all[i]->takes_avoided = ws_takes_avoided(c, all[i]);
 		if (all[i]->waiting) {
 			p.least = fmin(p.least, all[i]->spec.cpus);
 			all[nw++] = all[i];
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -131,7 +131,7 @@
 {
 	if (!j->lack_since)
 		j->lack_since = c->now;
-	if (zones && !(zones &= ~c->subsystems.zones_avoided))
+	if (zones && !(zones &= ~c->subsystems.zones_closed))
 		return; /* it waits for zones in which nothing is rented now */
 	if (c->nlacks == c->lacks_cap) {
 		c->lacks_cap = c->lacks_cap ? c->lacks_cap * 2 : 64;
@@ -238,7 +238,7 @@
 /* Whether machines for it can be asked for in a zone, as far as the cloud's answers tell. */
 bool ws_rentable(struct ws_core *c, const struct ws_job *j, int zi)
 {
-	if (c->subsystems.zones_avoided >> zi & 1)
+	if (c->subsystems.zones_closed >> zi & 1)
 		return false;
 	for (size_t i = 0; i < c->ntypes; i++) {
 		const struct ws_type *t = &c->types[i];
--- a/src/core/subsystems.c
+++ b/src/core/subsystems.c
@@ -294,7 +294,7 @@
 	HASH_ITER (hh, c->subsystems.records, record, next)
 		ws_subsystem_record_free(c, record);
 	c->subsystems.tick_next = 0;
-	c->subsystems.zones_avoided = 0;
+	c->subsystems.zones_avoided = c->subsystems.zones_closed = 0;
 	c->subsystems.moves = false;
 }
 
@@ -365,13 +365,21 @@
 
 void ws_subsystems_pass(struct ws_core *c)
 {
-	c->subsystems.zones_avoided = 0;
-	for (size_t i = 0; i < c->subsystems.count; i++) {
-		const struct ws_subsystem *subsystem = &c->subsystems.list[i];
+	struct ws_subsystems *all = &c->subsystems;
+
+	all->zones_avoided = all->zones_closed = 0;
+	for (int z = 0; z < c->nzones; z++) {
+		const char *zone = c->zones[z];
 
-		for (int z = 0; subsystem->ops->zone_avoided && z < c->nzones; z++)
-			if (subsystem->ops->zone_avoided(subsystem->self, c->now, c->zones[z]))
-				c->subsystems.zones_avoided |= 1u << z;
+		for (size_t i = 0; i < all->count; i++) {
+			const struct ws_subsystem_ops *ops = all->list[i].ops;
+			void *self = all->list[i].self;
+
+			if (ops->zone_avoided && ops->zone_avoided(self, c->now, zone))
+				all->zones_avoided |= 1u << z;
+			if (ops->zone_closed && ops->zone_closed(self, c->now, zone))
+				all->zones_closed |= 1u << z;
+		}
 	}
 }
 
--- a/src/core/subsystems.h
+++ b/src/core/subsystems.h
@@ -27,8 +27,9 @@
 	struct ws_subsystem_record *records;
 	size_t dirty_records;
 	double tick_next;
-	uint32_t zones_avoided; /* for rentals: a bit each; of the pass under way */
-	bool moves;		/* some job has a move */
+	/* of the pass under way, a bit for each zone: what the filters say */
+	uint32_t zones_avoided, zones_closed;
+	bool moves; /* some job has a move */
 };
 
 bool ws_subsystems_active(const struct ws_core *c);
--- a/src/zones/domains.c
+++ b/src/zones/domains.c
@@ -9,6 +9,7 @@
 
 #define IPV4_BITS 32
 #define IPV6_BITS 128
+#define ROOM_BEFORE 32
 #define IPV4_OFFSET 12 /* of an IPv4 address within libcidr's 16 bytes */
 
 struct ws_zones_domain *ws_zones_domain_find(struct ws_zones *zones, const char *name)
@@ -35,10 +36,24 @@
 	}
 }
 
+/*
+ * Parses with libcidr. It looks for the endings of reverse names (.in-addr.arpa) without asking for
+ * the length, so it is given a text with room before it: a short one was read out of bounds.
+ */
+static CIDR *cidr_parse(const char *text)
+{
+	char room[ROOM_BEFORE + WS_ZONES_NAME_MAX] = {0};
+
+	if (strlen(text) >= WS_ZONES_NAME_MAX)
+		return NULL;
+	memcpy(room + ROOM_BEFORE, text, strlen(text) + 1);
+	return cidr_from_str(room + ROOM_BEFORE);
+}
+
 /* An address or network in text; an IPv4 address within IPv6 is taken as IPv4. */
 static bool prefix_read(const char *text, struct ws_zones_prefix *prefix)
 {
-	CIDR *cidr = cidr_from_str(text);
+	CIDR *cidr = cidr_parse(text);
 	uint8_t *bytes;
 	bool mapped;
 	int length;
--- a/src/zones/plan.c
+++ b/src/zones/plan.c
@@ -139,8 +139,8 @@
 	for (size_t i = 0; i < WS_ZONES_MEMBERSHIPS; i++) {
 		const struct ws_zones_domain *domain = machine->memberships[i].domain;
 
-		if (domain && (domain->state == WS_ZONES_DARK ||
-			       domain->state == WS_ZONES_RECOVERING)) {
+		if (domain &&
+		    (domain->state == WS_ZONES_DARK || domain->state == WS_ZONES_RECOVERING)) {
 			machine->affected++;
 			return true;
 		}
--- a/src/zones/zones.c
+++ b/src/zones/zones.c
@@ -8,6 +8,8 @@
 #define HALF_LIFE_LEASES 30.0
 #define PENALTY_MAX 5.0
 #define DARK_SHARE 0.8
+/* A penalty up to this tells of no flap of late. */
+#define FIRST_LOSS 1.0
 /* Operators' holds are read so often, in leases; records of domains in trouble written. */
 #define HOLD_READ_LEASES 0.25
 #define RECORD_LEASES 1.0
@@ -282,17 +284,33 @@
 	return false;
 }
 
-/* Nothing is rented where a domain is dark, or recovering within its hold-down. */
-static bool zone_avoided(void *self, double now, const char *zone)
+/* The domain of a zone if it is dark, or recovering within its hold-down; else NULL. */
+static const struct ws_zones_domain *zone_in_trouble(struct ws_zones *zones, double now,
+						     const char *zone)
 {
-	struct ws_zones *zones = self;
 	const struct ws_zones_domain *domain = ws_zones_domain_find(zones, zone);
 
 	if (!domain || !domain->is_zone || zones->later_format)
-		return false;
-	return domain->state == WS_ZONES_DARK ||
-	       (domain->state == WS_ZONES_RECOVERING &&
-		now - domain->clean_since < ws_zones_hold_down(zones, domain));
+		return NULL;
+	if (domain->state == WS_ZONES_DARK)
+		return domain;
+	return domain->state == WS_ZONES_RECOVERING &&
+		       now - domain->clean_since < ws_zones_hold_down(zones, domain)
+		   ? domain
+		   : NULL;
+}
+
+static bool zone_avoided(void *self, double now, const char *zone)
+{
+	return zone_in_trouble(self, now, zone) != NULL;
+}
+
+/* A machine takes its time to boot, so only a zone that flapped is closed while it recovers. */
+static bool zone_closed(void *self, double now, const char *zone)
+{
+	const struct ws_zones_domain *domain = zone_in_trouble(self, now, zone);
+
+	return domain && (domain->state == WS_ZONES_DARK || domain->penalty > FIRST_LOSS);
 }
 
 /* ---- tick ---- */
@@ -347,6 +365,7 @@
     .machine_lost = machine_lost,
     .machine_avoided = machine_avoided,
     .zone_avoided = zone_avoided,
+    .zone_closed = zone_closed,
     .attempt_surveyed = ws_zones_attempt_surveyed,
     .job_surveyed = ws_zones_job_surveyed,
     .survey_done = ws_zones_survey_done,
--- /dev/null
+++ b/tests/loopback.h
@@ -0,0 +1,56 @@
+/*
+ * A whole cluster on loopback sockets for one test process: stand-ins for state service, cloud,
+ * workers and users round real controller processes, and the history of what ran where.
+ */
+#ifndef WS_TEST_LOOPBACK_H
+#define WS_TEST_LOOPBACK_H
+#include <stdbool.h>
+#include <stdint.h>
+
+#define LOOPBACK_NODES 3
+#define LOOPBACK_WORKERS 6
+#define LOOPBACK_JOBS 64
+
+/* Figures of the settings that the controllers are started with. */
+#define LOOPBACK_REPORT_S 0.5
+#define LOOPBACK_LEASE_S 6.0
+
+struct loopback_job {
+	char id[32];
+	const char *job_class;
+	unsigned tasks;
+	bool service;
+	double run_s;
+	bool accepted, done;
+	unsigned answers_done; /* polls that said done */
+	bool went_back;	       /* an answer after done said otherwise */
+};
+
+/* What was seen, over the whole run. */
+struct loopback_counts {
+	unsigned starts, finishes, lost, twice; /* twice: started while on another machine */
+	unsigned run_orders, stop_orders, reap_orders;
+};
+
+/* Starts the stand-ins and the controllers, with a file of switches; NULL: none. */
+void loopback_start(const char *program, const char *subsystems);
+void loopback_stop(void);
+/* Lets everything go on for so long. */
+void loopback_run(double seconds);
+/* Goes on until a condition holds, at most so long; whether it does. */
+bool loopback_until(bool (*condition)(void), double seconds);
+
+struct loopback_job *loopback_submit(const char *job_class, unsigned tasks, bool service,
+				     double run_s);
+/* The workers of a zone, by its index, neither send nor answer anything. */
+void loopback_dark(int zone, bool dark);
+void loopback_kill_node(int node);
+void loopback_start_node(int node);
+/* Tasks that run in a zone now. */
+unsigned loopback_running(int zone);
+/* State on record of a domain; "" without one. */
+const char *loopback_domain(const char *name);
+unsigned loopback_keys(const char *prefix);
+const struct loopback_counts *loopback_counts(void);
+struct loopback_job *loopback_jobs(unsigned *count);
+#endif
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -61,7 +61,7 @@
 	double pending_at;
 	double started_at, answered_at;
 	int finishes;
-	double *displaced_at; /* of each task: when its machine went dark; 0: no */
+	double *displaced_at;  /* of each task: when its machine went dark; 0: no */
 	double progress_saved; /* of a gang */
 	struct sim_gang {      /* its attempts */
 		uint64_t attempt;
--- a/tests/sim_zones.c
+++ b/tests/sim_zones.c
@@ -156,7 +156,7 @@
 }
 
 /* dark ZONE for=S [only=reports|answers] [share=X] | kill-zone, take-zone ZONE
- * | dark-but-leader for=S | hold-domain, release-domain NAME | lead-by old|new */
+ * | dark-but-leader for=S | hold-domain, release-domain, later-format NAME | lead-by old|new */
 bool sim_zones_act(struct sim *s, const char *verb, const char *name, const char *full)
 {
 	char kind[16] = "";
@@ -172,6 +172,15 @@
 		json_decref(value);
 		return true;
 	}
+	if (!strcmp(verb, "later-format")) { /* of a domain's record */
+		json_t *value = json_pack("{s:i,s:s}", "v", 9, "state", "dark");
+
+		snprintf(key, sizeof(key), "zones/domain/%s", name);
+		s->rev++;
+		sim_kv_put(s, key, value, 0);
+		json_decref(value);
+		return true;
+	}
 	if (!strcmp(verb, "lead-by")) {
 		lead_by(s, !strcmp(name, "new"));
 		return true;
--- /dev/null
+++ b/tests/zones_test.c
@@ -0,0 +1,158 @@
+/*
+ * The file of switches, and which domain an address belongs to: wrong fields are refused by name,
+ * the longest prefix wins, for IPv4 and IPv6.
+ */
+#include "../src/subsystem_settings.h"
+#include "../src/zones/internal.h"
+#include "check.h"
+#include <unistd.h>
+
+static bool read_text(const char *text, struct ws_subsystem_settings *settings, char *error,
+		      size_t size)
+{
+	char file[] = "/tmp/waystep-zones-XXXXXX";
+	FILE *f = fdopen(mkstemp(file), "w");
+	bool ok;
+
+	fputs(text, f);
+	fclose(f);
+	error[0] = 0;
+	ws_subsystem_defaults(settings);
+	ok = ws_subsystem_read(file, settings, error, size);
+	unlink(file);
+	return ok;
+}
+
+static const struct ws_settings platform = {
+    .zone = "a", .zones = {"a", "b"}, .nzones = 2, .report_s = 2, .lease_s = 16};
+
+struct refusal {
+	const char *text, *names; /* what the message must name */
+};
+
+static const struct refusal refusals[] = {
+    {"[zone]\nenabled = true\n", "zone"},
+    {"zones = 1\n", "zones"},
+    {"[zones]\n", "zones.enabled"},
+    {"[zones]\nenabled = 1\n", "zones.enabled"},
+    {"[zones]\nenabled = true\nspeed = 2\n", "zones.speed"},
+    {"[zones]\nenabled = true\ndark_share = 0.2\n", "zones.dark_share"},
+    {"[zones]\nenabled = true\ndark_share = 1.5\n", "zones.dark_share"},
+    {"[zones]\nenabled = true\nstable_s = -1\n", "zones.stable_s"},
+    {"[zones]\nenabled = true\nhalf_life_s = 0\n", "zones.half_life_s"},
+    {"[zones]\nenabled = true\npenalty_max = 17\n", "zones.penalty_max"},
+    {"[zones]\nenabled = true\nclass_order = [1]\n", "zones.class_order[0]"},
+    {"[zones]\nenabled = true\n[[zones.domains]]\nname = 'r'\n", "zones.domains[0].networks"},
+    {"[zones]\nenabled = true\n[[zones.domains]]\nnetworks = []\n", "zones.domains[0].name"},
+    {"[zones]\nenabled = true\n[[zones.domains]]\nname = 'r'\nnetworks = []\nx = 1\n",
+     "zones.domains[0].x"},
+    {"[zones]\nenabled = true\n[[zones.domains]]\nname = 'r'\nnetworks = ['10.0.0.0/33']\n",
+     "r: 10.0.0.0/33"},
+    {"[zones]\nenabled = true\n[[zones.domains]]\nname = 'r'\nnetworks = ['ten']\n", "r: ten"},
+    {"[zones]\nenabled = true\n[[zones.domains]]\nname = 'r'\nnetworks = ['10.0.0.1/8']\n",
+     "10.0.0.1/8"},
+    {"[zones]\nenabled = true\n[[zones.domains]]\nname = 'r'\nnetworks = ['fd00::1/64']\n",
+     "fd00::1/64"},
+    {"[zones]\nenabled = true\n[[zones.domains]]\nname = 'r'\nnetworks = ['10.0.0.0/8']\n"
+     "[[zones.domains]]\nname = 's'\nnetworks = ['10.0.0.0/8']\n",
+     "s: 10.0.0.0/8"},
+    {"[zones]\nenabled = true\n[[zones.domains]]\nname = 'a'\nnetworks = []\n", "a"},
+    {"[zones]\nenabled = true\n[[zones.domains]]\nname = 'r s'\nnetworks = []\n", "r s"},
+    {"[zones]\nenabled = false\n[[zones.domains]]\nname = 'r'\nnetworks = ['ten']\n", "r: ten"},
+};
+
+static void check_refusals(void)
+{
+	for (size_t i = 0; i < sizeof(refusals) / sizeof(refusals[0]); i++) {
+		struct ws_subsystem_settings settings;
+		char error[512], what[128];
+		bool ok = read_text(refusals[i].text, &settings, error, sizeof(error)) &&
+			  ws_subsystem_attach(NULL, &settings, &platform, error, sizeof(error));
+
+		snprintf(what, sizeof(what), "refused, naming %s", refusals[i].names);
+		check(what, !ok && strstr(error, refusals[i].names));
+		ws_subsystem_free(&settings);
+	}
+}
+
+static const char declared[] =
+    "[zones]\nenabled = true\nstable_s = 3.0\nclass_order = ['x', 'y']\n"
+    "[[zones.domains]]\nname = 'row'\nnetworks = ['10.1.0.0/16', 'fd00:1::/32']\n"
+    "[[zones.domains]]\nname = 'rack'\nnetworks = ['10.1.2.0/23', 'fd00:1:0:5::/64']\n"
+    "[[zones.domains]]\nname = 'host'\nnetworks = ['10.1.2.9/32']\n"
+    "[[zones.domains]]\nname = 'rest'\nnetworks = ['0.0.0.0/0']\n";
+
+static size_t unreadable;
+static void log_text(const char *text)
+{
+	unreadable += strstr(text, "can't be read") != NULL;
+}
+
+struct lookup {
+	const char *address, *domain; /* NULL: its zone alone */
+};
+
+static const struct lookup lookups[] = {
+    {"10.1.0.1", "row"},
+    {"10.1.2.0", "rack"},
+    {"10.1.3.255", "rack"},
+    {"10.1.4.0", "row"},
+    {"10.1.2.9", "host"},
+    {"10.2.0.1", "rest"},
+    {"::ffff:10.1.2.9", "host"},
+    {"fd00:1:0:5::77", "rack"},
+    {"fd00:1:0:6::77", "row"},
+    {"fd00:2::1", NULL},
+    {"ten", NULL},
+    {"10.1.2.0/24", NULL},
+};
+
+static void check_lookups(void)
+{
+	struct ws_subsystem_settings settings;
+	struct ws_cluster_limits limits = {.report_s = 2, .lease_s = 16, .node_zone = "a"};
+	struct ws_zones_error wrong;
+	struct ws_zones *zones;
+	char error[512];
+
+	check("declared domains are read",
+	      read_text(declared, &settings, error, sizeof(error)) && settings.zones_on &&
+		  settings.zones.declared_count == 4 && settings.zones.class_count == 2);
+	zones = ws_zones_new(&settings.zones, &limits, log_text, &wrong);
+	check("and taken", zones != NULL);
+	for (size_t i = 0; zones && i < sizeof(lookups) / sizeof(lookups[0]); i++) {
+		const struct ws_machine_facts facts = {
+		    .name = "m", .address = lookups[i].address, .zone = "z"};
+		struct ws_zones_machine machine = {0};
+		const struct ws_zones_domain *got;
+		char what[128];
+
+		ws_zones_join(zones, &machine, &facts);
+		got = machine.memberships[1].domain;
+		snprintf(what, sizeof(what), "%s is in %s", lookups[i].address,
+			 lookups[i].domain ? lookups[i].domain : "its zone alone");
+		check(what, machine.memberships[0].domain &&
+				(lookups[i].domain ? got && !strcmp(got->name, lookups[i].domain)
+						   : !got));
+		ws_zones_leave(&machine);
+	}
+	check("two addresses were reported as unreadable", unreadable == 2);
+	ws_zones_free(zones);
+	ws_subsystem_free(&settings);
+}
+
+int main(void)
+{
+	struct ws_subsystem_settings settings;
+	char error[512];
+
+	check("an empty file leaves all off",
+	      read_text("", &settings, error, sizeof(error)) && !settings.zones_on);
+	check("a missing file is refused by name",
+	      !ws_subsystem_read("/nowhere.toml", &settings, error, sizeof(error)) &&
+		  strstr(error, "/nowhere.toml"));
+	check_refusals();
+	check_lookups();
+	printf("%d passed, %d failed\n", good, bad);
+	return bad != 0;
+}
