--- a/src/main.c
+++ b/src/main.c
@@ -4,6 +4,7 @@
 #include "io/service.h"
 #include "log.h"
 #include "subsystem_settings.h"
+#include "zones_command.h"
 #include <argp.h>
 #include <signal.h>
 #include <stdio.h>
@@ -20,13 +21,20 @@
 struct ws_args {
 	const char *config, *policy, *subsystems;
 	bool check;
+	struct ws_zones_command command; /* instead of running as a controller */
 };
 
+/* Options without a letter of their own. */
+enum { OPTION_DOMAINS = 256, OPTION_HOLD, OPTION_RELEASE };
+
 static const struct argp_option ws_options[] = {
     {"config", 'c', "FILE", 0, "The platform's settings (TOML); required", 0},
     {"policy", 'p', "FILE", 0, "The operators' own settings (TOML)", 0},
     {"subsystems", 's', "FILE", 0, "Which subsystems are on, and their settings (TOML)", 0},
     {"check", 'k', NULL, 0, "Check the settings and exit", 0},
+    {"domains", OPTION_DOMAINS, NULL, 0, "Show the failure domains on record and exit", 0},
+    {"hold-domain", OPTION_HOLD, "NAME", 0, "Neither evacuate a domain nor let it return", 0},
+    {"release-domain", OPTION_RELEASE, "NAME", 0, "End a hold", 0},
     {0},
 };
 
@@ -39,6 +47,11 @@
 	case 'p': a->policy = arg; return 0;
 	case 's': a->subsystems = arg; return 0;
 	case 'k': a->check = true; return 0;
+	case OPTION_DOMAINS: a->command = (struct ws_zones_command){WS_ZONES_SHOW, NULL}; return 0;
+	case OPTION_HOLD: a->command = (struct ws_zones_command){WS_ZONES_HOLD, arg}; return 0;
+	case OPTION_RELEASE:
+		a->command = (struct ws_zones_command){WS_ZONES_RELEASE, arg};
+		return 0;
 	case ARGP_KEY_ARG: argp_error(state, "unexpected argument: %s", arg); return 0;
 	case ARGP_KEY_END:
 		if (!a->config)
@@ -86,67 +99,61 @@
 			sockets, (unsigned long long)r.rlim_cur);
 }
 
-int main(int argc, char **argv)
+/* Reads and checks all files that the arguments name. */
+static bool ws_read_settings(const struct ws_args *args, struct ws_settings *settings,
+			     struct ws_policy *policy, struct ws_subsystem_settings *subsystems,
+			     char *err, size_t n)
 {
-	static const struct argp argp = {
-	    ws_options,
-	    ws_arg,
-	    NULL,
-	    "waystep -- one controller of a cluster: takes jobs, rents machines, places tasks\v"
-	    "LOG_LEVEL (error, info, debug) sets the amount of log on standard error.",
-	    NULL,
-	    NULL,
-	    NULL};
-	static struct ws_settings settings;
-	static struct ws_policy policy;
-	static struct ws_subsystem_settings subsystems;
-	struct ws_args args = {0};
-	struct ev_loop *loop;
+	ws_policy_defaults(policy);
+	ws_subsystem_defaults(subsystems);
+	if (!ws_config_settings(args->config, settings, err, n))
+		return false;
+	if (args->policy && !ws_config_policy(args->policy, policy, err, n))
+		return false;
+	return !args->subsystems || (ws_subsystem_read(args->subsystems, subsystems, err, n) &&
+				     ws_subsystem_attach(NULL, subsystems, settings, err, n));
+}
+
+static void ws_print_check(const char *file, const struct ws_settings *settings,
+			   const struct ws_policy *policy,
+			   const struct ws_subsystem_settings *subsystems)
+{
+	printf("%s: fine: node %s, %zu peers, %zu teams\n", file, settings->node, settings->npeers,
+	       settings->nteams);
+	if (subsystems->zones_on)
+		printf("subsystem zones is on, %zu domains besides the zones\n",
+		       subsystems->zones.declared_count);
+	if (ws_core_view_short(settings, policy))
+		printf(
+		    "%s: settings.workers.cancel_s is short for lease_s: in outages of the state "
+		    "service reports are answered for %.3g s at most\n",
+		    file, ws_core_view_s(settings) > 0 ? ws_core_view_s(settings) : 0);
+}
+
+/* Runs as a controller until it is told to stop; the exit status. */
+static int ws_serve(const struct ws_settings *settings, const struct ws_policy *policy,
+		    const struct ws_subsystem_settings *subsystems)
+{
+	struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
 	struct ws_service *service;
 	ev_signal term, intr;
 	char err[512] = "";
 
-	ws_pool_setup();
-	argp_err_exit_status = 2;
-	argp_parse(&argp, argc, argv, 0, NULL, &args);
-	ws_policy_defaults(&policy);
-	ws_subsystem_defaults(&subsystems);
-	if (!ws_config_settings(args.config, &settings, err, sizeof(err)) ||
-	    (args.policy && !ws_config_policy(args.policy, &policy, err, sizeof(err))) ||
-	    (args.subsystems &&
-	     (!ws_subsystem_read(args.subsystems, &subsystems, err, sizeof(err)) ||
-	      !ws_subsystem_attach(NULL, &subsystems, &settings, err, sizeof(err))))) {
-		fprintf(stderr, "waystep: %s\n", err);
-		return 2;
-	}
-	if (args.check) {
-		printf("%s: fine: node %s, %zu peers, %zu teams\n", args.config, settings.node,
-		       settings.npeers, settings.nteams);
-		if (ws_core_view_short(&settings, &policy))
-			printf("%s: settings.workers.cancel_s is short for lease_s: in outages of "
-			       "the state service reports are answered for %.3g s at most\n",
-			       args.config,
-			       ws_core_view_s(&settings) > 0 ? ws_core_view_s(&settings) : 0);
-		return 0;
-	}
-	ws_log_open(settings.node, getenv("LOG_LEVEL"));
-	signal(SIGPIPE, SIG_IGN);
-	ws_descriptors(settings.max_sockets);
-	loop = ev_default_loop(EVFLAG_AUTO);
 	if (!loop) {
 		fprintf(stderr, "waystep: no event loop\n");
 		return 1;
 	}
-	service = ws_service_new(loop, &settings, &policy, &subsystems, err, sizeof(err));
+	service = ws_service_new(loop, settings, policy, subsystems, err, sizeof(err));
 	if (!service) {
 		fprintf(stderr, "waystep: %s\n", err);
 		return 1;
 	}
-	ws_logf(WS_LOG_INFO, "waystep %s on %s:%d, %zu peers", WS_VERSION, settings.bind.host,
-		settings.bind.port, settings.npeers);
+	ws_logf(WS_LOG_INFO, "waystep %s on %s:%d, %zu peers", WS_VERSION, settings->bind.host,
+		settings->bind.port, settings->npeers);
 	ws_logf(WS_LOG_INFO,
 		"planned by: values of %g KiB, %d changes a transaction, %g changes a second",
-		settings.value_kb, settings.txn_ops, settings.state_write_rps);
+		settings->value_kb, settings->txn_ops, settings->state_write_rps);
+	ws_logf(WS_LOG_INFO, "subsystems: zones %s", subsystems->zones_on ? "on" : "off");
 	ev_signal_init(&term, ws_stop, SIGTERM);
 	term.data = service;
 	ev_signal_start(loop, &term);
@@ -156,7 +163,45 @@
 	ev_run(loop, 0);
 	ws_logf(WS_LOG_INFO, "stopping");
 	ws_service_free(service);
-	ws_subsystem_free(&subsystems);
 	ev_loop_destroy(loop);
 	return 0;
 }
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+	    ws_options,
+	    ws_arg,
+	    NULL,
+	    "waystep -- one controller of a cluster: takes jobs, rents machines, places tasks\v"
+	    "LOG_LEVEL (error, info, debug) sets the amount of log on standard error.",
+	    NULL,
+	    NULL,
+	    NULL};
+	static struct ws_settings settings;
+	static struct ws_policy policy;
+	static struct ws_subsystem_settings subsystems;
+	struct ws_args args = {0};
+	char err[512] = "";
+	int status = 0;
+
+	ws_pool_setup();
+	argp_err_exit_status = 2;
+	argp_parse(&argp, argc, argv, 0, NULL, &args);
+	if (!ws_read_settings(&args, &settings, &policy, &subsystems, err, sizeof(err))) {
+		fprintf(stderr, "waystep: %s\n", err);
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	if (args.check) {
+		ws_print_check(args.config, &settings, &policy, &subsystems);
+	} else if (args.command.verb != WS_ZONES_NO_VERB) {
+		status = ws_zones_command_run(&args.command, &settings, &subsystems);
+	} else {
+		ws_log_open(settings.node, getenv("LOG_LEVEL"));
+		ws_descriptors(settings.max_sockets);
+		status = ws_serve(&settings, &policy, &subsystems);
+	}
+	ws_subsystem_free(&subsystems);
+	return status;
+}
--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -739,6 +739,35 @@
 	return n;
 }
 
+int loopback_command(const char *option, const char *argument, char *line, unsigned size)
+{
+	int ends[2], status = 0;
+	pid_t pid;
+	ssize_t got;
+
+	if (pipe(ends))
+		return -1;
+	pid = fork();
+	if (!pid) {
+		dup2(ends[1], STDOUT_FILENO);
+		close(ends[0]);
+		close(ends[1]);
+		if (argument)
+			execl(program, program, option, argument, "--config", nodes[0].file,
+			      (char *)NULL);
+		else
+			execl(program, program, option, "--config", nodes[0].file, (char *)NULL);
+		_exit(99);
+	}
+	close(ends[1]);
+	while (waitpid(pid, &status, WNOHANG) == 0) /* it talks to our state service */
+		ev_run(loop, EVRUN_ONCE);
+	got = read(ends[0], line, size - 1);
+	line[got > 0 ? got : 0] = 0;
+	close(ends[0]);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
 const struct loopback_counts *loopback_counts(void)
 {
 	return &counts;
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -51,6 +51,9 @@
 /* State on record of a domain; "" without one. */
 const char *loopback_domain(const char *name);
 unsigned loopback_keys(const char *prefix);
+/* Runs the program beside the controllers with an option, and an argument of it or NULL; what it
+ * printed first goes to `line`; its exit status. */
+int loopback_command(const char *option, const char *argument, char *line, unsigned size);
 const struct loopback_counts *loopback_counts(void);
 struct loopback_job *loopback_jobs(unsigned *count);
 #endif
--- a/tests/zones_loopback_test.c
+++ b/tests/zones_loopback_test.c
@@ -60,6 +60,27 @@
 	check("no answer after done said otherwise", back == 0);
 }
 
+static void check_commands(void)
+{
+	char line[2000];
+
+	check("the domains are shown",
+	      loopback_command("--domains", NULL, line, sizeof(line)) == 0 &&
+		  strstr(line, "domain a: dark"));
+	check("and the plan's order", strstr(line, "job-00000"));
+	check("a domain that is none is refused",
+	      loopback_command("--hold-domain", "x", line, sizeof(line)) == 2);
+	check("one is held", loopback_command("--hold-domain", "b", line, sizeof(line)) == 0 &&
+				 loopback_keys("zones/hold/b") == 1);
+	check("held twice is held",
+	      loopback_command("--hold-domain", "b", line, sizeof(line)) == 0);
+	loopback_run(LOOPBACK_LEASE_S / 2);
+	loopback_command("--domains", NULL, line, sizeof(line));
+	check("the leader knows", strstr(line, ", held"));
+	check("and released", loopback_command("--release-domain", "b", line, sizeof(line)) == 0 &&
+				  loopback_keys("zones/hold/b") == 0);
+}
+
 int main(int argc, char **argv)
 {
 	unsigned before;
@@ -80,6 +101,7 @@
 	check("all of it lands on the other zones",
 	      loopback_until(all_run_elsewhere, 2 * LOOPBACK_LEASE_S));
 	check("the plan is on record", loopback_keys("zones/plan/") > 0);
+	check_commands();
 	loopback_dark(0, false);
 	check("zone a recovers", loopback_until(a_is_recovering, 5));
 	loopback_submit("late", 2, false, 1);
