Silence is measured by a clock that stands still with the process

Change: a listening clock that advances by a quarter of a report period at most between two events, and not while the leader may not answer reports; the border no longer tells standstills. Finished entries and parts are taken off first and freed after.

--- a/src/core/hooks.h
+++ b/src/core/hooks.h
@@ -48,9 +48,7 @@
 /* The time, and whether silence can be judged at all. */
 struct ws_tick_facts {
 	double now;
-	double elected_at;
-	double resumed_at; /* the process last went on after it stood still, or was served again */
-	bool serving;	   /* entitled, and the state service answers */
+	bool serving; /* entitled, and the state service answers */
 };
 
 enum ws_machine_loss {
--- a/src/core/subsystems.c
+++ b/src/core/subsystems.c
@@ -291,8 +291,14 @@
 	HASH_ITER (hh, c->machines, m, next_machine)
 		ws_subsystems_machine_removed(c, m);
 	WS_EACH_HOOK(c, stepped_down);
-	HASH_ITER (hh, c->subsystems.records, record, next)
-		ws_subsystem_record_free(c, record);
+	record = c->subsystems.records;
+	HASH_CLEAR(hh, c->subsystems.records);
+	for (; record; record = next) {
+		next = record->hh.next;
+		json_decref(record->value);
+		free(record);
+	}
+	c->subsystems.dirty_records = 0;
 	c->subsystems.tick_next = 0;
 	c->subsystems.zones_avoided = c->subsystems.zones_closed = 0;
 	c->subsystems.moves = false;
@@ -491,8 +497,6 @@
 {
 	const struct ws_tick_facts facts = {
 	    .now = c->now,
-	    .elected_at = c->elected_at,
-	    .resumed_at = fmax(c->woke_at, c->served_at),
 	    .serving = ws_entitled(c) && !c->in_outage,
 	};
 
--- a/src/zones/domains.c
+++ b/src/zones/domains.c
@@ -193,17 +193,19 @@
 
 void ws_zones_domains_free(struct ws_zones *zones)
 {
-	struct ws_zones_domain *domain, *next_domain;
-	struct ws_zones_network *network, *next_network;
+	struct ws_zones_domain *domain = zones->domains, *next_domain;
+	struct ws_zones_network *network = zones->networks.table, *next_network;
 
-	HASH_ITER (hh, zones->networks.table, network, next_network) {
-		HASH_DEL(zones->networks.table, network);
-		free(network);
-	}
-	HASH_ITER (hh, zones->domains, domain, next_domain) {
-		HASH_DEL(zones->domains, domain);
+	HASH_CLEAR(hh, zones->domains);
+	for (; domain; domain = next_domain) {
+		next_domain = domain->hh.next;
 		free(domain);
 	}
+	HASH_CLEAR(hh, zones->networks.table);
+	for (; network; network = next_network) {
+		next_network = network->hh.next;
+		free(network);
+	}
 }
 
 /* Adds a machine to a domain, or takes it off, in the domain's counts. */
--- a/src/zones/health.c
+++ b/src/zones/health.c
@@ -10,8 +10,32 @@
 
 /* ---- presence ---- */
 
-static struct ws_zones_machine **presence_list(struct ws_zones *zones,
-					       const struct ws_zones_machine *machine)
+static void list_append(struct ws_zones_list *list, struct ws_zones_machine *machine)
+{
+	machine->prev = list->last;
+	machine->next = NULL;
+	if (list->last)
+		list->last->next = machine;
+	else
+		list->first = machine;
+	list->last = machine;
+}
+
+static void list_remove(struct ws_zones_list *list, struct ws_zones_machine *machine)
+{
+	if (machine->prev)
+		machine->prev->next = machine->next;
+	else
+		list->first = machine->next;
+	if (machine->next)
+		machine->next->prev = machine->prev;
+	else
+		list->last = machine->prev;
+	machine->prev = machine->next = NULL;
+}
+
+static struct ws_zones_list *presence_list(struct ws_zones *zones,
+					   const struct ws_zones_machine *machine)
 {
 	switch (machine->presence) {
 	case WS_ZONES_EXPECTED: return &zones->expected;
@@ -42,23 +66,23 @@
 }
 
 void ws_zones_set_presence(struct ws_zones *zones, struct ws_zones_machine *machine,
-			   enum ws_zones_presence presence, double now)
+			   enum ws_zones_presence presence)
 {
-	struct ws_zones_machine **list = presence_list(zones, machine);
+	struct ws_zones_list *list = presence_list(zones, machine);
 
 	zones->steps++;
 	if (list)
-		DL_DELETE(*list, machine);
+		list_remove(list, machine);
 	presence_count(zones, machine, -1);
 	machine->presence = presence;
-	machine->changed_at = now;
+	machine->changed_at = zones->clock;
 	machine->kept = false;
 	if (presence != WS_ZONES_SILENT)
 		machine->unanswered = false;
 	presence_count(zones, machine, 1);
 	list = presence_list(zones, machine);
 	if (list)
-		DL_APPEND(*list, machine);
+		list_append(list, machine);
 }
 
 void ws_zones_set_unanswered(struct ws_zones_machine *machine, bool unanswered)
@@ -83,24 +107,34 @@
 	return false;
 }
 
-static void expire(struct ws_zones *zones, const struct ws_tick_facts *facts)
+void ws_zones_listen(struct ws_zones *zones, double now)
+{
+	const double standstill = WS_ZONES_STANDSTILL_REPORTS * zones->limits.report_s;
+
+	if (zones->serving && now > zones->clock_read)
+		zones->clock += fmin(now - zones->clock_read, standstill);
+	zones->clock_read = now;
+}
+
+/* Takes from the fronts of the lists what is overdue by the listening clock. */
+static void expire(struct ws_zones *zones)
 {
 	const double report_s = zones->limits.report_s;
+	const double silent_after = WS_ZONES_SILENT_REPORTS * report_s;
+	const double single_after = WS_ZONES_SINGLE_REPORTS * report_s;
 	struct ws_zones_machine *machine;
 
-	while ((machine = zones->live) &&
-	       facts->now - fmax(machine->changed_at, facts->resumed_at) >
-		   WS_ZONES_SILENT_REPORTS * report_s)
-		ws_zones_set_presence(zones, machine, WS_ZONES_SILENT, facts->now);
-	while ((machine = zones->expected))
-		ws_zones_set_presence(zones, machine, WS_ZONES_SILENT, facts->now);
-	while ((machine = zones->silent) &&
-	       facts->now - machine->changed_at > WS_ZONES_SINGLE_REPORTS * report_s) {
+	while ((machine = zones->live.first) && zones->clock - machine->changed_at > silent_after)
+		ws_zones_set_presence(zones, machine, WS_ZONES_SILENT);
+	while ((machine = zones->expected.first))
+		ws_zones_set_presence(zones, machine, WS_ZONES_SILENT);
+	while ((machine = zones->silent.first) &&
+	       zones->clock - machine->changed_at > single_after) {
 		if (!machine_in_trouble(machine)) {
-			ws_zones_set_presence(zones, machine, WS_ZONES_SINGLE, facts->now);
+			ws_zones_set_presence(zones, machine, WS_ZONES_SINGLE);
 			continue;
 		}
-		DL_DELETE(zones->silent, machine);
+		list_remove(&zones->silent, machine);
 		machine->kept = true;
 	}
 }
@@ -193,7 +227,7 @@
 	DL_FOREACH_SAFE (domain->members, member, next) {
 		zones->steps++;
 		if (member->machine->kept && !machine_in_trouble(member->machine))
-			ws_zones_set_presence(zones, member->machine, WS_ZONES_SINGLE, now);
+			ws_zones_set_presence(zones, member->machine, WS_ZONES_SINGLE);
 	}
 }
 
@@ -277,13 +311,15 @@
 
 void ws_zones_health_tick(struct ws_zones *zones, const struct ws_tick_facts *facts)
 {
-	const double report_s = zones->limits.report_s;
-
-	/* who was silent meanwhile may have been talking to us all the time */
-	if (facts->now < facts->elected_at + WS_ZONES_SETTLE_REPORTS * report_s ||
-	    facts->now < facts->resumed_at + WS_ZONES_SILENT_REPORTS * report_s)
+	ws_zones_listen(zones, facts->now);
+	if (facts->serving && !zones->serving) /* workers that we did not answer come back first */
+		zones->judge_from =
+		    fmax(zones->judge_from,
+			 zones->clock + WS_ZONES_SETTLE_REPORTS * zones->limits.report_s);
+	zones->serving = facts->serving;
+	if (!facts->serving || zones->clock < zones->judge_from)
 		return;
-	expire(zones, facts);
+	expire(zones);
 	for (struct ws_zones_domain *domain = zones->domains; domain; domain = domain->hh.next)
 		judge(zones, domain, facts->now);
 }
--- a/src/zones/internal.h
+++ b/src/zones/internal.h
@@ -25,6 +25,8 @@
 #define WS_ZONES_CONFIRM_REPORTS 1.5
 /* workers have so long to find a new leader. */
 #define WS_ZONES_SETTLE_REPORTS 3
+/* A tick later than this, in report periods, is a standstill. */
+#define WS_ZONES_STANDSTILL_REPORTS 0.25
 /* A lease surely runs out within its length, drift and a margin, as the core reckons. */
 #define WS_ZONES_LEASE_MARGIN (1.001 + 1.0 / 32)
 
@@ -80,7 +82,7 @@
 
 struct ws_zones_machine {
 	enum ws_zones_presence presence;
-	double changed_at; /* live: last heard; silent: since */
+	double changed_at; /* by the listening clock. live: last heard; silent: since */
 	bool unanswered;
 	bool kept;	 /* silent with its domain: not on the list of silent ones */
 	double ramp;	 /* its place in the growing share, from 0 to below 1 */
@@ -89,6 +91,11 @@
 	struct ws_zones_machine *prev, *next;
 };
 
+/* Machines in the order in which they came to it. */
+struct ws_zones_list {
+	struct ws_zones_machine *first, *last;
+};
+
 /* A declared network, found by its prefix. */
 struct ws_zones_prefix {
 	uint8_t bytes[16];
@@ -130,6 +137,7 @@
 	size_t planned, affected, waiting;
 	int64_t part; /* number of the record that names it; -1: none yet */
 	uint64_t seen;
+	struct ws_zones_entry *next_finished;
 	struct ws_move sent; /* as last asked of the core, without the job's name */
 	UT_hash_handle hh;
 };
@@ -138,6 +146,7 @@
 struct ws_zones_part {
 	int64_t number;
 	size_t entries; /* that are unfinished */
+	struct ws_zones_part *next_finished;
 	UT_hash_handle hh;
 };
 
@@ -165,7 +174,14 @@
 	ws_zones_log_fn log;
 	struct ws_zones_networks networks;
 	struct ws_zones_domain *domains;
-	struct ws_zones_machine *live, *silent, *expected; /* each in the order of changed_at */
+	struct ws_zones_list live, silent, expected; /* each in the order of changed_at */
+	/*
+	 * Time during which we were listening: it stands still while the process does, and while
+	 * it may not answer reports. Silence is measured by it.
+	 */
+	double clock, clock_read; /* and the time when it was last read */
+	double judge_from;	  /* of that clock: workers had the time to find us */
+	bool serving;
 	size_t live_count, silent_count;
 	size_t machine_count; /* ever added: gives each its place in the ramp */
 	bool later_format;    /* a record is of a later format: nothing is judged or written */
@@ -187,8 +203,9 @@
 void ws_zones_leave(struct ws_zones_machine *machine);
 
 /* health.c */
+void ws_zones_listen(struct ws_zones *zones, double now);
 void ws_zones_set_presence(struct ws_zones *zones, struct ws_zones_machine *machine,
-			   enum ws_zones_presence presence, double now);
+			   enum ws_zones_presence presence);
 void ws_zones_set_unanswered(struct ws_zones_machine *machine, bool unanswered);
 void ws_zones_health_tick(struct ws_zones *zones, const struct ws_tick_facts *facts);
 double ws_zones_penalty(const struct ws_zones *zones, const struct ws_zones_domain *domain,
--- a/src/zones/plan.c
+++ b/src/zones/plan.c
@@ -52,25 +52,20 @@
 	return part;
 }
 
-/* The entry is finished: its part may go when all of it is. */
-static void entry_free(struct ws_zones_plan *plan, struct ws_zones_entry *entry)
-{
-	if (entry->part >= 0)
-		part_get(plan, entry->part)->entries--;
-	HASH_DEL(plan->entries, entry);
-	free(entry);
-}
-
 void ws_zones_plan_free(struct ws_zones *zones)
 {
 	struct ws_zones_plan *plan = &zones->plan;
-	struct ws_zones_entry *entry, *next_entry;
-	struct ws_zones_part *part, *next_part;
+	struct ws_zones_entry *entry = plan->entries, *next_entry;
+	struct ws_zones_part *part = plan->parts, *next_part;
 
-	HASH_ITER (hh, plan->entries, entry, next_entry)
-		entry_free(plan, entry);
-	HASH_ITER (hh, plan->parts, part, next_part) {
-		HASH_DEL(plan->parts, part);
+	HASH_CLEAR(hh, plan->entries);
+	for (; entry; entry = next_entry) {
+		next_entry = entry->hh.next;
+		free(entry);
+	}
+	HASH_CLEAR(hh, plan->parts);
+	for (; part; part = next_part) {
+		next_part = part->hh.next;
 		free(part);
 	}
 	memset(plan, 0, sizeof(*plan));
@@ -180,27 +175,47 @@
 		entry->reason = reason_of(zones, entry);
 }
 
+/* Over, or all of it placed anew or heard again, with no request left to take back. */
+static bool entry_finished(const struct ws_zones_plan *plan, const struct ws_zones_entry *entry)
+{
+	if (entry->seen != plan->surveys) /* the core has no such job any more */
+		return true;
+	return !entry->affected && !entry->waiting && !entry->sent.position &&
+	       !entry->sent.room_ahead && !entry->sent.replicas_apart;
+}
+
+/* Takes finished entries off the plan, as a list linked by `next_finished`. */
+static struct ws_zones_entry *take_finished(struct ws_zones_plan *plan)
+{
+	struct ws_zones_entry *entry, *next, *finished = NULL;
+
+	HASH_ITER (hh, plan->entries, entry, next) {
+		if (!entry_finished(plan, entry))
+			continue;
+		HASH_DEL(plan->entries, entry);
+		entry->next_finished = finished;
+		finished = entry;
+	}
+	return finished;
+}
+
 void ws_zones_survey_done(void *self, double now)
 {
 	struct ws_zones *zones = self;
 	struct ws_zones_plan *plan = &zones->plan;
-	struct ws_zones_entry *entry, *next;
+	struct ws_zones_entry *finished = take_finished(plan);
 
 	(void)now;
-	HASH_ITER (hh, plan->entries, entry, next) {
-		/* over, or all of it placed anew or heard again */
-		bool over = entry->seen != plan->surveys;
+	HASH_SORT(plan->entries, compare_entries);
+	while (finished) {
+		struct ws_zones_entry *entry = finished;
 
-		if (!over && (entry->affected || entry->waiting))
-			continue;
-		/* what is not in the core's hands any more needs no request to undo it */
-		if (!over &&
-		    (entry->sent.position || entry->sent.room_ahead || entry->sent.replicas_apart))
-			continue; /* the next tick takes its request back first */
+		finished = entry->next_finished;
 		plan->finished += entry->planned;
-		entry_free(plan, entry);
+		if (entry->part >= 0) /* its part may go when all of it is finished */
+			part_get(plan, entry->part)->entries--;
+		free(entry);
 	}
-	HASH_SORT(plan->entries, compare_entries);
 	plan->surveyed = true;
 }
 
@@ -256,18 +271,32 @@
 		part_write(plan, jobs, out);
 }
 
-static void parts_delete(struct ws_zones_plan *plan, struct ws_request_queue *out)
+/* Takes parts without unfinished entries off the plan, as a list linked by `next_finished`. */
+static struct ws_zones_part *take_finished_parts(struct ws_zones_plan *plan)
 {
-	struct ws_zones_part *part, *next;
+	struct ws_zones_part *part, *next, *finished = NULL;
 
 	HASH_ITER (hh, plan->parts, part, next) {
-		char name[64];
-
 		if (part->entries)
 			continue;
+		HASH_DEL(plan->parts, part);
+		part->next_finished = finished;
+		finished = part;
+	}
+	return finished;
+}
+
+static void parts_delete(struct ws_zones_plan *plan, struct ws_request_queue *out)
+{
+	struct ws_zones_part *finished = take_finished_parts(plan);
+
+	while (finished) {
+		struct ws_zones_part *part = finished;
+		char name[64];
+
+		finished = part->next_finished;
 		snprintf(name, sizeof(name), "plan/%lld", (long long)part->number);
 		ws_request_delete(out, name);
-		HASH_DEL(plan->parts, part);
 		free(part);
 	}
 }
--- a/src/zones/zones.c
+++ b/src/zones/zones.c
@@ -153,6 +153,9 @@
 		domain->removed = 0;
 	}
 	zones->later_format = zones->unknown_records = false;
+	zones->serving = false; /* judge after the first tick that finds it so */
+	zones->clock = zones->judge_from = 0;
+	zones->clock_read = now;
 	zones->hold_read_next = 0;
 }
 
@@ -203,13 +206,14 @@
 	struct ws_zones *zones = self;
 	struct ws_zones_machine *machine = calloc(1, sizeof(*machine));
 
+	(void)now;
 	if (!machine)
 		abort();
 	machine->presence = WS_ZONES_SINGLE; /* counts from its first heartbeat on */
 	machine->ramp = fmod((double)zones->machine_count++ * RAMP_STEP, 1);
 	ws_zones_join(zones, machine, facts);
 	if (facts->expected)
-		ws_zones_set_presence(zones, machine, WS_ZONES_EXPECTED, now);
+		ws_zones_set_presence(zones, machine, WS_ZONES_EXPECTED);
 	return machine;
 }
 
@@ -235,7 +239,7 @@
 	struct ws_zones *zones = self;
 	struct ws_zones_machine *machine = handle;
 
-	ws_zones_set_presence(zones, machine, WS_ZONES_SINGLE, 0);
+	ws_zones_set_presence(zones, machine, WS_ZONES_SINGLE);
 	ws_zones_leave(machine);
 	free(machine);
 }
@@ -245,12 +249,13 @@
 	struct ws_zones *zones = self;
 	struct ws_zones_machine *machine = handle;
 
+	(void)now;
 	machine->affected = 0;
 	if (loss == WS_LOSS_LEASE)
 		return;
 	if (machine->presence == WS_ZONES_SILENT)
 		count_removed(machine);
-	ws_zones_set_presence(zones, machine, WS_ZONES_SINGLE, now);
+	ws_zones_set_presence(zones, machine, WS_ZONES_SINGLE);
 }
 
 static void heartbeat_seen(void *self, double now, void *handle)
@@ -259,7 +264,8 @@
 
 	if (machine->presence == WS_ZONES_SILENT)
 		ws_zones_called_off(self, machine);
-	ws_zones_set_presence(self, machine, WS_ZONES_LIVE, now);
+	ws_zones_listen(self, now);
+	ws_zones_set_presence(self, machine, WS_ZONES_LIVE);
 }
 
 static void command_answered(void *self, void *handle, bool answered)
@@ -338,9 +344,11 @@
 {
 	struct ws_zones *zones = self;
 
-	if (!facts->serving || zones->later_format)
+	if (zones->later_format)
 		return;
 	ws_zones_health_tick(zones, facts);
+	if (!facts->serving)
+		return;
 	domains_write(zones, facts->now, out);
 	ws_zones_plan_tick(zones, facts->now, out);
 	if (facts->now >= zones->hold_read_next) {
