--- a/tests/sim_zones.c
+++ b/tests/sim_zones.c
@@ -238,6 +238,26 @@
 	return n;
 }
 
+/* What a measurement by hand takes down, with -v: see docs/measurements.md. */
+static void measured(struct sim *s)
+{
+	int finishes = 0, done = 0;
+
+	for (int i = 0; i < s->njobs; i++) {
+		finishes += s->jobs[i].finishes;
+		done += s->jobs[i].done;
+	}
+	fprintf(stderr,
+		"measured: %llu starts, %d finishes, %d jobs done, %d rented, %d returned, "
+		"%llu changes\n",
+		(unsigned long long)s->starts, finishes, done, s->rented, s->returned,
+		(unsigned long long)s->changes);
+	for (int i = 0; i < s->nmoves; i++)
+		fprintf(stderr, "measured: %s: %d moved, first %.1f, mean %.1f, last %.1f s\n",
+			s->moves[i].job_class, s->moves[i].count, s->moves[i].first,
+			s->moves[i].sum / s->moves[i].count, s->moves[i].last);
+}
+
 /* moved CLASS COUNT SECONDS: so many displaced tasks of a class run elsewhere, the last within */
 static void expect_moved(struct sim *s, const char *job_class, const char *count,
 			 const char *within)
@@ -269,6 +289,11 @@
 			sim_fail(s, "domain %s is %s", a, domain_state(s, a));
 		return true;
 	}
+	if (!strcmp(what, "measured")) {
+		if (sim_verbose)
+			measured(s);
+		return true;
+	}
 	if (!strcmp(what, "moved")) {
 		expect_moved(s, a, b, c);
 		return true;
