--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1,4 +1,5 @@
 #include "sim_parts.h"
+#include "layout.h"
 #include <dlfcn.h>
 
 bool sim_verbose;
@@ -8,7 +9,28 @@
     ws_core_resign, ws_core_ready,  ws_core_leading, ws_core_submit, ws_core_poll,
     ws_core_abort,  ws_core_report, ws_core_testify, ws_action_free};
 
-/* The version in production; NULL where it could not be built. */
+#ifdef WS_PRODUCTION_CORE
+/* Whether both versions lay out alike what they share; names what they do not. */
+static bool same_layout(void *library)
+{
+	const struct layout_entry *then = dlsym(library, "layout_then");
+	const size_t *count = dlsym(library, "layout_then_count");
+
+	if (!then || !count || *count != layout_now_count) {
+		fprintf(stderr, "the production core's layout is not told\n");
+		return false;
+	}
+	for (size_t i = 0; i < *count; i++)
+		if (then[i].value != layout_now[i].value) {
+			fprintf(stderr, "%s: %zu in production, %zu now\n", then[i].name,
+				then[i].value, layout_now[i].value);
+			return false;
+		}
+	return true;
+}
+#endif
+
+/* The version in production; NULL where it could not be built, or is laid out otherwise. */
 static const struct sim_version *production(void)
 {
 	static struct sim_version v;
@@ -23,6 +45,8 @@
 	if (v.create)
 		return &v;
 	lib = dlopen(WS_PRODUCTION_CORE, RTLD_NOW | RTLD_LOCAL);
+	if (lib && !same_layout(lib))
+		return NULL;
 	for (size_t i = 0; lib && i < sizeof(names) / sizeof(names[0]); i++) {
 		snprintf(name, sizeof(name), "ws_%s", names[i]);
 		to[i] = dlsym(lib, name);
