--- a/src/core/core.c
+++ b/src/core/core.c
@@ -175,7 +175,7 @@
 
 	if (!c)
 		return;
-	ws_lead_end(c, NULL);
+	ws_step_down(c, NULL);
 	while ((a = ws_core_pop(c))) {
 		ws_call_free(a->call);
 		ws_action_free(a);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -1,9 +1,9 @@
 /*
  * The fleet: machines, what may be alive on them, reports and commands.
  *
- * A slot is one attempt of a task on one machine. It counts against machine, team and siblings
+ * An attempt is one try to run a task on one machine. It counts against machine, team and siblings
  * from the moment it is planned until it is surely gone, and a task is placed anew only when it
- * has no slot left. Surely gone means: the worker reported the attempt exited, or reported
+ * has no attempt left. Surely gone means: the worker reported the attempt exited, or reported
  * without it when no command for it can still arrive; or a report of a later tenure; or the cloud
  * confirmed the machine's return; or its lease ran out by the longest reckoning.
  */
@@ -37,7 +37,7 @@
 	m->token_at = c->now;
 	m->owned = c->owned_seen && strcmp(name, c->owned_upto) <= 0;
 	m->zi = m->chunk = -1;
-	m->odd = strpbrk(name, "/#=;,") != NULL;
+	m->invalid_name = strpbrk(name, "/#=;,") != NULL;
 	HASH_ADD_STR(c->machines, name, m);
 	c->order_stale = true;
 	return m;
@@ -55,8 +55,8 @@
 		m->ti = m->type ? (int)(m->type - c->types) : 0;
 	}
 	if (zi != m->zi || strcmp(m->zone, zone)) {
-		for (struct ws_slot *s = m->slots; s; s = s->next) {
-			if (!s->job || s->state == WS_SLOT_LEAVING)
+		for (struct ws_attempt *s = m->attempts; s; s = s->next) {
+			if (!s->job || s->state == WS_ATTEMPT_GONE)
 				continue;
 			if (m->zi >= 0)
 				s->job->zone_n[m->zi]--;
@@ -143,12 +143,12 @@
 }
 
 /* An attempt begins or ceases to count against machine, team, job and task. */
-void ws_slot_count(struct ws_core *c, struct ws_slot *s, int sign)
+void ws_attempt_count(struct ws_core *c, struct ws_attempt *s, int sign)
 {
 	struct ws_machine *m = s->machine;
 	struct ws_team *t;
 
-	m->nslots += (uint32_t)sign;
+	m->attempt_count += (uint32_t)sign;
 	if (!s->job)
 		return;
 	const struct ws_spec *p = &s->job->spec;
@@ -161,7 +161,7 @@
 		m->stop_gpus += sign * p->gpus;
 		m->stop_mem += sign * p->mem;
 	}
-	if (!m->nslots) /* no rounding is left behind */
+	if (!m->attempt_count) /* no rounding is left behind */
 		m->used_cpus = m->used_gpus = m->used_mem = m->stop_cpus = m->stop_gpus =
 		    m->stop_mem = 0;
 	t = s->job->team;
@@ -169,31 +169,31 @@
 		t->used_cpus += sign * p->cpus;
 		t->used_gpus += sign * p->gpus;
 	}
-	s->job->nslots += (uint32_t)sign;
+	s->job->attempt_count += (uint32_t)sign;
 	if (m->zi >= 0)
 		s->job->zone_n[m->zi] += (uint32_t)sign;
 	if (s->task < p->tasks) {
 		struct ws_task *k = &s->job->tasks[s->task];
-		bool waited = !k->done && !k->slots;
+		bool waited = !k->done && !k->attempts;
 
-		k->slots = (uint16_t)(k->slots + sign);
+		k->attempts = (uint16_t)(k->attempts + sign);
 		if (waited)
 			s->job->waiting--;
-		else if (!k->done && !k->slots)
+		else if (!k->done && !k->attempts)
 			s->job->waiting++;
-		if (!k->slots && s->task < s->job->scan)
+		if (!k->attempts && s->task < s->job->scan)
 			s->job->scan = s->task;
-		if (sign > 0 && (!k->slot || k->slot->attempt < s->attempt))
-			k->slot = s;
-		else if (sign < 0 && k->slot == s)
-			k->slot = NULL;
+		if (sign > 0 && (!k->newest || k->newest->attempt < s->attempt))
+			k->newest = s;
+		else if (sign < 0 && k->newest == s)
+			k->newest = NULL;
 	}
 }
 
-struct ws_slot *ws_slot_add(struct ws_core *c, struct ws_machine *m, const char *job, uint32_t task,
-			    uint64_t attempt)
+struct ws_attempt *ws_attempt_add(struct ws_core *c, struct ws_machine *m, const char *job,
+				  uint32_t task, uint64_t attempt)
 {
-	struct ws_slot *s = calloc(1, sizeof(*s));
+	struct ws_attempt *s = calloc(1, sizeof(*s));
 
 	if (!s)
 		abort();
@@ -204,60 +204,60 @@
 	s->attempt = attempt;
 	s->tenure = m->tenure;
 	s->planned_at = c->now;
-	s->next = m->slots;
-	m->slots = s;
+	s->next = m->attempts;
+	m->attempts = s;
 	if (s->job)
-		DL_APPEND2(s->job->slots, s, jprev, jnext);
-	ws_slot_count(c, s, 1);
+		DL_APPEND2(s->job->attempts, s, jprev, jnext);
+	ws_attempt_count(c, s, 1);
 	return s;
 }
 
 /* Off its machine's list and its job's; it counts no more. */
-void ws_slot_free(struct ws_slot *s)
+void ws_attempt_free(struct ws_attempt *s)
 {
-	struct ws_slot **p = &s->machine->slots;
+	struct ws_attempt **p = &s->machine->attempts;
 
 	while (*p && *p != s)
 		p = &(*p)->next;
 	if (*p)
 		*p = s->next;
 	if (s->job)
-		DL_DELETE2(s->job->slots, s, jprev, jnext);
+		DL_DELETE2(s->job->attempts, s, jprev, jnext);
 	free(s);
 }
 
 /* The attempt is surely gone. Its task may be placed again; the record will name the new one. */
-void ws_slot_release(struct ws_core *c, struct ws_slot *s)
+void ws_attempt_release(struct ws_core *c, struct ws_attempt *s)
 {
 	struct ws_machine *m = s->machine;
 	struct ws_job *j = s->job;
 
-	if (s->state == WS_SLOT_LEAVING)
+	if (s->state == WS_ATTEMPT_GONE)
 		return;
-	ws_slot_count(c, s, -1);
-	if (!m->nslots)
+	ws_attempt_count(c, s, -1);
+	if (!m->attempt_count)
 		m->empty_since = c->now;
 	c->place_wanted = true;
 	if (s->orphan || !j) {
-		ws_slot_free(s);
+		ws_attempt_free(s);
 	} else {
-		s->state = WS_SLOT_LEAVING;
+		s->state = WS_ATTEMPT_GONE;
 		ws_job_dirty(c, j, false);
 	}
 	if (j)
 		ws_job_check_end(c, j);
 }
 
-/* Runs may reach the worker only while nothing else stands against the slot. */
-static bool ws_slot_runnable(const struct ws_core *c, const struct ws_slot *s)
+/* Runs may reach the worker only while nothing else stands against the attempt. */
+static bool ws_attempt_runnable(const struct ws_core *c, const struct ws_attempt *s)
 {
-	return s->state == WS_SLOT_WRITTEN && !s->stop && !s->seen && !s->orphan &&
+	return s->state == WS_ATTEMPT_RECORDED && !s->stop && !s->seen && !s->orphan &&
 	       s->tenure == s->machine->tenure && !c->in_outage && s->job && !ws_job_over(s->job) &&
 	       !s->machine->returning;
 }
 
 /* It is to end: its room will come free. */
-void ws_slot_ends(struct ws_slot *s)
+void ws_attempt_ends(struct ws_attempt *s)
 {
 	if (!s->stop && s->job) {
 		s->machine->stop_cpus += s->job->spec.cpus;
@@ -267,19 +267,19 @@
 	s->stop = true;
 }
 
-void ws_slot_stop(struct ws_core *c, struct ws_slot *s, double grace, const char *why)
+void ws_attempt_stop(struct ws_core *c, struct ws_attempt *s, double grace, const char *why)
 {
-	if (s->state == WS_SLOT_LEAVING)
+	if (s->state == WS_ATTEMPT_GONE)
 		return;
 	if (!s->stop) {
 		if (why)
 			ws_log(c, WS_LOG_INFO, "machine %s: stop %s/%u: %s", s->machine->name,
 			       s->job_id, s->task, why);
 	}
-	ws_slot_ends(s);
+	ws_attempt_ends(s);
 	s->grace = grace;
 	if (!s->sent && !s->seen)
-		ws_slot_release(c, s);
+		ws_attempt_release(c, s);
 }
 
 /*
@@ -319,8 +319,8 @@
 
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m)
 {
-	return ws_machine_hears(m) && !m->mute && !m->odd && m->reported && m->type && !m->gone &&
-	       !m->returning && !m->failed && m->tenure &&
+	return ws_machine_hears(m) && !m->unreachable && !m->invalid_name && m->reported &&
+	       m->type && !m->gone && !m->returning && !m->failed && m->tenure &&
 	       c->now - m->heard < 3 * c->set->report_s && ws_machine_reports(c, m) &&
 	       c->now < m->alive_until && c->now >= m->quarantine_until &&
 	       c->now >= m->refused_until && !m->noticed;
@@ -352,22 +352,23 @@
  * that fails on several machines is held back by itself: a mistake in a job must not condemn the
  * fleet, nor a bad machine the job.
  */
-static void ws_task_failed(struct ws_core *c, struct ws_machine *m, struct ws_slot *s)
+static void ws_task_failed(struct ws_core *c, struct ws_machine *m, struct ws_attempt *s)
 {
 	struct ws_job *j = s->job;
 
 	/* a job that completed tasks elsewhere is sound: then its failures speak against the
 	 * machine */
-	if (strcmp(m->strike_job, s->job_id) || (j && j->ndone > 0)) {
-		m->strikes++;
-		snprintf(m->strike_job, sizeof(m->strike_job), "%s", s->job_id);
+	if (strcmp(m->last_failed_job, s->job_id) || (j && j->ndone > 0)) {
+		m->consecutive_failures++;
+		snprintf(m->last_failed_job, sizeof(m->last_failed_job), "%s", s->job_id);
 	}
-	if (m->strikes >= 2 && c->now >= m->quarantine_until) {
-		double t = c->set->lease_s * (1 << (m->strikes < 6 ? m->strikes - 1 : 5));
+	if (m->consecutive_failures >= 2 && c->now >= m->quarantine_until) {
+		double t = c->set->lease_s *
+			   (1 << (m->consecutive_failures < 6 ? m->consecutive_failures - 1 : 5));
 
 		m->quarantine_until = c->now + t;
 		ws_log(c, WS_LOG_INFO, "machine %s: %d failures in a row, left out for %.0f s",
-		       m->name, m->strikes, t);
+		       m->name, m->consecutive_failures, t);
 	}
 	if (!j)
 		return;
@@ -381,7 +382,7 @@
 	m->refused_until = c->now + c->set->report_s;
 }
 
-static void ws_slot_exited(struct ws_core *c, struct ws_slot *s)
+static void ws_attempt_exited(struct ws_core *c, struct ws_attempt *s)
 {
 	struct ws_machine *m = s->machine;
 	struct ws_job *j = s->job;
@@ -390,8 +391,8 @@
 	       s->task, (unsigned long long)s->attempt, s->why);
 	switch (s->why) {
 	case WS_WHY_DONE:
-		m->strikes = 0;
-		m->strike_job[0] = 0;
+		m->consecutive_failures = 0;
+		m->last_failed_job[0] = 0;
 		if (j) {
 			if (s->running_at > 0)
 				c->work_done += ws_load_of(c, &j->spec);
@@ -420,13 +421,13 @@
 			j->gang_over = s->attempt;
 		break;
 	}
-	ws_slot_release(c, s);
+	ws_attempt_release(c, s);
 }
 
 /* Takes in the newest word of a worker: a report, or the answer to a direct command. */
 static void ws_fleet_read(struct ws_core *c, struct ws_machine *m, const struct ws_report *r)
 {
-	struct ws_slot *s, *n;
+	struct ws_attempt *s, *n;
 	/* the cloud's list may have told its address before it was ever heard */
 	bool moved = !m->reported || m->port != r->port || strcmp(m->host, r->host) != 0 ||
 		     strcmp(m->zone, r->zone) != 0;
@@ -453,9 +454,9 @@
 	if (moved)
 		ws_subsystems_machine(c, m);
 	if (r->tenure > m->tenure) {
-		if (m->tenure && m->nslots)
+		if (m->tenure && m->attempt_count)
 			ws_log(c, WS_LOG_INFO, "machine %s began tenure %llu, %u tasks lost",
-			       m->name, (unsigned long long)r->tenure, m->nslots);
+			       m->name, (unsigned long long)r->tenure, m->attempt_count);
 		if (m->tenure) /* its lease ran out: did it hear our answers? */
 			ws_machine_doubt(c, m, r->epoch > m->token ? r->epoch : m->token);
 		m->tenure = r->tenure;
@@ -467,10 +468,10 @@
 	}
 	/* also where we did not see the tenure begin: one job's record may name an attempt of a
 	 * tenure that another's, or the fleet's, knows to be over */
-	for (s = m->slots; s; s = n) {
+	for (s = m->attempts; s; s = n) {
 		n = s->next;
 		if (s->tenure < r->tenure)
-			ws_slot_release(c, s);
+			ws_attempt_release(c, s);
 	}
 	m->counter = r->counter;
 	m->epoch = r->epoch;
@@ -486,8 +487,8 @@
 	for (size_t i = 0; i < r->ntasks; i++) {
 		const struct ws_task_report *t = &r->tasks[i];
 
-		for (s = m->slots; s; s = s->next)
-			if (s->state != WS_SLOT_LEAVING && s->attempt == t->attempt &&
+		for (s = m->attempts; s; s = s->next)
+			if (s->state != WS_ATTEMPT_GONE && s->attempt == t->attempt &&
 			    s->task == t->task && !strcmp(s->job_id, t->job))
 				break;
 		if (!s && t->state == WS_TASK_EXITED) {
@@ -498,10 +499,10 @@
 			continue;
 		}
 		if (!s) { /* alive but not ours: it counts until it is gone */
-			s = ws_slot_add(c, m, t->job, t->task, t->attempt);
+			s = ws_attempt_add(c, m, t->job, t->task, t->attempt);
 			s->orphan = s->seen = s->sent = true;
-			s->state = WS_SLOT_WRITTEN;
-			ws_slot_stop(c, s, 0, "not in the plan");
+			s->state = WS_ATTEMPT_RECORDED;
+			ws_attempt_stop(c, s, 0, "not in the plan");
 		}
 		s->pass = c->pass;
 		s->seen = s->sent = true;
@@ -529,16 +530,16 @@
 		s->at = t->state;
 		s->why = t->why;
 		if (t->state == WS_TASK_EXITED)
-			ws_slot_exited(c, s);
+			ws_attempt_exited(c, s);
 	}
-	for (s = m->slots; s; s = n) {
+	for (s = m->attempts; s; s = n) {
 		n = s->next;
-		if (s->state == WS_SLOT_LEAVING || s->pass == c->pass || s->tenure != m->tenure)
+		if (s->state == WS_ATTEMPT_GONE || s->pass == c->pass || s->tenure != m->tenure)
 			continue;
 		/* it was there and is no more; or it was told to run, is not there, and no command
 		 * is on its way that could bring it */
 		if (s->seen || (s->sent && s->stop && !m->fence && !m->commands))
-			ws_slot_release(c, s);
+			ws_attempt_release(c, s);
 	}
 }
 
@@ -552,7 +553,7 @@
 	/* a direct run that is still on its way would start the attempt again */
 	if (m->fence || m->commands)
 		return false;
-	for (struct ws_slot *s = m->slots; s; s = s->next)
+	for (struct ws_attempt *s = m->attempts; s; s = s->next)
 		if (s->attempt == t->attempt && s->task == t->task && !strcmp(s->job_id, t->job))
 			return false; /* its job's record still names it */
 	j = ws_job_find(c, t->job);
@@ -588,16 +589,16 @@
 			      size_t max, bool direct)
 {
 	c->norders = 0;
-	for (struct ws_slot *s = m->slots; s && c->norders < max; s = s->next) {
-		bool stop = s->stop && s->state != WS_SLOT_LEAVING && s->tenure == m->tenure &&
+	for (struct ws_attempt *s = m->attempts; s && c->norders < max; s = s->next) {
+		bool stop = s->stop && s->state != WS_ATTEMPT_GONE && s->tenure == m->tenure &&
 			    (s->sent || s->seen);
 
-		if (!stop && !(ws_slot_runnable(c, s) && (!direct || !s->sent)))
+		if (!stop && !(ws_attempt_runnable(c, s) && (!direct || !s->sent)))
 			continue;
 		ws_order_add(c, stop ? WS_STOP : WS_RUN, s->job_id, s->task, s->attempt)->grace_s =
 		    s->grace;
 		if (stop)
-			s->told = true;
+			s->stop_sent = true;
 		else
 			s->sent = true;
 	}
@@ -672,7 +673,8 @@
 		return;
 	}
 	if (c->role != WS_LEADER || !ws_entitled(c) ||
-	    ws_buried(c, &c->tombs, r->machine) || /* a report held back since before its return */
+	    ws_tombstone_holds(c, &c->tombstones,
+			       r->machine) || /* a report held back since before its return */
 	    r->epoch >> WS_EPOCH_SHIFT > c->epoch >> WS_EPOCH_SHIFT) {
 		ws_report_answer(c, token, 503, NULL);
 		return;
@@ -697,7 +699,7 @@
 	if (r->epoch > m->token)
 		m->token = r->epoch;
 	newer = r->tenure > m->tenure || r->counter > m->counter || !m->reported;
-	m->mute = false;
+	m->unreachable = false;
 	if (newer) {
 		m->heard = c->now;
 		ws_fleet_read(c, m, r);
@@ -717,9 +719,9 @@
 }
 
 /* To be stopped, and no command has said so yet: one was on its way when that was decided. */
-static bool ws_slot_untold(const struct ws_slot *s)
+static bool ws_attempt_stop_unsent(const struct ws_attempt *s)
 {
-	return s->stop && !s->told && s->state != WS_SLOT_LEAVING &&
+	return s->stop && !s->stop_sent && s->state != WS_ATTEMPT_GONE &&
 	       s->tenure == s->machine->tenure;
 }
 
@@ -738,7 +740,7 @@
 	ws_subsystems_answered(c, m, r->report != NULL);
 	if (r->report && !strcmp(r->report->machine, m->name)) {
 		c->relay_since = 0; /* it can be reached from here */
-		m->mute = false;
+		m->unreachable = false;
 		if (r->report->tenure > m->tenure ||
 		    (r->report->tenure == m->tenure && r->report->counter > m->counter) ||
 		    !m->reported) {
@@ -747,7 +749,7 @@
 		}
 	} else if (!call->norders) {
 		if (ws_overdue(c, fmax(m->heard, c->woke_at)))
-			m->mute = true;
+			m->unreachable = true;
 		return; /* a greeting: nothing of it can do harm; its token may be met again */
 	} else {
 		/* it may arrive later: until the worker knows a higher epoch, nothing of it can be
@@ -759,8 +761,8 @@
 		       r->status);
 		return;
 	}
-	for (struct ws_slot *s = m->slots; s; s = s->next)
-		if ((ws_slot_runnable(c, s) && !s->sent) || ws_slot_untold(s)) {
+	for (struct ws_attempt *s = m->attempts; s; s = s->next)
+		if ((ws_attempt_runnable(c, s) && !s->sent) || ws_attempt_stop_unsent(s)) {
 			ws_fleet_push(c, m);
 			break;
 		}
@@ -770,13 +772,13 @@
 void ws_fleet_push(struct ws_core *c, struct ws_machine *m)
 {
 	struct ws_call *call;
-	struct ws_slot *s;
+	struct ws_attempt *s;
 
 	if (!m->reported || !m->port || m->commands || m->fence || m->gone || m->returning ||
 	    !ws_entitled(c) || c->now - m->heard > 1.5 * c->set->report_s)
 		return;
 	/* while the state service is out nothing is started, but what is withdrawn ends */
-	for (s = m->slots; c->in_outage && s && !ws_slot_untold(s); s = s->next)
+	for (s = m->attempts; c->in_outage && s && !ws_attempt_stop_unsent(s); s = s->next)
 		;
 	if (c->in_outage && !s)
 		return;
@@ -800,9 +802,9 @@
 /* The machine and all on it are surely gone, or its lease is. */
 static void ws_machine_clear(struct ws_core *c, struct ws_machine *m)
 {
-	for (struct ws_slot *s = m->slots, *n; s; s = n) {
+	for (struct ws_attempt *s = m->attempts, *n; s; s = n) {
 		n = s->next;
-		ws_slot_release(c, s);
+		ws_attempt_release(c, s);
 	}
 }
 
@@ -813,39 +815,40 @@
 	ws_log(c, WS_LOG_INFO, "machine %s is gone: %s", m->name, why);
 	m->gone = true;
 	ws_subsystems_lost(c, m, WS_LOSS_RETURNED);
-	ws_bury(&c->tombs, m->name, c->now + c->set->lease_s + 4 * c->set->list_lag_s);
+	ws_tombstone_set(&c->tombstones, m->name,
+			 c->now + c->set->lease_s + 4 * c->set->list_lag_s);
 	ws_machine_clear(c, m);
 	c->rentals_stale = true;
 	if (m->chunk >= 0)
 		ws_chunk_dirty(c, m->chunk);
 }
 
-void ws_bury(struct ws_tomb **tombs, const char *name, double until)
+void ws_tombstone_set(struct ws_tombstone **tombstones, const char *name, double until)
 {
-	struct ws_tomb *t;
+	struct ws_tombstone *t;
 
-	HASH_FIND_STR(*tombs, name, t);
+	HASH_FIND_STR(*tombstones, name, t);
 	if (!t) {
 		t = calloc(1, sizeof(*t));
 		if (!t)
 			abort();
 		snprintf(t->name, sizeof(t->name), "%s", name);
-		HASH_ADD_STR(*tombs, name, t);
+		HASH_ADD_STR(*tombstones, name, t);
 	}
 	t->until = until;
 }
 
-bool ws_buried(struct ws_core *c, struct ws_tomb *const *tombs, const char *name)
+bool ws_tombstone_holds(struct ws_core *c, struct ws_tombstone *const *tombstones, const char *name)
 {
-	struct ws_tomb *t;
+	struct ws_tombstone *t;
 
-	HASH_FIND_STR(*tombs, name, t);
+	HASH_FIND_STR(*tombstones, name, t);
 	return t && c->now < t->until;
 }
 
-void ws_tombs_clear(struct ws_core *c, bool all)
+void ws_tombstones_clear(struct ws_core *c, bool all)
 {
-	struct ws_tomb **lists[] = {&c->tombs, &c->ended, &c->strays}, *t, *n;
+	struct ws_tombstone **lists[] = {&c->tombstones, &c->ended, &c->orphaned_parts}, *t, *n;
 
 	for (size_t i = 0; i < 3; i++)
 		HASH_ITER (hh, *lists[i], t, n)
@@ -871,7 +874,7 @@
 	struct ws_machine *m = ws_machine_find(c, h->name);
 
 	/* a list as old as its lag still names what was returned: not a machine that boots */
-	if (ws_buried(c, &c->tombs, h->name))
+	if (ws_tombstone_holds(c, &c->tombstones, h->name))
 		return;
 	if (!m) {
 		m = ws_machine_get(c, h->name);
@@ -910,7 +913,7 @@
  * Replicas and what can save move when their machine is about to be taken. A gang saves only if
  * all of it is told at once and has the time; else it goes on and falls back to its checkpoint.
  */
-static bool ws_moves_on_notice(const struct ws_core *c, const struct ws_slot *s)
+static bool ws_moves_on_notice(const struct ws_core *c, const struct ws_attempt *s)
 {
 	const struct ws_spec *p = &s->job->spec;
 
@@ -929,15 +932,15 @@
 	c->sweep_next = c->now + ws_sweep_every(c);
 	if (ws_entitled(c) && !c->in_outage)
 		ws_fleet_probe(c);
-	ws_tombs_clear(c, false);
+	ws_tombstones_clear(c, false);
 	HASH_ITER (hh, c->machines, m, t) {
 		c->sweep_steps++;
 		if (m->gone) {
-			if (!m->slots)
+			if (!m->attempts)
 				ws_machine_forget(c, m);
 			continue;
 		}
-		if (m->nslots && c->now > m->alive_until && m->tenure) {
+		if (m->attempt_count && c->now > m->alive_until && m->tenure) {
 			ws_log(c, WS_LOG_INFO, "machine %s: its lease has surely run out", m->name);
 			m->least_tenure = m->tenure + 1;
 			ws_subsystems_lost(c, m, WS_LOSS_LEASE);
@@ -947,9 +950,9 @@
 			/* replicas move on notice; arrays that can't save run on while they can */
 			bool any = false;
 
-			for (struct ws_slot *s = m->slots, *n; s; s = n) {
+			for (struct ws_attempt *s = m->attempts, *n; s; s = n) {
 				n = s->next;
-				if (s->state != WS_SLOT_LEAVING && !s->stop && !s->orphan &&
+				if (s->state != WS_ATTEMPT_GONE && !s->stop && !s->orphan &&
 				    s->job && ws_moves_on_notice(c, s)) {
 					ws_task_stop(c, s, "spot notice");
 					any = true;
--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -16,20 +16,20 @@
 #include "internal.h"
 
 /* May be alive, and is of the job's own attempts. */
-static bool ws_gang_member(const struct ws_slot *s)
+static bool ws_gang_member(const struct ws_attempt *s)
 {
-	return s->state != WS_SLOT_LEAVING && !s->orphan;
+	return s->state != WS_ATTEMPT_GONE && !s->orphan;
 }
 
 /* Whether the attempt under way has surely not begun to run and may be completed; since when. */
 bool ws_gang_gathers(const struct ws_job *j, uint64_t *attempt, double *since)
 {
-	const struct ws_slot *s;
+	const struct ws_attempt *s;
 
 	*attempt = 0;
 	*since = 1e18;
-	DL_FOREACH2 (j->slots, s, jnext) {
-		if (s->state == WS_SLOT_LEAVING)
+	DL_FOREACH2 (j->attempts, s, jnext) {
+		if (s->state == WS_ATTEMPT_GONE)
 			continue;
 		if (s->orphan || s->stop || s->attempt == j->gang_over ||
 		    (*attempt && *attempt != s->attempt))
@@ -46,15 +46,16 @@
 /* Whether all of its tasks can be told something at once, as far as we know. */
 bool ws_gang_reachable(const struct ws_core *c, const struct ws_job *j)
 {
-	const struct ws_slot *s;
+	const struct ws_attempt *s;
 
-	DL_FOREACH2 (j->slots, s, jnext) {
+	DL_FOREACH2 (j->attempts, s, jnext) {
 		const struct ws_machine *m = s->machine;
 
-		if (s->state == WS_SLOT_LEAVING || (!s->sent && !s->seen))
+		if (s->state == WS_ATTEMPT_GONE || (!s->sent && !s->seen))
 			continue;
 		if (s->orphan || !m->reported || !m->port || m->commands || m->fence || m->gone ||
-		    m->returning || m->mute || !ws_machine_hears(m) || ws_overdue(c, m->heard))
+		    m->returning || m->unreachable || !ws_machine_hears(m) ||
+		    ws_overdue(c, m->heard))
 			return false;
 	}
 	return true;
@@ -63,13 +64,13 @@
 /* All of its tasks are told to stop, at once: reports alone may come too seldom for that. */
 void ws_gang_stop(struct ws_core *c, struct ws_job *j, double grace, const char *why)
 {
-	struct ws_slot *s, *n;
+	struct ws_attempt *s, *n;
 	uint32_t stopped = 0;
 
-	DL_FOREACH_SAFE2 (j->slots, s, n, jnext)
+	DL_FOREACH_SAFE2 (j->attempts, s, n, jnext)
 		if (ws_gang_member(s) && !s->stop) {
 			s->machine->push = true;
-			ws_slot_stop(c, s, grace, NULL);
+			ws_attempt_stop(c, s, grace, NULL);
 			stopped++;
 		}
 	if (!stopped)
@@ -79,7 +80,7 @@
 }
 
 /* A task is to stop in good order: if it is one of a gang, with the whole gang. */
-void ws_task_stop(struct ws_core *c, struct ws_slot *s, const char *why)
+void ws_task_stop(struct ws_core *c, struct ws_attempt *s, const char *why)
 {
 	const struct ws_spec *p = &s->job->spec;
 
@@ -87,7 +88,7 @@
 		s->job->gang_stops++;
 		ws_gang_stop(c, s->job, p->save_s + c->set->gang_peer_s, why);
 	} else {
-		ws_slot_stop(c, s, p->save_s, why);
+		ws_attempt_stop(c, s, p->save_s, why);
 	}
 }
 
@@ -97,9 +98,9 @@
 	uint64_t attempt = 0;
 	double since = 1e18, silent_until = 0;
 	uint32_t members = 0, stopping = 0;
-	struct ws_slot *s;
+	struct ws_attempt *s;
 
-	DL_FOREACH2 (j->slots, s, jnext) {
+	DL_FOREACH2 (j->attempts, s, jnext) {
 		if (!ws_gang_member(s))
 			continue;
 		members++;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -27,7 +27,7 @@
 /* Withdrawals a frame of testimony carries. */
 #define WS_TESTIMONY_MAX 64
 
-struct ws_slot;
+struct ws_attempt;
 struct ws_job;
 struct ws_team;
 
@@ -38,8 +38,8 @@
 };
 
 struct ws_task {
-	struct ws_slot *slot; /* its newest attempt that may be alive */
-	uint16_t slots;	      /* how many attempts may be alive, orphans included */
+	struct ws_attempt *newest; /* that may be alive */
+	uint16_t attempts;	   /* how many attempts may be alive, orphans included */
 	uint8_t fails;
 	bool done, saved; /* completed; and so recorded in the state service */
 	bool writing;	  /* its completion is in the record being written */
@@ -51,7 +51,7 @@
 	uint64_t stamp;	       /* of its key */
 	double submitted_wall; /* time of day, for deadlines and order */
 	struct ws_task *tasks;
-	uint32_t ndone, nslots;
+	uint32_t ndone, attempt_count;
 	uint32_t waiting;	       /* tasks neither completed nor maybe alive */
 	uint32_t scan;		       /* none of them is below this one */
 	uint32_t waiting_before;       /* at the start of the pass */
@@ -60,7 +60,7 @@
 	uint32_t fits;		       /* machine types allowed, a bit each */
 	int fits_of;		       /* for this edition of the types */
 	struct ws_team *team;	       /* NULL: unknown here */
-	struct ws_slot *slots;	       /* its attempts, those the record still names included */
+	struct ws_attempt *attempts;   /* its attempts, those the record still names included */
 	bool dirty, writing, stale;    /* stale: our stamp lost a race, wait for the watch */
 	bool urgent;		       /* holds starts or an end, which users wait for */
 	double dirty_at;
@@ -71,7 +71,7 @@
 	double wait_logged;
 	double known_at, placed_at; /* when a task of it was last placed */
 	bool aged;		    /* waits too long: see ws_aged */
-	double lack_since;	    /* tasks of it have found no room since then; 0: none */
+	double unmet_since;	    /* tasks of it have found no room since then; 0: none */
 	bool guaranteed;	    /* fits its team's guarantee with the team's earlier jobs */
 	uint64_t gang_over;	    /* of a gang: this attempt ran, or broke up */
 	double gang_hold;	    /* room is held for it from then on, for a while */
@@ -91,33 +91,33 @@
 	UT_hash_handle hh;
 };
 
-enum ws_slot_state {
-	WS_SLOT_PLANNED, /* in memory only: its job's record does not name it yet */
-	WS_SLOT_WRITTEN, /* may be told to run */
-	WS_SLOT_LEAVING, /* surely gone; its job's record may still name it */
+enum ws_attempt_state {
+	WS_ATTEMPT_PLANNED,  /* in memory only: its job's record does not name it yet */
+	WS_ATTEMPT_RECORDED, /* may be told to run */
+	WS_ATTEMPT_GONE,     /* surely gone; its job's record may still name it */
 };
 
-struct ws_slot {
+struct ws_attempt {
 	struct ws_machine *machine;
 	struct ws_job *job; /* NULL: the job is unknown */
 	char job_id[WS_ID_MAX];
 	uint32_t task;
 	uint64_t attempt, tenure;
-	enum ws_slot_state state;
+	enum ws_attempt_state state;
 	bool sent;	       /* a run may have reached the worker, or may still */
 	bool orphan;	       /* reported but on no record */
 	bool seen;	       /* the worker has reported it */
 	bool stop;	       /* is to end */
-	bool told;	       /* and a command said so */
+	bool stop_sent;	       /* and a command said so */
 	bool aged;	       /* its job had waited too long: other arrays leave it its room */
 	bool writing;	       /* is in the record being written */
 	enum ws_task_state at; /* as reported */
 	enum ws_why why;
 	double grace, planned_at, running_at;
-	double waiting_at;	       /* of a gang's task: reported waiting since */
-	uint64_t pass;		       /* mark of the report being read */
-	struct ws_slot *next;	       /* of its machine */
-	struct ws_slot *jprev, *jnext; /* of its job */
+	double waiting_at;		  /* of a gang's task: reported waiting since */
+	uint64_t pass;			  /* mark of the report being read */
+	struct ws_attempt *next;	  /* of its machine */
+	struct ws_attempt *jprev, *jnext; /* of its job */
 };
 
 struct ws_machine {
@@ -143,8 +143,8 @@
 	uint64_t token;	 /* what we give it; its own echo proves that it hears us */
 	double token_at; /* since when */
 	double probe_next;
-	bool odd;	    /* its name has what a job's record parts names with: never used */
-	bool mute;	    /* silent, and a call to it got no answer either */
+	bool invalid_name;  /* its name has what a job's record parts names with: never used */
+	bool unreachable;   /* silent, and a call to it got no answer either */
 	double heard;	    /* when its newest word came in */
 	double report_at;   /* and when its newest report did */
 	double alive_until; /* its tasks may live until then, as far as answers given tell */
@@ -152,17 +152,17 @@
 	double notice_until; /* the cloud takes it then; 0: no notice */
 	bool noticed;
 	double empty_since;
-	double held_until; /* a gang that gathers room counts on it */
-	uint64_t fence;	   /* a direct command of this epoch may yet arrive; 0: none */
-	int commands;	   /* direct commands on their way */
-	int strikes;	   /* failures in a row, of different jobs */
-	char strike_job[WS_ID_MAX];
+	double held_until;	  /* a gang that gathers room counts on it */
+	uint64_t fence;		  /* a direct command of this epoch may yet arrive; 0: none */
+	int commands;		  /* direct commands on their way */
+	int consecutive_failures; /* failures in a row, of different jobs */
+	char last_failed_job[WS_ID_MAX];
 	double quarantine_until;
 	double refused_until;
-	struct ws_slot *slots;
+	struct ws_attempt *attempts;
 	double used_cpus, used_gpus, used_mem;
 	double stop_cpus, stop_gpus, stop_mem; /* of that, what was told to stop */
-	uint32_t nslots;
+	uint32_t attempt_count;
 	int cache[WS_CACHE_MAX];
 	int ncache;
 	int chunk; /* its record in the state service; -1: none yet */
@@ -220,7 +220,7 @@
 
 enum ws_role { WS_FOLLOWER, WS_ASKING, WS_LOADING, WS_LEADER };
 
-struct ws_tomb { /* a machine the cloud confirmed as gone; lagging lists still name it */
+struct ws_tombstone { /* a machine the cloud confirmed as gone; lagging lists still name it */
 	char name[WS_NAME_MAX];
 	double until;
 	UT_hash_handle hh;
@@ -230,9 +230,9 @@
 #define WS_WROTE_KINDS 5
 
 struct ws_core {
-	struct ws_tomb *tombs;
-	struct ws_tomb *ended;	/* jobs just archived: word of the watch may be older */
-	struct ws_tomb *strays; /* pieces of records of jobs that are over */
+	struct ws_tombstone *tombstones;
+	struct ws_tombstone *ended; /* jobs just archived: word of the watch may be older */
+	struct ws_tombstone *orphaned_parts; /* pieces of records of jobs that are over */
 	const struct ws_settings *set;
 	struct ws_policy pol;
 	ws_log_fn log;
@@ -274,7 +274,7 @@
 	/* leadership */
 	enum ws_role role;
 	uint64_t hold;
-	double ttl, entitled_until, extend_next, stand_after, elected_at;
+	double ttl, entitled_until, extend_next, campaign_after, elected_at;
 	int extends; /* renewals under way */
 	bool in_outage, paused;
 	double pause_until;
@@ -341,9 +341,9 @@
 	double returns_since; /* none waited then, or some were returned */
 	char hosts_after[WS_KEY_MAX];
 	struct ws_refusal refusals[WS_MAX_TYPES][WS_MAX_ZONES][2]; /* ordinary, spot */
-	int loads;	       /* waiting machine-loads at the last pass */
-	struct ws_lack *lacks; /* of the pass under way */
-	size_t nlacks, lacks_cap;
+	int loads;		       /* waiting machine-loads at the last pass */
+	struct ws_unmet_demand *unmet; /* of the pass under way */
+	size_t unmet_count, unmet_cap;
 	uint64_t list_pass;
 
 	struct ws_subsystems subsystems;
@@ -383,8 +383,8 @@
 size_t ws_record_limit(const struct ws_core *c);
 bool ws_gang_recordable(const struct ws_core *c, const struct ws_spec *s, const struct ws_type *t);
 size_t ws_record_read_assigned(json_t *v, struct ws_assigned **list);
-size_t ws_record_assign_size(const struct ws_core *c, const struct ws_slot *before,
-			     const struct ws_slot *s);
+size_t ws_record_assign_size(const struct ws_core *c, const struct ws_attempt *before,
+			     const struct ws_attempt *s);
 json_t *ws_record_chunk(struct ws_core *c, int chunk);
 void ws_record_read_chunk(struct ws_core *c, json_t *v, int chunk);
 json_t *ws_record_rental(const struct ws_rental *r);
@@ -421,18 +421,19 @@
 int ws_chunk_size(const struct ws_core *c);
 struct ws_chunk *ws_chunk_at(struct ws_core *c, int i);
 void ws_chunk_dirty(struct ws_core *c, int i);
-bool ws_buried(struct ws_core *c, struct ws_tomb *const *tombs, const char *name);
-void ws_bury(struct ws_tomb **tombs, const char *name, double until);
-void ws_slot_free(struct ws_slot *s);
-void ws_slot_count(struct ws_core *c, struct ws_slot *s, int sign);
+bool ws_tombstone_holds(struct ws_core *c, struct ws_tombstone *const *tombstones,
+			const char *name);
+void ws_tombstone_set(struct ws_tombstone **tombstones, const char *name, double until);
+void ws_attempt_free(struct ws_attempt *s);
+void ws_attempt_count(struct ws_core *c, struct ws_attempt *s, int sign);
 void ws_machine_gone(struct ws_core *c, struct ws_machine *m, const char *why);
-void ws_tombs_clear(struct ws_core *c, bool all);
+void ws_tombstones_clear(struct ws_core *c, bool all);
 void ws_machine_forget(struct ws_core *c, struct ws_machine *m);
-struct ws_slot *ws_slot_add(struct ws_core *c, struct ws_machine *m, const char *job, uint32_t task,
-			    uint64_t attempt);
-void ws_slot_release(struct ws_core *c, struct ws_slot *s);
-void ws_slot_ends(struct ws_slot *s);
-void ws_slot_stop(struct ws_core *c, struct ws_slot *s, double grace, const char *why);
+struct ws_attempt *ws_attempt_add(struct ws_core *c, struct ws_machine *m, const char *job,
+				  uint32_t task, uint64_t attempt);
+void ws_attempt_release(struct ws_core *c, struct ws_attempt *s);
+void ws_attempt_ends(struct ws_attempt *s);
+void ws_attempt_stop(struct ws_core *c, struct ws_attempt *s, double grace, const char *why);
 void ws_fleet_tick(struct ws_core *c);
 double ws_sweep_every(const struct ws_core *c);
 void ws_fleet_push(struct ws_core *c, struct ws_machine *m);
@@ -453,12 +454,12 @@
 bool ws_gang_reachable(const struct ws_core *c, const struct ws_job *j);
 void ws_gang_stop(struct ws_core *c, struct ws_job *j, double grace, const char *why);
 void ws_gang_tend(struct ws_core *c, struct ws_job *j);
-void ws_task_stop(struct ws_core *c, struct ws_slot *s, const char *why);
+void ws_task_stop(struct ws_core *c, struct ws_attempt *s, const char *why);
 
 /* rentals.c */
 bool ws_rentable(struct ws_core *c, const struct ws_job *j, int zi);
 void ws_rentals_tick(struct ws_core *c);
-struct ws_lack { /* tasks of a job that found no room, and the zones they may be in */
+struct ws_unmet_demand { /* tasks of a job that found no room, and the zones they may be in */
 	struct ws_job *job;
 	uint32_t tasks;
 	uint32_t zones;
@@ -474,7 +475,7 @@
 /* recovery.c */
 void ws_leader_tick(struct ws_core *c);
 bool ws_entitled(const struct ws_core *c);
-void ws_lead_end(struct ws_core *c, const char *why);
+void ws_step_down(struct ws_core *c, const char *why);
 void ws_flush(struct ws_core *c);
 void ws_jobs_news(struct ws_core *c, const struct ws_call *call, const struct ws_result *r);
 
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -83,20 +83,20 @@
 
 void ws_job_free(struct ws_core *c, struct ws_job *j)
 {
-	struct ws_slot *s, *n;
+	struct ws_attempt *s, *n;
 
-	DL_FOREACH_SAFE2 (j->slots, s, n, jnext) {
-		bool alive = s->state == WS_SLOT_WRITTEN;
+	DL_FOREACH_SAFE2 (j->attempts, s, n, jnext) {
+		bool alive = s->state == WS_ATTEMPT_RECORDED;
 
-		if (s->state != WS_SLOT_LEAVING)
-			ws_slot_count(c, s, -1);
-		DL_DELETE2(j->slots, s, jprev, jnext);
+		if (s->state != WS_ATTEMPT_GONE)
+			ws_attempt_count(c, s, -1);
+		DL_DELETE2(j->attempts, s, jprev, jnext);
 		s->job = NULL;
 		if (alive) { /* its record is gone, the attempt may live on: it is told to stop */
 			s->stop = s->orphan = true;
-			ws_slot_count(c, s, 1);
+			ws_attempt_count(c, s, 1);
 		} else {
-			ws_slot_free(s);
+			ws_attempt_free(s);
 		}
 	}
 	if (j->dirty)
@@ -115,7 +115,7 @@
 		ws_log(c, WS_LOG_INFO, "job %s done", j->spec.id);
 		ws_job_dirty(c, j, true);
 	}
-	if (ws_job_over(j) && !j->nslots)
+	if (ws_job_over(j) && !j->attempt_count)
 		ws_job_dirty(c, j, true);
 }
 
@@ -132,7 +132,7 @@
 	for (uint32_t t = from; t < to; t++) {
 		if (j->tasks[t].done)
 			continue;
-		if (!j->tasks[t].slots)
+		if (!j->tasks[t].attempts)
 			j->waiting--;
 		j->tasks[t].done = true;
 		j->ndone++;
@@ -144,15 +144,15 @@
 
 static void ws_job_cancelled(struct ws_core *c, struct ws_job *j)
 {
-	struct ws_slot *s, *n;
+	struct ws_attempt *s, *n;
 
 	j->phase = WS_CANCELLED;
 	ws_log(c, WS_LOG_INFO, "job %s cancelled by its user, %u tasks to stop", j->spec.id,
-	       j->nslots);
-	DL_FOREACH_SAFE2 (j->slots, s, n, jnext)
-		if (s->state != WS_SLOT_LEAVING) {
+	       j->attempt_count);
+	DL_FOREACH_SAFE2 (j->attempts, s, n, jnext)
+		if (s->state != WS_ATTEMPT_GONE) {
 			s->machine->push = true;
-			ws_slot_stop(c, s, 0, NULL);
+			ws_attempt_stop(c, s, 0, NULL);
 		}
 	ws_job_push(c, j);
 	ws_job_check_end(c, j);
@@ -192,9 +192,9 @@
 /* One command to each machine marked for it, with all that is to start or end there. */
 void ws_job_push(struct ws_core *c, struct ws_job *j)
 {
-	struct ws_slot *s;
+	struct ws_attempt *s;
 
-	DL_FOREACH2 (j->slots, s, jnext)
+	DL_FOREACH2 (j->attempts, s, jnext)
 		if (s->machine->push) {
 			s->machine->push = false;
 			ws_fleet_push(c, s->machine);
@@ -233,7 +233,7 @@
 		}
 		return;
 	}
-	if (ws_buried(c, &c->ended, id))
+	if (ws_tombstone_holds(c, &c->ended, id))
 		return; /* written before we archived it */
 	n = ws_record_read_job(id, value);
 	if (!n) {
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -47,8 +47,8 @@
 {
 	double within = j->spec.gang ? ws_wait_aim(c, j->spec.job_class) : 0;
 
-	if (within > 0 && j->lack_since > 0 &&
-	    c->now - j->lack_since > fmax(0, within - ws_fetch_s(c, j)) / 4)
+	if (within > 0 && j->unmet_since > 0 &&
+	    c->now - j->unmet_since > fmax(0, within - ws_fetch_s(c, j)) / 4)
 		return true;
 	return c->now - fmax(j->known_at, j->placed_at) > 2 * c->set->lease_s &&
 	       j->not_before <= c->now;
@@ -152,7 +152,7 @@
 {
 	uint32_t avoided = c->subsystems.zones_avoided;
 
-	if (j->lack_since > 0 && c->now - j->lack_since > c->set->lease_s)
+	if (j->unmet_since > 0 && c->now - j->unmet_since > c->set->lease_s)
 		return true;
 	return avoided && j->waiting && !(ws_zones_ok(c, j) & ~avoided);
 }
@@ -201,9 +201,10 @@
 /* The protocol counts a start only if the task is not stopped by command for this long. */
 #define WS_START_COUNTS_S 30
 
-static bool ws_may_preempt(const struct ws_core *c, const struct ws_job *j, const struct ws_slot *v)
+static bool ws_may_preempt(const struct ws_core *c, const struct ws_job *j,
+			   const struct ws_attempt *v)
 {
-	if (!v->job || v->stop || v->orphan || v->state == WS_SLOT_LEAVING)
+	if (!v->job || v->stop || v->orphan || v->state == WS_ATTEMPT_GONE)
 		return false;
 	const struct ws_job *o = v->job;
 
@@ -286,7 +287,7 @@
  * What stopping a task loses. Of a gang all stop, wherever they are: if they save, that is the time
  * until they run again, at most the work since the last checkpoint, and more each time.
  */
-static double ws_stop_costs(const struct ws_core *c, const struct ws_slot *s)
+static double ws_stop_costs(const struct ws_core *c, const struct ws_attempt *s)
 {
 	const struct ws_spec *o = &s->job->spec;
 	double t = c->now - s->planned_at + 1;
@@ -294,7 +295,7 @@
 	if (o->gang && o->checkpoint_s > 0)
 		t = o->checkpoint_s + o->save_s + c->set->gang_peer_s;
 	if (o->gang)
-		t *= s->job->nslots * (1 + s->job->gang_stops);
+		t *= s->job->attempt_count * (1 + s->job->gang_stops);
 	return t * o->cpus * (s->job->guaranteed ? 4 : 1);
 }
 
@@ -306,10 +307,10 @@
 	c->pass++;
 	while (cpus + 1e-9 < j->spec.cpus || gpus + 1e-9 < j->spec.gpus ||
 	       mem + 1e-9 < j->spec.mem) {
-		struct ws_slot *v = NULL;
+		struct ws_attempt *v = NULL;
 		double least = 0;
 
-		for (struct ws_slot *s = m->slots; s; s = s->next) {
+		for (struct ws_attempt *s = m->attempts; s; s = s->next) {
 			c->steps++;
 			if (s->pass == c->pass || !ws_may_preempt(c, j, s))
 				continue;
@@ -323,9 +324,9 @@
 		if (!v)
 			return -1;
 		cost += least;
-		for (struct ws_slot *s = m->slots; s; s = s->next) {
+		for (struct ws_attempt *s = m->attempts; s; s = s->next) {
 			if (s != v && (!v->job->spec.gang || s->job != v->job || s->stop ||
-				       s->orphan || s->state == WS_SLOT_LEAVING))
+				       s->orphan || s->state == WS_ATTEMPT_GONE))
 				continue;
 			s->pass = c->pass;
 			cpus += s->job->spec.cpus;
@@ -352,7 +353,7 @@
 
 /*
  * Stops what loses least to make room on each machine; the number of tasks with room to come. For a
- * gang nothing is stopped unless that makes room for all that it lacks.
+ * gang nothing is stopped unless that makes room for all that it unmet.
  */
 static uint32_t ws_preempt(struct ws_pass *p, struct ws_job *j, uint32_t want, uint32_t zones,
 			   bool cached)
@@ -376,7 +377,7 @@
 		double cost;
 
 		c->steps++;
-		if (!m->nslots || !ws_kind_ok(j, m) || m->zi < 0 || !(zones >> m->zi & 1) ||
+		if (!m->attempt_count || !ws_kind_ok(j, m) || m->zi < 0 || !(zones >> m->zi & 1) ||
 		    (cached && !ws_cached(m, j->image)))
 			continue;
 		cost = ws_preempt_on(c, j, m, false);
@@ -431,15 +432,15 @@
 	c->move_next = c->now + c->set->report_s;
 	for (size_t i = n; i-- > 0;) {
 		struct ws_machine *m = ms[i];
-		struct ws_slot *first = NULL, *s;
-		bool all = m->nslots > 0;
+		struct ws_attempt *first = NULL, *s;
+		bool all = m->attempt_count > 0;
 
 		if (m->owned)
 			break; /* owned ones come first in the order */
-		for (s = m->slots; s && all; s = s->next) {
+		for (s = m->attempts; s && all; s = s->next) {
 			size_t k;
 
-			if (s->state == WS_SLOT_LEAVING)
+			if (s->state == WS_ATTEMPT_GONE)
 				continue;
 			all = s->job && s->job->spec.service && !s->stop && !s->orphan &&
 			      s->at == WS_TASK_RUNNING && s->running_at > 0 &&
@@ -496,7 +497,7 @@
 {
 	uint32_t t = j->scan;
 
-	while (t < j->spec.tasks && (j->tasks[t].done || j->tasks[t].slots))
+	while (t < j->spec.tasks && (j->tasks[t].done || j->tasks[t].attempts))
 		t++;
 	j->scan = t;
 	return t;
@@ -510,16 +511,16 @@
 
 	for (uint32_t fit = ws_fit(j, m, most, true); n < fit && ws_zone_ok(c, j, m->zi); n++) {
 		uint32_t t = ws_next_waiting(j);
-		struct ws_slot *s;
+		struct ws_attempt *s;
 		size_t size;
 
 		if (t == j->spec.tasks)
 			break;
-		s = ws_slot_add(c, m, j->spec.id, t, attempt);
+		s = ws_attempt_add(c, m, j->spec.id, t, attempt);
 		size = ws_record_assign_size(c, s->jprev != s ? s->jprev : NULL, s);
 		if (size > *room) { /* the record holds no more: in slices, then */
-			ws_slot_count(c, s, -1);
-			ws_slot_free(s);
+			ws_attempt_count(c, s, -1);
+			ws_attempt_free(s);
 			*room = 0;
 			break;
 		}
@@ -540,12 +541,12 @@
 	double room =
 	    c->value_most - 640 - (double)names - WS_NAME_MAX / 4.0 * (double)j->spec.ntypes;
 	double used = 0;
-	const struct ws_slot *s, *before = NULL;
+	const struct ws_attempt *s, *before = NULL;
 
 	/* a gang's tasks are done together, in one range */
 	room = j->spec.gang ? room - 64 : room * 3 / 4;
-	DL_FOREACH2 (j->slots, s, jnext)
-		if (s->state != WS_SLOT_LEAVING && !s->orphan) {
+	DL_FOREACH2 (j->attempts, s, jnext)
+		if (s->state != WS_ATTEMPT_GONE && !s->orphan) {
 			used += (double)ws_record_assign_size(c, before, s);
 			before = s;
 		}
@@ -570,7 +571,7 @@
 }
 
 /* A number for an attempt: none is used twice. */
-static uint64_t ws_attempt_new(struct ws_core *c)
+static uint64_t ws_attempt_number_new(struct ws_core *c)
 {
 	return ((c->epoch >> WS_EPOCH_SHIFT) << WS_ATTEMPT_SHIFT) + ++c->attempt_seq;
 }
@@ -597,8 +598,8 @@
 {
 	int n = 0, last = image;
 
-	for (const struct ws_slot *s = m->slots; s && n < 9; s = s->next)
-		if (s->job && s->state != WS_SLOT_LEAVING && s->at == WS_TASK_FETCHING &&
+	for (const struct ws_attempt *s = m->attempts; s && n < 9; s = s->next)
+		if (s->job && s->state != WS_ATTEMPT_GONE && s->at == WS_TASK_FETCHING &&
 		    s->job->image != last && s->job->image != image &&
 		    !ws_cached(m, s->job->image)) {
 			last = s->job->image;
@@ -608,7 +609,7 @@
 }
 
 /*
- * Plans what a gang lacks, all of it or nothing: where the image is first, or few others are
+ * Plans what a gang unmet, all of it or nothing: where the image is first, or few others are
  * fetched, then where most of it fits on one machine, since it starts with its last fetch and ends
  * with its first loss; on one that failed a task of late only if there is no other.
  */
@@ -617,7 +618,7 @@
 	struct ws_core *c = p->c;
 	uint32_t want = j->waiting;
 	size_t n = 0, room = ws_record_room(c, j);
-	struct ws_slot *s, *sn;
+	struct ws_attempt *s, *sn;
 
 	for (size_t i = 0; i < p->n; i++) {
 		struct ws_machine *m = p->ms[i];
@@ -627,8 +628,8 @@
 		    !(fit = ws_fit(j, m, want, true)))
 			continue;
 		m->rank = (ws_cached(m, j->image) ? 0 : 2000 * (1 + ws_fetching(m, j->image))) +
-			  (j->prompt || m->owned ? 0 : 1000) + (m->strikes ? 50000 : 0) -
-			  (int)(fit < 999 ? fit : 999);
+			  (j->prompt || m->owned ? 0 : 1000) +
+			  (m->consecutive_failures ? 50000 : 0) - (int)(fit < 999 ? fit : 999);
 		p->fit[n++] = m;
 	}
 	c->steps += n;
@@ -637,17 +638,17 @@
 		want -= ws_place_on(c, j, p->fit[i], want, attempt, &room);
 	if (!want) {
 		j->placed_at = c->now;
-		j->lack_since = j->gang_broke = j->gang_hold = 0;
+		j->unmet_since = j->gang_broke = j->gang_hold = 0;
 		ws_job_dirty(c, j, true);
 		return true;
 	}
 	if (!room)
 		ws_why_waits(c, j, "its record can't name so many machines");
-	DL_FOREACH_SAFE2 (j->slots, s, sn, jnext)
-		if (s->state == WS_SLOT_PLANNED && s->planned_at == c->now && !s->writing) {
+	DL_FOREACH_SAFE2 (j->attempts, s, sn, jnext)
+		if (s->state == WS_ATTEMPT_PLANNED && s->planned_at == c->now && !s->writing) {
 			ws_virt_give(j, s->machine);
-			ws_slot_count(c, s, -1);
-			ws_slot_free(s);
+			ws_attempt_count(c, s, -1);
+			ws_attempt_free(s);
 		}
 	return false;
 }
@@ -693,7 +694,7 @@
 }
 
 /*
- * A gang is placed whole. What it lacks is gathered: what is free in its zone, or will be, is kept
+ * A gang is placed whole. What it unmet is gathered: what is free in its zone, or will be, is kept
  * from those that come after it, for good if it is enough for the whole and else half of the time,
  * so that neither can starve the other; the rest is rented, or made free if all of it can be.
  */
@@ -709,12 +710,12 @@
 	char why[128];
 	bool holds;
 
-	if (j->nslots && !ws_gang_gathers(j, &attempt, &since)) {
-		j->lack_since = 0; /* it waits for its last attempt to end, not for room */
+	if (j->attempt_count && !ws_gang_gathers(j, &attempt, &since)) {
+		j->unmet_since = 0; /* it waits for its last attempt to end, not for room */
 		return;
 	}
-	if (!j->lack_since)
-		j->lack_since = c->now;
+	if (!j->unmet_since)
+		j->unmet_since = c->now;
 	holds = ws_gang_holds(c, j);
 	if (ws_team_fits(j) < want) {
 		ws_why_waits(c, j, "its team is at its limit");
@@ -751,15 +752,15 @@
 	if (!j->spec.one_zone && all >= want)
 		put = zones;
 	if (!attempt)
-		attempt = ws_attempt_new(c);
+		attempt = ws_attempt_number_new(c);
 	if (put && ws_gang_put(p, j, put, attempt))
 		return;
 	/* there is room, but on too many machines: nothing is held for it */
-	if (put && !j->nslots) {
+	if (put && !j->attempt_count) {
 		ws_rentals_want(c, j, want, ws_gang_zones(p, j, zones, later));
 		return;
 	}
-	if (j->nslots) {
+	if (j->attempt_count) {
 		if (c->now - since > c->set->gang_wait_s / 4)
 			ws_gang_stop(c, j, 0, "no room for what it lost before it ran");
 		return;
@@ -768,7 +769,7 @@
 	for (int z = 0; z < c->nzones; z++)
 		coming += zones >> z & 1 ? later[z] : 0;
 	if (coming < want && !j->spec.spread &&
-	    (j->spec.tier == WS_PRODUCTION || c->now - j->lack_since >= ws_patience(c, j, within)))
+	    (j->spec.tier == WS_PRODUCTION || c->now - j->unmet_since >= ws_patience(c, j, within)))
 		want -= ws_preempt(p, j, want - coming, zones, false);
 	holds |= coming >= want;
 	for (size_t i = 0; i < p->n && want; i++) {
@@ -779,7 +780,7 @@
 			continue;
 		n = ws_fit(j, m, want, false);
 		want -= n;
-		if (!m->nslots && n)
+		if (!m->attempt_count && n)
 			m->held_until = c->now + c->set->report_s;
 		while (holds && n--)
 			ws_virt_take(j, m);
@@ -836,7 +837,7 @@
 	if (!want)
 		return;
 	room = ws_record_room(c, j);
-	attempt = ws_attempt_new(c);
+	attempt = ws_attempt_number_new(c);
 	/* machines with room, those preferred first: 0 to 3 by owner and image; no more than needed
 	 */
 	ws_open_tidy(p);
@@ -894,11 +895,11 @@
 	 */
 	if (want &&
 	    (j->spec.tier == WS_PRODUCTION ||
-	     c->now - (j->lack_since > 0 ? j->lack_since : c->now) >= ws_patience(c, j, within)))
+	     c->now - (j->unmet_since > 0 ? j->unmet_since : c->now) >= ws_patience(c, j, within)))
 		want -= ws_preempt(p, j, want, ws_zones_ok(c, j), j->prompt && !j->guaranteed);
 	lack = want;
 	if (!lack) {
-		j->lack_since = 0;
+		j->unmet_since = 0;
 		return;
 	}
 	ws_rentals_want(c, j, lack, ws_zones_ok(c, j));
@@ -992,7 +993,7 @@
 		if (!ws_kind_ok(j, m) || m->zi < 0 || !(zones >> m->zi & 1))
 			continue;
 		fit = ws_fit(j, m, want, false);
-		if (fit && !m->nslots) /* it does not go back as empty meanwhile */
+		if (fit && !m->attempt_count) /* it does not go back as empty meanwhile */
 			m->held_until = c->now + c->set->report_s;
 		want -= fit;
 		while (fit--)
@@ -1004,10 +1005,10 @@
 /* Whether a replica may be alive on a machine that is not silent. */
 static bool ws_has_replica(const struct ws_core *c, const struct ws_job *j)
 {
-	const struct ws_slot *s;
+	const struct ws_attempt *s;
 
-	DL_FOREACH2 (j->slots, s, jnext)
-		if (s->state != WS_SLOT_LEAVING && !s->stop && !ws_overdue(c, s->machine->heard))
+	DL_FOREACH2 (j->attempts, s, jnext)
+		if (s->state != WS_ATTEMPT_GONE && !s->stop && !ws_overdue(c, s->machine->heard))
 			return true;
 	return false;
 }
@@ -1060,11 +1061,11 @@
  */
 static uint32_t ws_silent_attempts(const struct ws_core *c, const struct ws_job *j)
 {
-	const struct ws_slot *s;
+	const struct ws_attempt *s;
 	uint32_t n = 0;
 
-	DL_FOREACH2 (j->slots, s, jnext)
-		n += s->state != WS_SLOT_LEAVING && !s->stop && ws_overdue(c, s->machine->heard);
+	DL_FOREACH2 (j->attempts, s, jnext)
+		n += s->state != WS_ATTEMPT_GONE && !s->stop && ws_overdue(c, s->machine->heard);
 	return n;
 }
 
@@ -1129,10 +1130,10 @@
 	for (size_t i = 0; i < c->set->nteams; i++)
 		c->teams[i].held_cpus = c->teams[i].held_gpus = 0;
 	for (size_t i = 0; i < n; i++) {
-		if (all[i]->spec.gang && all[i]->nslots)
+		if (all[i]->spec.gang && all[i]->attempt_count)
 			ws_gang_tend(c, all[i]);
 		ws_job_fits(c, all[i]); /* also of those that only run: they may have to move */
-		if (all[i]->nslots && ws_rank(all[i]) < p.lowest)
+		if (all[i]->attempt_count && ws_rank(all[i]) < p.lowest)
 			p.lowest = ws_rank(all[i]);
 		all[i]->aged = all[i]->waiting && ws_aged(c, all[i]);
 		all[i]->takes_avoided = ws_takes_avoided(c, all[i]);
@@ -1140,7 +1141,7 @@
 			p.least = fmin(p.least, all[i]->spec.cpus);
 			all[nw++] = all[i];
 		} else {
-			all[i]->lack_since = 0;
+			all[i]->unmet_since = 0;
 		}
 	}
 	qsort(all, nw, sizeof(*all), ws_want_cmp);
--- a/src/core/record.c
+++ b/src/core/record.c
@@ -86,7 +86,7 @@
 }
 
 /* Told in the same breath: one machine, one attempt's number. */
-static bool ws_same_run(const struct ws_slot *a, const struct ws_slot *b)
+static bool ws_same_run(const struct ws_attempt *a, const struct ws_attempt *b)
 {
 	return a && a->machine == b->machine && a->attempt == b->attempt && a->tenure == b->tenure;
 }
@@ -95,8 +95,8 @@
  * What an attempt adds to its job's record at the most, behind 'before', the live one before it in
  * the job's list. When others of the list go, the record never grows by it.
  */
-size_t ws_record_assign_size(const struct ws_core *c, const struct ws_slot *before,
-			     const struct ws_slot *s)
+size_t ws_record_assign_size(const struct ws_core *c, const struct ws_attempt *before,
+			     const struct ws_attempt *s)
 {
 	size_t n = ws_digits(s->task) + 1;
 	bool same = before && before->machine->zi == s->machine->zi;
@@ -135,12 +135,12 @@
 /* What all names of those with this zone and term begin with, short of the whole name. */
 static size_t ws_names_share(const struct ws_job *j, int zi, uint64_t term)
 {
-	const struct ws_slot *s;
+	const struct ws_attempt *s;
 	const char *first = NULL;
 	size_t n = 0;
 
-	DL_FOREACH2 (j->slots, s, jnext)
-		if (s->state != WS_SLOT_LEAVING && !s->orphan && s->machine->zi == zi &&
+	DL_FOREACH2 (j->attempts, s, jnext)
+		if (s->state != WS_ATTEMPT_GONE && !s->orphan && s->machine->zi == zi &&
 		    s->attempt >> WS_ATTEMPT_SHIFT == term) {
 			const char *name = s->machine->name;
 
@@ -155,7 +155,7 @@
 	return n;
 }
 
-static void ws_assigned_close(json_t *a, const struct ws_slot *last, const struct ws_text *t,
+static void ws_assigned_close(json_t *a, const struct ws_attempt *last, const struct ws_text *t,
 			      size_t share)
 {
 	if (last)
@@ -173,22 +173,22 @@
 static json_t *ws_record_assigned(const struct ws_core *c, const struct ws_job *j)
 {
 	json_t *a = json_array();
-	struct ws_slot *s;
+	struct ws_attempt *s;
 	struct ws_text t = {0};
 
-	DL_FOREACH2 (j->slots, s, jnext)
+	DL_FOREACH2 (j->attempts, s, jnext)
 		s->writing = false;
 	for (int zi = -1; zi < c->nzones; zi++) {
-		const struct ws_slot *last = NULL; /* the one written before */
+		const struct ws_attempt *last = NULL; /* the one written before */
 		size_t share = 0;
 
 		if (zi >= 0 && !j->zone_n[zi])
 			continue;
-		for (s = j->slots; s; s = s->jnext) {
+		for (s = j->attempts; s; s = s->jnext) {
 			uint64_t term = s->attempt >> WS_ATTEMPT_SHIFT;
 			uint32_t from = s->task;
 
-			if (s->state == WS_SLOT_LEAVING || s->orphan || s->machine->zi != zi)
+			if (s->state == WS_ATTEMPT_GONE || s->orphan || s->machine->zi != zi)
 				continue;
 			if (last && last->attempt >> WS_ATTEMPT_SHIFT != term) {
 				ws_assigned_close(a, last, &t, share);
@@ -211,7 +211,7 @@
 				ws_text_add(&t, "=%u", from);
 			}
 			for (s->writing = true;
-			     s->jnext && s->jnext->state != WS_SLOT_LEAVING && !s->jnext->orphan &&
+			     s->jnext && s->jnext->state != WS_ATTEMPT_GONE && !s->jnext->orphan &&
 			     ws_same_run(s, s->jnext) && s->jnext->task == s->task + 1;
 			     s->writing = true)
 				s = s->jnext;
@@ -338,7 +338,7 @@
 		json_object_set_new(v, "d", json_string(ranges));
 	}
 	json_object_set_new(v, "nd", json_integer(j->ndone));
-	json_object_set_new(v, "nr", json_integer(j->nslots));
+	json_object_set_new(v, "nr", json_integer(j->attempt_count));
 	free(ranges);
 	return v;
 }
--- a/src/core/recovery.c
+++ b/src/core/recovery.c
@@ -26,7 +26,7 @@
 	(void)r;
 }
 
-void ws_lead_end(struct ws_core *c, const char *why)
+void ws_step_down(struct ws_core *c, const char *why)
 {
 	struct ws_job *j, *jt;
 	struct ws_machine *m, *mt;
@@ -37,9 +37,9 @@
 	c->generation++;
 	ws_subsystems_step_down(c);
 	HASH_ITER (hh, c->machines, m, mt) {
-		m->nslots = 0;
-		for (struct ws_slot *s; (s = m->slots);) {
-			m->slots = s->next;
+		m->attempt_count = 0;
+		for (struct ws_attempt *s; (s = m->attempts);) {
+			m->attempts = s->next;
 			free(s);
 		}
 		HASH_DEL(c->machines, m);
@@ -55,7 +55,7 @@
 		free(r->hosts);
 		free(r);
 	}
-	ws_tombs_clear(c, true);
+	ws_tombstones_clear(c, true);
 	c->value_most = c->set->value_kb * 1024;
 	c->ops_most = c->set->txn_ops;
 	c->dirty_jobs = NULL;
@@ -83,9 +83,9 @@
 		c->teams[i].used_cpus = c->teams[i].used_gpus = 0;
 	c->owned_upto[0] = 0;
 	c->owned_seen = c->owned_known = c->owned_writing = c->types_saved = false;
-	free(c->lacks);
-	c->lacks = NULL;
-	c->nlacks = c->lacks_cap = 0;
+	free(c->unmet);
+	c->unmet = NULL;
+	c->unmet_count = c->unmet_cap = 0;
 	c->flushing = c->job_watch = c->hosts_inflight = c->rent_inflight = false;
 	c->extends = 0;
 	c->in_outage = c->paused = false;
@@ -117,9 +117,9 @@
 {
 	if (now > c->now)
 		c->now = now;
-	c->stand_after = 1e18;
+	c->campaign_after = 1e18;
 	if (c->role != WS_FOLLOWER)
-		ws_lead_end(c, "stopping");
+		ws_step_down(c, "stopping");
 }
 
 /* ---- who leads ---- */
@@ -134,7 +134,7 @@
 	c->leader_stamp = node ? stamp : 0;
 	if ((c->role == WS_LEADER || c->role == WS_LOADING) && node &&
 	    stamp > c->epoch >> WS_EPOCH_SHIFT)
-		ws_lead_end(c, "another node leads");
+		ws_step_down(c, "another node leads");
 }
 
 static void ws_elect_written(struct ws_core *c, struct ws_call *call, const struct ws_result *r);
@@ -153,7 +153,7 @@
 	c->hold = r->hold;
 	if (c->leader[0] && strcmp(c->leader, c->set->node)) {
 		/* another was elected meanwhile: our write must not be conditioned on its key */
-		ws_lead_end(c, "another node was elected");
+		ws_step_down(c, "another node was elected");
 		return;
 	}
 	c->entitled_until = call->made + c->ttl * (1 - WS_DRIFT);
@@ -179,7 +179,7 @@
 	if (r->status != 200) {
 		/* lost, or unknown: the hold is given up, so that a late write of ours ends with it
 		 */
-		ws_lead_end(c, "the election was lost");
+		ws_step_down(c, "the election was lost");
 		ws_follow(c, r->status == 409 ? 0 : c->ttl / 4);
 		return;
 	}
@@ -197,7 +197,7 @@
 	ws_load(c);
 }
 
-static void ws_stand(struct ws_core *c)
+static void ws_campaign(struct ws_core *c)
 {
 	struct ws_call *call;
 
@@ -283,7 +283,7 @@
 		c->place_wanted = true;
 		c->extend_next = fmax(c->extend_next, call->made + c->ttl / 4);
 	} else if (r->status == 404) {
-		ws_lead_end(c, "the hold ended");
+		ws_step_down(c, "the hold ended");
 	} else {
 		if (!c->extends)
 			c->extend_next = c->now + c->ttl / 16;
@@ -337,7 +337,7 @@
 }
 
 /* All peers are refused as well, and what they told users is known here: the lead goes on. */
-static void ws_draw_out(struct ws_core *c)
+static void ws_extend_entitlement(struct ws_core *c)
 {
 	double until = c->ask_sent + fmin(c->ttl * (1 - WS_DRIFT), c->view_s);
 	struct ws_withdrawal *own;
@@ -379,7 +379,7 @@
 	}
 	c->ask_yes++;
 	if (c->ask_yes == (int)c->set->npeers && c->now < c->pause_until)
-		ws_draw_out(c);
+		ws_extend_entitlement(c);
 }
 
 static void ws_outage_tick(struct ws_core *c)
@@ -438,12 +438,12 @@
 	c->place_wanted = true;
 	c->watch_next = c->now;
 	HASH_ITER (hh, c->machines, m, mt)
-		for (struct ws_slot *s = m->slots; s; s = s->next)
+		for (struct ws_attempt *s = m->attempts; s; s = s->next)
 			/* of a cancelled job, or an older attempt of a task placed anew */
 			if (s->job &&
 			    (s->job->phase == WS_CANCELLED ||
-			     (s->task < s->job->spec.tasks && s->job->tasks[s->task].slot != s)))
-				ws_slot_ends(s);
+			     (s->task < s->job->spec.tasks && s->job->tasks[s->task].newest != s)))
+				ws_attempt_ends(s);
 	HASH_ITER (hh, c->machines, m, mt)
 		if (m->chunk < 0 && m->port)
 			ws_machine_dirty(c, m);
@@ -462,25 +462,25 @@
 
 	for (size_t i = 0; i < n; i++) {
 		struct ws_machine *m = ws_machine_get(c, list[i].machine);
-		struct ws_slot *x;
+		struct ws_attempt *x;
 
 		m->on_record = true;
 		if (!m->zone[0])
 			ws_machine_place(c, m, "", list[i].zone, false);
 		if (list[i].tenure > m->tenure)
 			m->tenure = list[i].tenure;
-		for (x = m->slots; x; x = x->next)
+		for (x = m->attempts; x; x = x->next)
 			if (x->attempt == list[i].attempt && x->task == list[i].task &&
 			    !strcmp(x->job_id, id))
 				break;
 		if (x) /* named by both: withdrawn while we read */
 			continue;
-		x = ws_slot_add(c, m, id, list[i].task, list[i].attempt);
+		x = ws_attempt_add(c, m, id, list[i].task, list[i].attempt);
 		x->tenure = list[i].tenure;
-		x->state = WS_SLOT_WRITTEN;
+		x->state = WS_ATTEMPT_RECORDED;
 		x->sent = true; /* for all we know */
 		if (!x->job || (x->task < x->job->spec.tasks && x->job->tasks[x->task].done))
-			ws_slot_ends(x);
+			ws_attempt_ends(x);
 	}
 	free(list);
 }
@@ -543,7 +543,7 @@
 		if (ws_job_find(c, id))
 			ws_load_attempts(c, id, kv->value);
 		else if (strlen(kv->key) < WS_NAME_MAX) /* its job is over */
-			ws_bury(&c->strays, kv->key, 1e18);
+			ws_tombstone_set(&c->orphaned_parts, kv->key, 1e18);
 	} else {
 		ws_subsystems_record(c, kv);
 	}
@@ -557,7 +557,7 @@
 		return;
 	if (r->status != 200) {
 		if (c->now > c->entitled_until) {
-			ws_lead_end(c, "the records could not be read in time");
+			ws_step_down(c, "the records could not be read in time");
 			return;
 		}
 		ws_load_from(c, call->key, call->after);
@@ -612,7 +612,7 @@
 		return;
 	c->job_watch = false;
 	if (r->status == 410) {
-		ws_lead_end(c, "the watch fell too far behind");
+		ws_step_down(c, "the watch fell too far behind");
 		return;
 	}
 	if (r->status != 200) {
@@ -631,9 +631,9 @@
 		/* stand when nobody leads, or when the key is left over from our own last life */
 		bool own = c->leader[0] && !strcmp(c->leader, c->set->node);
 
-		if (c->leader_read && (!c->leader[0] || own) && c->now >= c->stand_after &&
+		if (c->leader_read && (!c->leader[0] || own) && c->now >= c->campaign_after &&
 		    c->now >= c->leader_next && c->ntypes)
-			ws_stand(c);
+			ws_campaign(c);
 		return;
 	}
 	/* one that is slow is not waited for: each counts from when it was sent, and at a state
@@ -650,12 +650,12 @@
 		return;
 	ws_outage_tick(c);
 	if (c->now >= c->entitled_until && !c->in_outage) {
-		ws_lead_end(c, "the hold could not be renewed in time");
+		ws_step_down(c, "the hold could not be renewed in time");
 		return;
 	}
 	if (c->role == WS_LEADER && !c->in_outage &&
 	    c->now >= fmax(c->view_at, c->served_at) + ws_replica_age_max(c)) {
-		ws_lead_end(c, "the watch of the jobs brings nothing");
+		ws_step_down(c, "the watch of the jobs brings nothing");
 		return;
 	}
 	if (c->in_outage && c->now >= c->entitled_until) {
@@ -667,7 +667,7 @@
 			       "paused: the state service refuses us and not surely all");
 		}
 		if (c->role != WS_LEADER || c->now >= c->pause_until)
-			ws_lead_end(c, "the state service refuses us and not surely all");
+			ws_step_down(c, "the state service refuses us and not surely all");
 		return;
 	}
 	if (!c->paused)
@@ -676,8 +676,8 @@
 	    c->now - c->relay_since > 2.5 * c->set->report_s && !c->in_outage) {
 		/* workers reach the others but not us: let one of them lead. Counted from the first
 		 * report passed on, since before it there may have been no worker at all */
-		c->stand_after = c->now + c->set->lease_s;
-		ws_lead_end(c, "no worker reaches this node, but others do");
+		c->campaign_after = c->now + c->set->lease_s;
+		ws_step_down(c, "no worker reaches this node, but others do");
 		return;
 	}
 	if (c->role == WS_LEADER && !c->job_watch && c->now >= c->watch_next) {
@@ -738,15 +738,15 @@
 /* What a job's record held is on record now: its starts may go out. */
 static void ws_job_written(struct ws_job *j)
 {
-	struct ws_slot *s, *n;
+	struct ws_attempt *s, *n;
 
-	DL_FOREACH_SAFE2 (j->slots, s, n, jnext) {
-		if (s->state == WS_SLOT_LEAVING && !s->writing) {
-			ws_slot_free(s); /* what was just written no longer names it */
+	DL_FOREACH_SAFE2 (j->attempts, s, n, jnext) {
+		if (s->state == WS_ATTEMPT_GONE && !s->writing) {
+			ws_attempt_free(s); /* what was just written no longer names it */
 			continue;
 		}
-		if (s->writing && s->state == WS_SLOT_PLANNED) {
-			s->state = WS_SLOT_WRITTEN;
+		if (s->writing && s->state == WS_ATTEMPT_PLANNED) {
+			s->state = WS_ATTEMPT_RECORDED;
 			s->machine->push = true;
 		}
 		s->writing = false;
@@ -779,7 +779,7 @@
 	} else if (!strncmp(op->key, "job/", 4) && (j = ws_job_find(c, op->key + 4))) {
 		j->writing = false;
 		if (!op->value) {
-			ws_bury(&c->ended, j->spec.id, c->now + c->set->lease_s);
+			ws_tombstone_set(&c->ended, j->spec.id, c->now + c->set->lease_s);
 			ws_job_free(c, j);
 			return;
 		}
@@ -819,12 +819,12 @@
 			ws_rental_dirty(c, r);
 		}
 	} else if (!strncmp(op->key, "job/", 4) && (j = ws_job_find(c, op->key + 4))) {
-		struct ws_slot *s;
+		struct ws_attempt *s;
 
 		j->writing = false;
 		for (uint32_t t = 0; t < j->spec.tasks; t++)
 			j->tasks[t].writing = false;
-		DL_FOREACH2 (j->slots, s, jnext)
+		DL_FOREACH2 (j->attempts, s, jnext)
 			s->writing = false;
 		ws_job_dirty(c, j, true);
 		return;
@@ -895,7 +895,7 @@
 	if (r->status == 409) {
 		for (size_t i = 0; i < r->nfailed; i++)
 			if (!strcmp(r->failed[i], "leader")) {
-				ws_lead_end(c, "a write found another leader");
+				ws_step_down(c, "a write found another leader");
 				return;
 			}
 		for (size_t i = 0; i < call->nops; i++) {
@@ -1004,7 +1004,7 @@
 static void ws_flush_job(struct ws_core *c, struct ws_call *t, struct ws_job *j, size_t *bytes)
 {
 	/* archived once nothing of it can be alive, so that what is counts for its team */
-	bool over = ws_job_over(j) && !j->nslots;
+	bool over = ws_job_over(j) && !j->attempt_count;
 	json_t *v;
 
 	DL_DELETE2(c->dirty_jobs, j, dprev, dnext);
@@ -1019,18 +1019,19 @@
 		snprintf(t->ops[t->nops].key, WS_KEY_MAX, "old/%s", j->spec.id);
 		t->ops[t->nops++].value = ws_record_final(j);
 		ws_put(t, "job/", j->spec.id, j->stamp, NULL);
-		/* pieces for which there is no room now are found as strays by the next leader */
+		/* pieces for which there is no room now are found as orphaned_parts by the next
+		 * leader */
 		for (uint32_t i = 0; i < j->pieces && t->nops < (size_t)c->ops_most; i++)
 			snprintf(t->ops[t->nops++].key, WS_KEY_MAX, "more/%s/%u", j->spec.id, i);
 		*bytes += 256;
 	} else {
 		v = ws_record_job(c, j, ws_record_limit(c));
 		if (!v) { /* more planned than the record holds: what was not sent is taken back */
-			struct ws_slot *s, *n;
+			struct ws_attempt *s, *n;
 
-			DL_FOREACH_SAFE2 (j->slots, s, n, jnext)
-				if (s->state == WS_SLOT_PLANNED)
-					ws_slot_release(c, s);
+			DL_FOREACH_SAFE2 (j->attempts, s, n, jnext)
+				if (s->state == WS_ATTEMPT_PLANNED)
+					ws_attempt_release(c, s);
 			ws_log(c, WS_LOG_INFO, "job %s: its record is full", j->spec.id);
 			v = ws_record_job(c, j, ws_record_limit(c));
 		}
@@ -1040,7 +1041,7 @@
 		}
 		ws_put(t, "job/", j->spec.id, j->stamp, v);
 		/* a record is mostly its attempts */
-		*bytes += 1024 + 24 * (size_t)j->nslots;
+		*bytes += 1024 + 24 * (size_t)j->attempt_count;
 	}
 }
 
@@ -1085,10 +1086,10 @@
 			c->types_saved = true;
 		}
 	}
-	for (struct ws_tomb *s = c->strays, *n; s && t->nops < max; s = n) {
+	for (struct ws_tombstone *s = c->orphaned_parts, *n; s && t->nops < max; s = n) {
 		n = s->hh.next;
 		snprintf(t->ops[t->nops++].key, WS_KEY_MAX, "%s", s->name);
-		HASH_DEL(c->strays, s);
+		HASH_DEL(c->orphaned_parts, s);
 		free(s);
 	}
 	/* room is left below the transaction's 64 KiB */
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -107,7 +107,7 @@
 		return;
 	f->times = refused ? f->times + 1 : 0;
 	f->back = 0;
-	/* what the cloud lacks may come back: ask again, at growing intervals, since every request
+	/* what the cloud unmet may come back: ask again, at growing intervals, since every request
 	 * spent on it is a second that a kind it does have comes later */
 	f->until = refused ? c->now + c->set->list_lag_s * (1 << (f->times < 4 ? f->times : 4)) : 0;
 }
@@ -129,21 +129,22 @@
 
 void ws_rentals_want(struct ws_core *c, struct ws_job *j, uint32_t tasks, uint32_t zones)
 {
-	if (!j->lack_since)
-		j->lack_since = c->now;
+	if (!j->unmet_since)
+		j->unmet_since = c->now;
 	if (zones && !(zones &= ~c->subsystems.zones_closed))
 		return; /* it waits for zones in which nothing is rented now */
-	if (c->nlacks == c->lacks_cap) {
-		c->lacks_cap = c->lacks_cap ? c->lacks_cap * 2 : 64;
-		c->lacks = realloc(c->lacks, c->lacks_cap * sizeof(*c->lacks));
-		if (!c->lacks)
+	if (c->unmet_count == c->unmet_cap) {
+		c->unmet_cap = c->unmet_cap ? c->unmet_cap * 2 : 64;
+		c->unmet = realloc(c->unmet, c->unmet_cap * sizeof(*c->unmet));
+		if (!c->unmet)
 			abort();
 	}
-	c->lacks[c->nlacks++] = (struct ws_lack){j, tasks, zones};
+	c->unmet[c->unmet_count++] = (struct ws_unmet_demand){j, tasks, zones};
 }
 
 /* How many such tasks one of these machines still takes. */
-static uint32_t ws_bin_fit(const struct ws_core *c, const struct ws_bin *b, const struct ws_lack *l)
+static uint32_t ws_bin_fit(const struct ws_core *c, const struct ws_bin *b,
+			   const struct ws_unmet_demand *l)
 {
 	if (!b->n || b->cpus + 1e-9 < l->job->spec.cpus || (b->spot && !l->job->spec.spot) ||
 	    b->zi < 0 || !(l->zones >> b->zi & 1) || !(l->job->fits >> (b->type - c->types) & 1))
@@ -153,7 +154,7 @@
 
 /* Puts tasks on machines of a bin; those touched go to bins of their own. Tasks taken. */
 static uint32_t ws_bin_take(const struct ws_core *c, struct ws_bins *all, int i,
-			    const struct ws_lack *l, uint32_t left)
+			    const struct ws_unmet_demand *l, uint32_t left)
 {
 	const struct ws_spec *s = &l->job->spec;
 	uint32_t fit = ws_bin_fit(c, &all->b[i], l), whole, taken = 0;
@@ -200,14 +201,14 @@
 }
 
 /* The kind of machine that costs least for what waits. */
-static bool ws_kind_for(struct ws_core *c, const struct ws_lack *l, uint32_t tasks,
+static bool ws_kind_for(struct ws_core *c, const struct ws_unmet_demand *l, uint32_t tasks,
 			const struct ws_bins *bins, struct ws_bin *kind)
 {
 	const struct ws_spec *s = &l->job->spec;
 	double best = 0;
 	bool found = false;
 	/* work that may use spot machines waits for one as long as it may wait for any */
-	bool patient = s->spot && c->now - l->job->lack_since < ws_bound(c);
+	bool patient = s->spot && c->now - l->job->unmet_since < ws_bound(c);
 
 	for (size_t i = 0; i < c->ntypes; i++) {
 		const struct ws_type *t = &c->types[i];
@@ -260,7 +261,7 @@
 {
 	if (!m->reported)
 		return !ws_boot_late(c, m);
-	return !m->nslots && !m->mute && !m->noticed && !ws_machine_hears(m) &&
+	return !m->attempt_count && !m->unreachable && !m->noticed && !ws_machine_hears(m) &&
 	       !ws_overdue(c, fmax(m->up_at, m->token_at));
 }
 
@@ -306,7 +307,7 @@
 	double allowed, waited = 0, tasks = 0;
 
 	c->loads = 0;
-	if (c->nlacks) {
+	if (c->unmet_count) {
 		HASH_ITER (hh, c->machines, m, mt)
 			if (!m->owned && !m->gone && !m->failed && !m->returning && m->type &&
 			    ws_comes_up(c, m))
@@ -318,10 +319,10 @@
 				ws_bin_whole(c, &bins, t, r->zone, r->spot, r->count);
 		}
 	}
-	for (size_t i = 0; i < c->nlacks; i++) {
-		const struct ws_lack *l = &c->lacks[i];
+	for (size_t i = 0; i < c->unmet_count; i++) {
+		const struct ws_unmet_demand *l = &c->unmet[i];
 
-		waited += (c->now - l->job->lack_since) * ws_load_of(c, &l->job->spec) * l->tasks;
+		waited += (c->now - l->job->unmet_since) * ws_load_of(c, &l->job->spec) * l->tasks;
 		tasks += ws_load_of(c, &l->job->spec) * l->tasks;
 		if (!i || l->job->spec.cpus < bins.least)
 			bins.least = l->job->spec.cpus;
@@ -334,8 +335,8 @@
 	/* in a backlog of thousands of loads those that come first decide: no more are packed than
 	 * the next requests could ask for */
 	enough = 2 * WS_RENT_HOSTS + (allowed > 0 ? (int)allowed : 0);
-	for (size_t i = 0; i < c->nlacks; i++) {
-		struct ws_lack *l = &c->lacks[i];
+	for (size_t i = 0; i < c->unmet_count; i++) {
+		struct ws_unmet_demand *l = &c->unmet[i];
 		uint32_t left = l->tasks;
 		int before = c->loads;
 
@@ -367,8 +368,8 @@
 		if (l->job->spec.gang && c->loads - before > gang)
 			gang = c->loads - before;
 	}
-	c->nlacks = 0;
-	if (gang > limit) { /* k is at least what the largest waiting gang lacks */
+	c->unmet_count = 0;
+	if (gang > limit) { /* k is at least what the largest waiting gang unmet */
 		int more = gang < c->pol.rental_ceiling ? gang : c->pol.rental_ceiling;
 
 		allowed += more - limit;
@@ -574,7 +575,7 @@
 		}
 }
 
-static void ws_give_back(struct ws_core *c, struct ws_machine *m, const char *why)
+static void ws_release_machine(struct ws_core *c, struct ws_machine *m, const char *why)
 {
 	ws_log(c, WS_LOG_INFO, "return machine %s: %s", m->name, why);
 	m->returning = true;
@@ -615,31 +616,32 @@
 		if (m->owned || m->gone || m->returning)
 			continue;
 		if (m->failed)
-			ws_give_back(c, m, "failed");
+			ws_release_machine(c, m, "failed");
 		else if (ws_boot_late(c, m) && c->now - c->elected_at > c->set->lease_s)
-			ws_give_back(c, m, "did not come up");
+			ws_release_machine(c, m, "did not come up");
 		else if (m->noticed && c->now > m->notice_until &&
 			 c->now - m->heard > 1.5 * c->set->report_s && heard * 2 >= up)
-			ws_give_back(c, m, "taken after its notice"); /* to have it confirmed */
-		else if (m->mute && m->reported && heard * 2 >= up && ws_overdue(c, base))
-			ws_give_back(c, m, "silent, and no answer to a call");
+			ws_release_machine(c, m,
+					   "taken after its notice"); /* to have it confirmed */
+		else if (m->unreachable && m->reported && heard * 2 >= up && ws_overdue(c, base))
+			ws_release_machine(c, m, "silent, and no answer to a call");
 		else if (ws_was_up(m) &&
 			 c->set->lease_s * c->pol.silent_ratio <
 			     c->now - fmax(base, m->listed_up) &&
 			 heard * 2 >= up && up)
-			ws_give_back(c, m, "silent");
+			ws_release_machine(c, m, "silent");
 		else if (m->reported && !ws_machine_hears(m) && heard * 2 >= up && up &&
 			 c->now - fmax(fmax(m->token_at, m->up_at), c->elected_at) >
 			     c->set->lease_s * c->pol.silent_ratio + c->set->report_s)
-			ws_give_back(c, m, "no answer reaches it");
-		else if (m->reported && !m->nslots && !m->noticed && c->now >= m->held_until &&
-			 c->now - m->empty_since > c->pol.empty_wait_s &&
+			ws_release_machine(c, m, "no answer reaches it");
+		else if (m->reported && !m->attempt_count && !m->noticed &&
+			 c->now >= m->held_until && c->now - m->empty_since > c->pol.empty_wait_s &&
 			 c->now - m->up_at > c->pol.empty_wait_s &&
 			 /* what waits had its time to be placed on it */
 			 (!c->loads || c->now - m->empty_since > 2 * c->pol.empty_wait_s))
-			ws_give_back(c, m, "empty");
-		else if (m->strikes >= 3 && !m->nslots)
-			ws_give_back(c, m, "fails its tasks");
+			ws_release_machine(c, m, "empty");
+		else if (m->consecutive_failures >= 3 && !m->attempt_count)
+			ws_release_machine(c, m, "fails its tasks");
 	}
 	c->returns_wait = 0;
 	HASH_ITER (hh, c->machines, m, mt)
@@ -761,7 +763,7 @@
 	HASH_ITER (hh, c->machines, x, xt) {
 		if (x->owned && ws_machine_hears(x) && c->now - x->heard < 3 * c->set->report_s)
 			owned += ws_load_size(c, x->type);
-		for (struct ws_slot *s = x->slots; s; s = s->next)
+		for (struct ws_attempt *s = x->attempts; s; s = s->next)
 			if (s->job && s->job->spec.service)
 				services += s->job->spec.cpus / size;
 	}
--- a/src/core/requests.c
+++ b/src/core/requests.c
@@ -204,7 +204,7 @@
 
 		if (j) {
 			a->done = j->ndone;
-			a->running = j->nslots;
+			a->running = j->attempt_count;
 		}
 	}
 }
@@ -964,7 +964,7 @@
 		c->now = now;
 	/* while the state service refuses us no watch tells that we were followed */
 	if ((c->role == WS_LEADER || c->role == WS_LOADING) && leader > c->epoch >> WS_EPOCH_SHIFT)
-		ws_lead_end(c, "one that leads since asks us");
+		ws_step_down(c, "one that leads since asks us");
 	snprintf(q.after, sizeof(q.after), "%s", after);
 	ws_testify(c, now, token, &q);
 }
--- a/src/core/subsystems.c
+++ b/src/core/subsystems.c
@@ -404,14 +404,14 @@
 	    .waiting = j->waiting,
 	    .latest_start = INFINITY,
 	};
-	const struct ws_slot *s;
+	const struct ws_attempt *s;
 
 	if (spec->deadline_s >= 0)
 		facts.latest_start = j->submitted_wall + spec->deadline_s - spec->estimate_s;
-	DL_FOREACH2 (j->slots, s, jnext) {
+	DL_FOREACH2 (j->attempts, s, jnext) {
 		void *machine = s->machine->handles[i];
 
-		if (s->state == WS_SLOT_LEAVING || s->orphan)
+		if (s->state == WS_ATTEMPT_GONE || s->orphan)
 			continue;
 		if (machine && subsystem->ops->attempt_surveyed(subsystem->self, machine))
 			facts.affected++;
--- a/tests/sim_zones.c
+++ b/tests/sim_zones.c
@@ -145,8 +145,9 @@
 			sim_node_crash(s, i, 8);
 }
 
-/* Whether a trouble of zones strikes a machine in this zone. */
-static bool strikes(struct sim *s, const char *verb, const char *name, const char *zone)
+/* Whether a trouble of zones consecutive_failures a machine in this zone. */
+static bool consecutive_failures(struct sim *s, const char *verb, const char *name,
+				 const char *zone)
 {
 	int leader = sim_leader(s);
 
@@ -192,7 +193,8 @@
 	for (int i = 0; i < s->nw; i++) {
 		struct sim_worker *w = &s->w[i];
 
-		if (!strikes(s, verb, name, w->zone) || w->deleted || w->dead || !w->up)
+		if (!consecutive_failures(s, verb, name, w->zone) || w->deleted || w->dead ||
+		    !w->up)
 			continue;
 		part += share;
 		if (part < 1 - 1e-9)
