--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,5 +1,5 @@
 /*
- * The core of waystep: jobs, fleet, placement, sizing and recovery, without any input or output.
+ * The core of waystep: jobs, fleet, placement, sizing and election, without any input or output.
  * Events and the time go in through ws_core_* calls; what is to be done comes out as a queue of
  * actions that the shell (src/io) carries out. Not thread safe: the shell holds one lock round it.
  */
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -472,11 +472,20 @@
 void ws_rental_free(struct ws_core *c, struct ws_rental *r);
 bool ws_boot_late(const struct ws_core *c, const struct ws_machine *m);
 
-/* recovery.c */
+/* election.c */
 void ws_leader_tick(struct ws_core *c);
 bool ws_entitled(const struct ws_core *c);
 void ws_step_down(struct ws_core *c, const char *why);
+
+/* outage.c */
+void ws_outage_tick(struct ws_core *c);
+
+/* writing.c */
 void ws_flush(struct ws_core *c);
+
+/* loading.c */
+void ws_load(struct ws_core *c);
+void ws_watch_jobs(struct ws_core *c);
 void ws_jobs_news(struct ws_core *c, const struct ws_call *call, const struct ws_result *r);
 
 /* requests.c */
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -201,7 +201,7 @@
 		}
 }
 
-/* A job record as read at recovery or seen by the watch. */
+/* A job record as read at the election or seen by the watch. */
 void ws_job_event(struct ws_core *c, const char *id, json_t *value, uint64_t stamp)
 {
 	struct ws_job *j = ws_job_find(c, id), *n;
