--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -182,6 +182,8 @@
 	WS_RENTAL_DROP
 };
 #define WS_RENT_HOSTS 50
+/* Machines of one call to return them. */
+#define WS_RETURN_HOSTS 100
 
 struct ws_rental {
 	char booking[WS_NAME_MAX];
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -295,130 +295,179 @@
 	return n > WS_RENT_HOSTS ? WS_RENT_HOSTS : n < 1 ? 1 : (uint32_t)n;
 }
 
-/* Called at the end of a placement pass with all that found no room. */
-void ws_rentals_plan(struct ws_core *c)
+/* What the plan of one pass goes by. */
+struct ws_rental_plan {
+	struct ws_bins bins;
+	uint32_t wanted[WS_MAX_TYPES][WS_MAX_ZONES][2]; /* machines: ordinary, spot */
+	int limit;					/* rentals, in machine-loads */
+	double allowed;					/* beyond those held */
+	int held, booting;
+	int gang; /* loads that the largest waiting gang lacks */
+};
+
+/* Machines whose room will be there in a moment: those that come up, and those booked. */
+static void ws_plan_coming(struct ws_core *c, struct ws_rental_plan *plan)
 {
-	struct ws_bins bins = {0};
-	struct ws_machine *m, *mt;
-	struct ws_rental *r, *rt;
-	uint32_t wanted[WS_MAX_TYPES][WS_MAX_ZONES][2] = {0}, most = 0;
-	const struct ws_type *type = NULL;
-	int zi = -1, spot = 0, held, booting, limit, gang = 0, enough;
-	double allowed, waited = 0, tasks = 0;
+	struct ws_machine *m, *next_machine;
+	struct ws_rental *r, *next_rental;
 
-	c->loads = 0;
-	if (c->unmet_count) {
-		HASH_ITER (hh, c->machines, m, mt)
-			if (!m->owned && !m->gone && !m->failed && !m->returning && m->type &&
-			    ws_comes_up(c, m))
-				ws_bin_whole(c, &bins, m->type, m->zone, m->spot, 1);
-		HASH_ITER (hh, c->rentals, r, rt) {
-			const struct ws_type *t = ws_type_find(c, r->type);
-
-			if (r->state < WS_RENTAL_GOT && t)
-				ws_bin_whole(c, &bins, t, r->zone, r->spot, r->count);
-		}
+	if (!c->unmet_count)
+		return;
+	HASH_ITER (hh, c->machines, m, next_machine)
+		if (!m->owned && !m->gone && !m->failed && !m->returning && m->type &&
+		    ws_comes_up(c, m))
+			ws_bin_whole(c, &plan->bins, m->type, m->zone, m->spot, 1);
+	HASH_ITER (hh, c->rentals, r, next_rental) {
+		const struct ws_type *t = ws_type_find(c, r->type);
+
+		if (r->state < WS_RENTAL_GOT && t)
+			ws_bin_whole(c, &plan->bins, t, r->zone, r->spot, r->count);
 	}
+}
+
+/* How many rentals are allowed: k, or the ceiling while the wait as it is exceeds the bound. */
+static void ws_plan_limit(struct ws_core *c, struct ws_rental_plan *plan)
+{
+	double waited = 0, tasks = 0;
+
 	for (size_t i = 0; i < c->unmet_count; i++) {
 		const struct ws_unmet_demand *l = &c->unmet[i];
+		double loads = ws_load_of(c, &l->job->spec) * l->tasks;
 
 		waited += (c->now - l->job->unmet_since) * ws_load_of(c, &l->job->spec) * l->tasks;
-		tasks += ws_load_of(c, &l->job->spec) * l->tasks;
-		if (!i || l->job->spec.cpus < bins.least)
-			bins.least = l->job->spec.cpus;
+		tasks += loads;
+		if (!i || l->job->spec.cpus < plan->bins.least)
+			plan->bins.least = l->job->spec.cpus;
 	}
-	limit = c->k < 0 ? c->pol.rental_ceiling : c->k;
-	/* while the wait as it is exceeds the bound, k rises further, whatever the queue says */
+	plan->limit = c->k < 0 ? c->pol.rental_ceiling : c->k;
 	if (tasks > 0 && waited / tasks > ws_bound(c))
-		limit = c->pol.rental_ceiling;
-	allowed = limit - ws_rentals_held(c, &held, &booting);
-	/* in a backlog of thousands of loads those that come first decide: no more are packed than
-	 * the next requests could ask for */
-	enough = 2 * WS_RENT_HOSTS + (allowed > 0 ? (int)allowed : 0);
+		plan->limit = c->pol.rental_ceiling;
+	plan->allowed = plan->limit - ws_rentals_held(c, &plan->held, &plan->booting);
+}
+
+/* Machines to be rented for what a job's tasks find no room in. */
+static void ws_plan_rent(struct ws_core *c, struct ws_rental_plan *plan,
+			 const struct ws_unmet_demand *l, uint32_t left)
+{
+	struct ws_bins *bins = &plan->bins;
+
+	while (left) {
+		struct ws_bin kind = {0};
+		uint32_t fit;
+
+		if (!ws_kind_for(c, l, left, bins, &kind) || !(fit = ws_bin_fit(c, &kind, l)))
+			break;
+		/* as many as hold the rest, but few enough for zones to stay even */
+		kind.n = (left + fit - 1) / fit / (uint32_t)kind.type->nzones;
+		if (kind.n > 8)
+			kind.n = 8;
+		if (!kind.n)
+			kind.n = 1;
+		plan->wanted[kind.type - c->types][kind.zi][kind.spot] += kind.n;
+		bins->same[kind.type - c->types][kind.zi] += kind.n;
+		c->loads += (int)kind.n;
+		ws_bin_add(bins, kind);
+		left -= ws_bin_take(c, bins, bins->n - 1, l, left);
+	}
+}
+
+/*
+ * Packs what waits into what comes, and into machines to be rented. In a backlog of thousands of
+ * loads those that come first decide: no more are packed than the next requests could ask for.
+ */
+static void ws_plan_pack(struct ws_core *c, struct ws_rental_plan *plan)
+{
+	int enough = 2 * WS_RENT_HOSTS + (plan->allowed > 0 ? (int)plan->allowed : 0);
+
 	for (size_t i = 0; i < c->unmet_count; i++) {
-		struct ws_unmet_demand *l = &c->unmet[i];
+		const struct ws_unmet_demand *l = &c->unmet[i];
 		uint32_t left = l->tasks;
 		int before = c->loads;
 
 		if (c->loads >= enough && !l->job->spec.gang)
 			continue;
-		ws_bins_tidy(&bins);
-		c->steps += (uint64_t)bins.n;
-		for (int b = 0; b < bins.n && left; b++)
-			left -= ws_bin_take(c, &bins, b, l, left);
-		while (left) {
-			struct ws_bin kind = {0};
-			uint32_t fit;
-
-			if (!ws_kind_for(c, l, left, &bins, &kind) ||
-			    !(fit = ws_bin_fit(c, &kind, l)))
-				break;
-			/* as many as hold the rest, but few enough for zones to stay even */
-			kind.n = (left + fit - 1) / fit / (uint32_t)kind.type->nzones;
-			if (kind.n > 8)
-				kind.n = 8;
-			if (!kind.n)
-				kind.n = 1;
-			wanted[kind.type - c->types][kind.zi][kind.spot] += kind.n;
-			bins.same[kind.type - c->types][kind.zi] += kind.n;
-			c->loads += (int)kind.n;
-			ws_bin_add(&bins, kind);
-			left -= ws_bin_take(c, &bins, bins.n - 1, l, left);
-		}
-		if (l->job->spec.gang && c->loads - before > gang)
-			gang = c->loads - before;
+		ws_bins_tidy(&plan->bins);
+		c->steps += (uint64_t)plan->bins.n;
+		for (int b = 0; b < plan->bins.n && left; b++)
+			left -= ws_bin_take(c, &plan->bins, b, l, left);
+		ws_plan_rent(c, plan, l, left);
+		if (l->job->spec.gang && c->loads - before > plan->gang)
+			plan->gang = c->loads - before;
 	}
 	c->unmet_count = 0;
-	if (gang > limit) { /* k is at least what the largest waiting gang unmet */
-		int more = gang < c->pol.rental_ceiling ? gang : c->pol.rental_ceiling;
+	if (plan->gang > plan->limit) { /* k is at least what the largest waiting gang lacks */
+		int most = c->pol.rental_ceiling;
 
-		allowed += more - limit;
+		plan->allowed += (plan->gang < most ? plan->gang : most) - plan->limit;
 	}
-	/* one request a second: the kind most are wanted of goes first */
+}
+
+/* The kind of machine that most are wanted of; false: none is. */
+static bool ws_plan_kind(const struct ws_core *c, const struct ws_rental_plan *plan,
+			 struct ws_bin *kind)
+{
+	kind->n = 0;
 	for (size_t i = 0; i < c->ntypes; i++)
 		for (int z = 0; z < c->nzones; z++)
-			for (int k = 0; k < 2; k++)
-				if (wanted[i][z][k] > most) {
-					most = wanted[i][z][k];
-					type = &c->types[i];
-					zi = z;
-					spot = k;
-				}
-	/* machines that are well get a report period to make themselves known to a new leader */
-	if (type && allowed > 0 && !c->rent_inflight && c->now >= c->cloud_next &&
-	    !(c->rented_last && ws_returns_turn(c)) && c->now - c->elected_at > c->set->report_s) {
-		/* as many of one kind as the loads ask for, in one request */
-		uint32_t count = most;
-		struct ws_rental *x;
-
-		double room = ceil(allowed / ws_load_size(c, type));
-
-		if (count > room)
-			count = (uint32_t)room;
-		if (count > ws_rent_most(c))
-			count = ws_rent_most(c);
-		x = calloc(1, sizeof(*x));
-		if (!x)
-			abort();
-		snprintf(x->booking, sizeof(x->booking), "r-%llu-%llu",
-			 (unsigned long long)(c->epoch >> WS_EPOCH_SHIFT),
-			 (unsigned long long)++c->rental_seq);
-		snprintf(x->type, sizeof(x->type), "%s", type->name);
-		snprintf(x->zone, sizeof(x->zone), "%s", c->zones[zi]);
-		x->spot = spot;
-		x->count = count;
-		x->made = c->now;
-		HASH_ADD_STR(c->rentals, booking, x);
-		ws_rental_dirty(c, x);
-		c->rent_inflight = c->rented_last = true;
-		c->cloud_next = c->now + 1;
-		ws_log(
-		    c, WS_LOG_INFO,
-		    "rent %u x %s in %s%s (%s): %d loads wait, %d rentals held, %d booting, k %d",
-		    count, x->type, x->zone, x->spot ? ", spot" : "", x->booking, c->loads, held,
-		    booting, c->k);
-	}
-	free(bins.b);
+			for (int spot = 0; spot < 2; spot++)
+				if (plan->wanted[i][z][spot] > kind->n)
+					*kind = (struct ws_bin){.type = &c->types[i],
+								.zi = z,
+								.spot = spot,
+								.n = plan->wanted[i][z][spot]};
+	return kind->n > 0;
+}
+
+/* Books as many of one kind as the loads ask for, in one request. */
+static void ws_plan_book(struct ws_core *c, const struct ws_rental_plan *plan,
+			 const struct ws_bin *kind)
+{
+	double room = ceil(plan->allowed / ws_load_size(c, kind->type));
+	uint32_t count = kind->n;
+	struct ws_rental *x;
+
+	if (count > room)
+		count = (uint32_t)room;
+	if (count > ws_rent_most(c))
+		count = ws_rent_most(c);
+	x = calloc(1, sizeof(*x));
+	if (!x)
+		abort();
+	snprintf(x->booking, sizeof(x->booking), "r-%llu-%llu",
+		 (unsigned long long)(c->epoch >> WS_EPOCH_SHIFT),
+		 (unsigned long long)++c->rental_seq);
+	snprintf(x->type, sizeof(x->type), "%s", kind->type->name);
+	snprintf(x->zone, sizeof(x->zone), "%s", c->zones[kind->zi]);
+	x->spot = kind->spot;
+	x->count = count;
+	x->made = c->now;
+	HASH_ADD_STR(c->rentals, booking, x);
+	ws_rental_dirty(c, x);
+	c->rent_inflight = c->rented_last = true;
+	c->cloud_next = c->now + 1;
+	ws_log(c, WS_LOG_INFO,
+	       "rent %u x %s in %s%s (%s): %d loads wait, %d rentals held, %d booting, k %d", count,
+	       x->type, x->zone, x->spot ? ", spot" : "", x->booking, c->loads, plan->held,
+	       plan->booting, c->k);
+}
+
+/* Called at the end of a placement pass with all that found no room. */
+void ws_rentals_plan(struct ws_core *c)
+{
+	struct ws_rental_plan plan = {0};
+	struct ws_bin kind = {0};
+
+	c->loads = 0;
+	ws_plan_coming(c, &plan);
+	ws_plan_limit(c, &plan);
+	ws_plan_pack(c, &plan);
+	/* one request a second; machines that are well get a report period to make themselves known
+	 * to a new leader */
+	if (ws_plan_kind(c, &plan, &kind) && plan.allowed > 0 && !c->rent_inflight &&
+	    c->now >= c->cloud_next && !(c->rented_last && ws_returns_turn(c)) &&
+	    c->now - c->elected_at > c->set->report_s)
+		ws_plan_book(c, &plan, &kind);
+	free(plan.bins.b);
 }
 
 void ws_rental_dirty(struct ws_core *c, struct ws_rental *r)
@@ -597,65 +646,84 @@
 	return m->reported || m->tenure || m->listed_up > 0;
 }
 
-static void ws_returns(struct ws_core *c)
+/* Whether most machines that are up are heard and hear us: else a cut of our own looks like theirs.
+ */
+static bool ws_most_heard(struct ws_core *c, size_t *up)
 {
-	struct ws_machine *m, *mt;
-	size_t up = 0, heard = 0;
-	struct ws_call *call = NULL;
-
-	HASH_ITER (hh, c->machines, m, mt)
-		if (m->reported && !m->gone && !m->failed) {
-			up++;
-			/* within a report period, or a cut of our own would look like theirs for
-			 * as long as it takes to return them all */
-			heard += !ws_overdue(c, m->heard) && ws_machine_hears(m);
-		}
-	HASH_ITER (hh, c->machines, m, mt) {
-		double base = fmax(m->heard, fmax(c->elected_at, c->woke_at));
+	struct ws_machine *m, *next;
+	size_t heard = 0;
 
-		if (m->owned || m->gone || m->returning)
+	*up = 0;
+	HASH_ITER (hh, c->machines, m, next) {
+		if (!m->reported || m->gone || m->failed)
 			continue;
-		if (m->failed)
-			ws_release_machine(c, m, "failed");
-		else if (ws_boot_late(c, m) && c->now - c->elected_at > c->set->lease_s)
-			ws_release_machine(c, m, "did not come up");
-		else if (m->noticed && c->now > m->notice_until &&
-			 c->now - m->heard > 1.5 * c->set->report_s && heard * 2 >= up)
-			ws_release_machine(c, m,
-					   "taken after its notice"); /* to have it confirmed */
-		else if (m->unreachable && m->reported && heard * 2 >= up && ws_overdue(c, base))
-			ws_release_machine(c, m, "silent, and no answer to a call");
-		else if (ws_was_up(m) &&
-			 c->set->lease_s * c->pol.silent_ratio <
-			     c->now - fmax(base, m->listed_up) &&
-			 heard * 2 >= up && up)
-			ws_release_machine(c, m, "silent");
-		else if (m->reported && !ws_machine_hears(m) && heard * 2 >= up && up &&
-			 c->now - fmax(fmax(m->token_at, m->up_at), c->elected_at) >
-			     c->set->lease_s * c->pol.silent_ratio + c->set->report_s)
-			ws_release_machine(c, m, "no answer reaches it");
-		else if (m->reported && !m->attempt_count && !m->noticed &&
-			 c->now >= m->held_until && c->now - m->empty_since > c->pol.empty_wait_s &&
-			 c->now - m->up_at > c->pol.empty_wait_s &&
-			 /* what waits had its time to be placed on it */
-			 (!c->loads || c->now - m->empty_since > 2 * c->pol.empty_wait_s))
-			ws_release_machine(c, m, "empty");
-		else if (m->consecutive_failures >= 3 && !m->attempt_count)
-			ws_release_machine(c, m, "fails its tasks");
+		(*up)++;
+		/* within a report period, or a cut of our own would look like theirs for as long as
+		 * it takes to return them all */
+		heard += !ws_overdue(c, m->heard) && ws_machine_hears(m);
 	}
-	c->returns_wait = 0;
-	HASH_ITER (hh, c->machines, m, mt)
-		c->returns_wait += ws_return_due(c, m);
-	if (!c->returns_wait)
-		c->returns_since = c->now;
-	if (c->now < c->cloud_next)
-		return;
-	HASH_ITER (hh, c->machines, m, mt) {
+	return heard * 2 >= *up;
+}
+
+static bool ws_empty_for_long(const struct ws_core *c, const struct ws_machine *m)
+{
+	const double wait = c->pol.empty_wait_s;
+
+	return m->reported && !m->attempt_count && !m->noticed && c->now >= m->held_until &&
+	       c->now - m->empty_since > wait && c->now - m->up_at > wait &&
+	       /* what waits had its time to be placed on it */
+	       (!c->loads || c->now - m->empty_since > 2 * wait);
+}
+
+/* Why a rental is silent for good; NULL: it is not, or most others are as well. */
+static const char *ws_silent_reason(const struct ws_core *c, const struct ws_machine *m, size_t up)
+{
+	const double base = fmax(m->heard, fmax(c->elected_at, c->woke_at));
+	const double silent_s = c->set->lease_s * c->pol.silent_ratio;
+
+	if (m->noticed && c->now > m->notice_until && c->now - m->heard > 1.5 * c->set->report_s)
+		return "taken after its notice"; /* to have it confirmed */
+	if (m->unreachable && m->reported && ws_overdue(c, base))
+		return "silent, and no answer to a call";
+	if (ws_was_up(m) && silent_s < c->now - fmax(base, m->listed_up) && up)
+		return "silent";
+	if (m->reported && !ws_machine_hears(m) && up &&
+	    c->now - fmax(fmax(m->token_at, m->up_at), c->elected_at) > silent_s + c->set->report_s)
+		return "no answer reaches it";
+	return NULL;
+}
+
+/* Why a rental should go back now; NULL: it should not. */
+static const char *ws_return_reason(const struct ws_core *c, const struct ws_machine *m,
+				    bool most_heard, size_t up)
+{
+	const char *silent = most_heard ? ws_silent_reason(c, m, up) : NULL;
+
+	if (m->failed)
+		return "failed";
+	if (ws_boot_late(c, m) && c->now - c->elected_at > c->set->lease_s)
+		return "did not come up";
+	if (silent)
+		return silent;
+	if (ws_empty_for_long(c, m))
+		return "empty";
+	if (m->consecutive_failures >= 3 && !m->attempt_count)
+		return "fails its tasks";
+	return NULL;
+}
+
+/* Asks the cloud to take back what is due, as many as one call takes. */
+static void ws_returns_call(struct ws_core *c)
+{
+	struct ws_machine *m, *next;
+	struct ws_call *call = NULL;
+
+	HASH_ITER (hh, c->machines, m, next) {
 		if (!ws_return_due(c, m))
 			continue;
 		if (!call) {
 			call = ws_call(c, WS_CALL_RETURN, ws_return_done);
-			call->names = calloc(100, sizeof(*call->names));
+			call->names = calloc(WS_RETURN_HOSTS, sizeof(*call->names));
 			if (!call->names)
 				abort();
 			c->cloud_next = c->now + 1;
@@ -665,81 +733,142 @@
 		snprintf(call->names[call->nnames++], WS_NAME_MAX, "%s", m->name);
 		m->return_inflight = true;
 		c->returns_wait--;
-		if (call->nnames == 100)
+		if (call->nnames == WS_RETURN_HOSTS)
 			break;
 	}
 }
 
-void ws_rentals_tick(struct ws_core *c)
+static void ws_returns(struct ws_core *c)
 {
-	struct ws_rental *r, *rt;
-	struct ws_machine *m;
+	struct ws_machine *m, *next;
+	size_t up;
+	bool most_heard = ws_most_heard(c, &up);
+
+	HASH_ITER (hh, c->machines, m, next) {
+		const char *why;
+
+		if (m->owned || m->gone || m->returning)
+			continue;
+		why = ws_return_reason(c, m, most_heard, up);
+		if (why)
+			ws_release_machine(c, m, why);
+	}
+	c->returns_wait = 0;
+	HASH_ITER (hh, c->machines, m, next)
+		c->returns_wait += ws_return_due(c, m);
+	if (!c->returns_wait)
+		c->returns_since = c->now;
+	if (c->now >= c->cloud_next)
+		ws_returns_call(c);
+}
+
+/*
+ * Enough machines of the middling type to honour every guarantee at once, and a quarter more for
+ * what is borrowed in rushes.
+ */
+static int ws_derived_ceiling(const struct ws_core *c)
+{
+	double cpus = 0, size = ws_mean_cpus(c);
+
+	for (size_t i = 0; i < c->set->nteams; i++)
+		cpus += c->set->teams[i].cpus;
+	return size > 0 ? (int)ceil(1.25 * cpus / size) : 1;
+}
+
+/* Asks the cloud for a booking that is on record. */
+static void ws_rental_ask(struct ws_core *c, struct ws_rental *r)
+{
+	struct ws_call *call = ws_call(c, WS_CALL_RENT, ws_rent_done);
+
+	snprintf(call->key, sizeof(call->key), "%s", r->booking);
+	snprintf(call->type, sizeof(call->type), "%s", r->type);
+	snprintf(call->zone, sizeof(call->zone), "%s", r->zone);
+	call->spot = r->spot;
+	call->count = r->count;
+	r->state = WS_RENTAL_ASKING;
+	c->rent_inflight = true;
+	c->cloud_next = c->now + 1;
+}
+
+/* Takes machines that are gone off a booking's record. */
+static void ws_rental_tidy(struct ws_core *c, struct ws_rental *r)
+{
+	uint32_t left = 0;
+
+	for (uint32_t i = 0; i < r->nhosts; i++) {
+		const struct ws_machine *m = ws_machine_find(c, r->hosts[i]);
+
+		if (m && !m->gone)
+			memmove(r->hosts[left++], r->hosts[i], WS_NAME_MAX);
+	}
+	if (left == r->nhosts)
+		return;
+	r->nhosts = left;
+	if (!left)
+		r->state = WS_RENTAL_DROP;
+	ws_rental_dirty(c, r);
+}
+
+/* Whether records of rentals are to be brought up to date: no newer than lists of machines are, if
+ * changes are short. */
+static bool ws_rentals_tidy_due(struct ws_core *c)
+{
+	bool spare = c->flush_tokens > c->flush_rate / 4;
+
+	if (!c->rentals_stale || c->now < c->tidy_next)
+		return false;
+	c->rentals_stale = false;
+	c->tidy_next =
+	    c->now + (spare ? fmin(c->set->lease_s / 32, c->set->list_lag_s) : c->set->list_lag_s);
+	return true;
+}
 
-	if (c->pol.rental_ceiling < 0 && c->ntypes) {
-		/* enough machines of the middling type to honour every guarantee at once, and
-		 * a quarter more for what is borrowed in rushes */
-		double cpus = 0, size = ws_mean_cpus(c);
+static void ws_rentals_look(struct ws_core *c, bool tidy)
+{
+	struct ws_rental *r, *next;
 
-		for (size_t i = 0; i < c->set->nteams; i++)
-			cpus += c->set->teams[i].cpus;
-		c->pol.rental_ceiling = size > 0 ? (int)ceil(1.25 * cpus / size) : 1;
+	HASH_ITER (hh, c->rentals, r, next) {
+		if (r->state == WS_RENTAL_RECORDED && !r->dirty && !r->writing &&
+		    c->now >= r->next_try && c->now >= c->cloud_next - 1) {
+			ws_rental_ask(c, r);
+			break;
+		}
+		if (r->state == WS_RENTAL_GOT && tidy && !r->dirty && !r->writing)
+			ws_rental_tidy(c, r);
 	}
+}
+
+/* Rentals and returns go before lists, as long as these don't get too old. */
+static void ws_hosts_ask(struct ws_core *c)
+{
+	struct ws_call *call;
+
+	if (c->hosts_inflight || c->now < c->hosts_next || c->now < c->cloud_next ||
+	    (c->loads && c->now < c->hosts_next + c->set->list_lag_s && c->owned_known))
+		return;
+	call = ws_call(c, WS_CALL_HOSTS, ws_hosts_done);
+	snprintf(call->after, sizeof(call->after), "%s", c->hosts_after);
+	if (!c->hosts_after[0])
+		c->list_pass++;
+	c->hosts_inflight = true;
+	c->cloud_next = c->now + 1;
+}
+
+void ws_rentals_tick(struct ws_core *c)
+{
+	bool tidy;
+
+	if (c->pol.rental_ceiling < 0 && c->ntypes)
+		c->pol.rental_ceiling = ws_derived_ceiling(c);
 	if (!ws_entitled(c) || c->in_outage || c->now < c->rent_next)
 		return;
 	c->rent_next = c->now + ws_sweep_every(c);
-	/* records of rentals need not be newer than lists of machines are, if changes are short */
-	bool tidy = c->rentals_stale && c->now >= c->tidy_next;
-
-	if (tidy) {
-		c->rentals_stale = false;
-		c->tidy_next = c->now + (c->flush_tokens > c->flush_rate / 4
-					     ? fmin(c->set->lease_s / 32, c->set->list_lag_s)
-					     : c->set->list_lag_s);
-	}
+	tidy = ws_rentals_tidy_due(c);
 	if (c->owned_known) { /* else rentals could not be told from what was here before */
-		HASH_ITER (hh, c->rentals, r, rt) {
-			if (r->state == WS_RENTAL_RECORDED && !r->dirty && !r->writing &&
-			    c->now >= r->next_try && c->now >= c->cloud_next - 1) {
-				struct ws_call *call = ws_call(c, WS_CALL_RENT, ws_rent_done);
-
-				snprintf(call->key, sizeof(call->key), "%s", r->booking);
-				snprintf(call->type, sizeof(call->type), "%s", r->type);
-				snprintf(call->zone, sizeof(call->zone), "%s", r->zone);
-				call->spot = r->spot;
-				call->count = r->count;
-				r->state = WS_RENTAL_ASKING;
-				c->rent_inflight = true;
-				c->cloud_next = c->now + 1;
-				break;
-			}
-			if (r->state != WS_RENTAL_GOT || !tidy || r->dirty || r->writing)
-				continue;
-			uint32_t left = 0;
-			for (uint32_t i = 0; i < r->nhosts; i++) {
-				m = ws_machine_find(c, r->hosts[i]);
-				if (m && !m->gone)
-					memmove(r->hosts[left++], r->hosts[i], WS_NAME_MAX);
-			}
-			if (left == r->nhosts)
-				continue;
-			r->nhosts = left;
-			if (!left)
-				r->state = WS_RENTAL_DROP;
-			ws_rental_dirty(c, r);
-		}
+		ws_rentals_look(c, tidy);
 		ws_returns(c);
 	}
-	/* rentals and returns go before lists, as long as these don't get too old */
-	if (!c->hosts_inflight && c->now >= c->hosts_next && c->now >= c->cloud_next &&
-	    (!c->loads || c->now >= c->hosts_next + c->set->list_lag_s || !c->owned_known)) {
-		struct ws_call *call = ws_call(c, WS_CALL_HOSTS, ws_hosts_done);
-
-		snprintf(call->after, sizeof(call->after), "%s", c->hosts_after);
-		if (!c->hosts_after[0])
-			c->list_pass++;
-		c->hosts_inflight = true;
-		c->cloud_next = c->now + 1;
-	}
+	ws_hosts_ask(c);
 }
 
 /* ---- measurements for Algorithm 1 ---- */
