--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -424,115 +424,143 @@
 	ws_attempt_release(c, s);
 }
 
-/* Takes in the newest word of a worker: a report, or the answer to a direct command. */
-static void ws_fleet_read(struct ws_core *c, struct ws_machine *m, const struct ws_report *r)
+/* The first word of a machine. */
+static void ws_machine_up(struct ws_core *c, struct ws_machine *m)
 {
-	struct ws_attempt *s, *n;
+	m->reported = true;
+	m->up_at = c->now;
+	if (!m->owned && c->now - m->first_seen > c->set->report_s) {
+		c->boot_sum += c->now - m->first_seen;
+		c->boot_n += 1;
+	}
+	ws_log(c, WS_LOG_INFO, "machine %s is up: %s in %s%s%s", m->name, m->type_name, m->zone,
+	       m->spot ? ", spot" : "", m->owned ? ", owned" : "");
+	c->place_wanted = true;
+}
+
+/* What a machine is, and where it is reached. */
+static void ws_machine_identity(struct ws_core *c, struct ws_machine *m, const struct ws_report *r)
+{
+	bool address = m->port != r->port || strcmp(m->host, r->host) != 0;
 	/* the cloud's list may have told its address before it was ever heard */
-	bool moved = !m->reported || m->port != r->port || strcmp(m->host, r->host) != 0 ||
-		     strcmp(m->zone, r->zone) != 0;
+	bool moved = !m->reported || address || strcmp(m->zone, r->zone) != 0;
 
 	ws_machine_place(c, m, r->type, r->zone, r->spot);
-	if (!m->reported) {
-		m->reported = true;
-		m->up_at = c->now;
-		if (!m->owned && c->now - m->first_seen > c->set->report_s) {
-			c->boot_sum += c->now - m->first_seen;
-			c->boot_n += 1;
-		}
-		ws_log(c, WS_LOG_INFO, "machine %s is up: %s in %s%s%s", m->name, m->type_name,
-		       m->zone, m->spot ? ", spot" : "", m->owned ? ", owned" : "");
-		c->place_wanted = true;
-	}
-	if (m->failed)
-		m->failed = false;
-	if (m->port != r->port || strcmp(m->host, r->host)) {
+	if (!m->reported)
+		ws_machine_up(c, m);
+	m->failed = false;
+	if (address) {
 		snprintf(m->host, sizeof(m->host), "%s", r->host);
 		m->port = r->port;
 		ws_machine_dirty(c, m);
 	}
 	if (moved)
 		ws_subsystems_machine(c, m);
-	if (r->tenure > m->tenure) {
-		if (m->tenure && m->attempt_count)
-			ws_log(c, WS_LOG_INFO, "machine %s began tenure %llu, %u tasks lost",
-			       m->name, (unsigned long long)r->tenure, m->attempt_count);
-		if (m->tenure) /* its lease ran out: did it hear our answers? */
-			ws_machine_doubt(c, m, r->epoch > m->token ? r->epoch : m->token);
-		m->tenure = r->tenure;
-		/* the worker's lease counts from the tenure's beginning, also where no answer of
-		 * ours has renewed it: we may have heard of it by a command's answer alone */
-		m->alive_until = fmax(m->alive_until, ws_lease_out(c, c->now));
-		m->fence = 0; /* a command for an earlier tenure is refused */
-		ws_machine_dirty(c, m);
-	}
-	/* also where we did not see the tenure begin: one job's record may name an attempt of a
-	 * tenure that another's, or the fleet's, knows to be over */
-	for (s = m->attempts; s; s = n) {
-		n = s->next;
-		if (s->tenure < r->tenure)
-			ws_attempt_release(c, s);
-	}
-	m->counter = r->counter;
-	m->epoch = r->epoch;
-	if (m->fence && r->epoch > m->fence)
-		m->fence = 0;
-	if (r->notice_s >= 0 && !m->noticed) {
-		m->noticed = true;
-		m->notice_until = c->now + r->notice_s;
-		ws_log(c, WS_LOG_INFO, "machine %s will be taken in %.0f s", m->name, r->notice_s);
-		c->place_wanted = true;
+}
+
+/* A machine's lease ran out: all that it had before is gone. */
+static void ws_machine_new_tenure(struct ws_core *c, struct ws_machine *m,
+				  const struct ws_report *r)
+{
+	if (m->tenure && m->attempt_count)
+		ws_log(c, WS_LOG_INFO, "machine %s began tenure %llu, %u tasks lost", m->name,
+		       (unsigned long long)r->tenure, m->attempt_count);
+	if (m->tenure) /* did it hear our answers? */
+		ws_machine_doubt(c, m, r->epoch > m->token ? r->epoch : m->token);
+	m->tenure = r->tenure;
+	/* the worker's lease counts from the tenure's beginning, also where no answer of ours has
+	 * renewed it: we may have heard of it by a command's answer alone */
+	m->alive_until = fmax(m->alive_until, ws_lease_out(c, c->now));
+	m->fence = 0; /* a command for an earlier tenure is refused */
+	ws_machine_dirty(c, m);
+}
+
+static void ws_machine_notice(struct ws_core *c, struct ws_machine *m, double notice_s)
+{
+	m->noticed = true;
+	m->notice_until = c->now + notice_s;
+	ws_log(c, WS_LOG_INFO, "machine %s will be taken in %.0f s", m->name, notice_s);
+	c->place_wanted = true;
+}
+
+static struct ws_attempt *ws_attempt_find(const struct ws_machine *m,
+					  const struct ws_task_report *t)
+{
+	struct ws_attempt *s;
+
+	for (s = m->attempts; s; s = s->next)
+		if (s->state != WS_ATTEMPT_GONE && s->attempt == t->attempt && s->task == t->task &&
+		    !strcmp(s->job_id, t->job))
+			break;
+	return s;
+}
+
+/* An attempt is alive on a machine, though not ours: it counts until it is gone. */
+static struct ws_attempt *ws_attempt_foreign(struct ws_core *c, struct ws_machine *m,
+					     const struct ws_task_report *t)
+{
+	struct ws_attempt *s = ws_attempt_add(c, m, t->job, t->task, t->attempt);
+
+	s->orphan = s->seen = s->sent = true;
+	s->state = WS_ATTEMPT_RECORDED;
+	ws_attempt_stop(c, s, 0, "not in the plan");
+	return s;
+}
+
+static void ws_attempt_runs(struct ws_core *c, struct ws_machine *m, struct ws_attempt *s)
+{
+	struct ws_job *j = s->job;
+
+	s->running_at = c->now;
+	ws_log(c, WS_LOG_DEBUG, "machine %s: %s/%u attempt %llu runs", m->name, s->job_id, s->task,
+	       (unsigned long long)s->attempt);
+	if (!j)
+		return;
+	ws_cache_touch(c, m, j->image);
+	if (!j->started && !ws_job_over(j)) {
+		j->started = true;
+		j->phase = WS_RUNNING;
+		ws_job_dirty(c, j, false);
 	}
-	c->pass++;
-	for (size_t i = 0; i < r->ntasks; i++) {
-		const struct ws_task_report *t = &r->tasks[i];
+}
 
-		for (s = m->attempts; s; s = s->next)
-			if (s->state != WS_ATTEMPT_GONE && s->attempt == t->attempt &&
-			    s->task == t->task && !strcmp(s->job_id, t->job))
-				break;
-		if (!s && t->state == WS_TASK_EXITED) {
-			struct ws_job *j = ws_job_find(c, t->job);
+/* One task of a machine's newest word. */
+static void ws_task_reported(struct ws_core *c, struct ws_machine *m,
+			     const struct ws_task_report *t)
+{
+	struct ws_attempt *s = ws_attempt_find(m, t);
 
-			if (t->why == WS_WHY_DONE && j)
-				ws_job_task_done(c, j, t->task);
-			continue;
-		}
-		if (!s) { /* alive but not ours: it counts until it is gone */
-			s = ws_attempt_add(c, m, t->job, t->task, t->attempt);
-			s->orphan = s->seen = s->sent = true;
-			s->state = WS_ATTEMPT_RECORDED;
-			ws_attempt_stop(c, s, 0, "not in the plan");
-		}
-		s->pass = c->pass;
-		s->seen = s->sent = true;
-		if (t->state == WS_TASK_WAITING && s->at != WS_TASK_WAITING) {
-			s->waiting_at = c->now;
-			if (s->job) /* it has its image */
-				ws_cache_touch(c, m, s->job->image);
-		}
-		if (s->job && s->job->spec.gang && !s->orphan &&
-		    (t->state == WS_TASK_RUNNING || t->state == WS_TASK_SAVING))
-			s->job->gang_over = s->attempt;
-		if (t->state == WS_TASK_RUNNING && s->at != WS_TASK_RUNNING) {
-			s->running_at = c->now;
-			ws_log(c, WS_LOG_DEBUG, "machine %s: %s/%u attempt %llu runs", m->name,
-			       s->job_id, s->task, (unsigned long long)s->attempt);
-			if (s->job) {
-				ws_cache_touch(c, m, s->job->image);
-				if (!s->job->started && !ws_job_over(s->job)) {
-					s->job->started = true;
-					s->job->phase = WS_RUNNING;
-					ws_job_dirty(c, s->job, false);
-				}
-			}
-		}
-		s->at = t->state;
-		s->why = t->why;
-		if (t->state == WS_TASK_EXITED)
-			ws_attempt_exited(c, s);
+	if (!s && t->state == WS_TASK_EXITED) {
+		struct ws_job *j = ws_job_find(c, t->job);
+
+		if (t->why == WS_WHY_DONE && j)
+			ws_job_task_done(c, j, t->task);
+		return;
 	}
-	for (s = m->attempts; s; s = n) {
+	if (!s)
+		s = ws_attempt_foreign(c, m, t);
+	s->pass = c->pass;
+	s->seen = s->sent = true;
+	if (t->state == WS_TASK_WAITING && s->at != WS_TASK_WAITING) {
+		s->waiting_at = c->now;
+		if (s->job) /* it has its image */
+			ws_cache_touch(c, m, s->job->image);
+	}
+	if (s->job && s->job->spec.gang && !s->orphan &&
+	    (t->state == WS_TASK_RUNNING || t->state == WS_TASK_SAVING))
+		s->job->gang_over = s->attempt;
+	if (t->state == WS_TASK_RUNNING && s->at != WS_TASK_RUNNING)
+		ws_attempt_runs(c, m, s);
+	s->at = t->state;
+	s->why = t->why;
+	if (t->state == WS_TASK_EXITED)
+		ws_attempt_exited(c, s);
+}
+
+/* Attempts that a machine's newest word does not name. */
+static void ws_attempts_missing(struct ws_core *c, struct ws_machine *m)
+{
+	for (struct ws_attempt *s = m->attempts, *n; s; s = n) {
 		n = s->next;
 		if (s->state == WS_ATTEMPT_GONE || s->pass == c->pass || s->tenure != m->tenure)
 			continue;
@@ -543,6 +571,31 @@
 	}
 }
 
+/* Takes in the newest word of a worker: a report, or the answer to a direct command. */
+static void ws_fleet_read(struct ws_core *c, struct ws_machine *m, const struct ws_report *r)
+{
+	ws_machine_identity(c, m, r);
+	if (r->tenure > m->tenure)
+		ws_machine_new_tenure(c, m, r);
+	/* also where we did not see the tenure begin: one job's record may name an attempt of a
+	 * tenure that another's, or the fleet's, knows to be over */
+	for (struct ws_attempt *s = m->attempts, *n; s; s = n) {
+		n = s->next;
+		if (s->tenure < r->tenure)
+			ws_attempt_release(c, s);
+	}
+	m->counter = r->counter;
+	m->epoch = r->epoch;
+	if (m->fence && r->epoch > m->fence)
+		m->fence = 0;
+	if (r->notice_s >= 0 && !m->noticed)
+		ws_machine_notice(c, m, r->notice_s);
+	c->pass++;
+	for (size_t i = 0; i < r->ntasks; i++)
+		ws_task_reported(c, m, &r->tasks[i]);
+	ws_attempts_missing(c, m);
+}
+
 /* Commands in the answer to a report: keeps it under the line limit. */
 #define WS_ANSWER_ORDERS 400
 
--- a/src/io/encode.c
+++ b/src/io/encode.c
@@ -75,89 +75,107 @@
 				 (json_int_t)tenure, "orders", ws_orders_json(o, n)));
 }
 
-char *ws_encode_call(const struct ws_call *call, const char **method, char *path)
+static json_t *ws_conditions_json(const struct ws_call *call)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < call->nconds; i++)
+		json_array_append_new(list, json_pack("{s:s,s:I}", "k", call->conds[i].key, "stamp",
+						      (json_int_t)call->conds[i].stamp));
+	return list;
+}
+
+static json_t *ws_change_json(const struct ws_op *op)
+{
+	json_t *change;
+
+	if (!op->value)
+		return json_pack("{s:s}", "delete", op->key);
+	change = json_pack("{s:s,s:O}", "write", op->key, "value", op->value);
+	if (op->hold)
+		json_object_set_new(change, "permit", json_integer((json_int_t)op->hold));
+	return change;
+}
+
+static char *ws_encode_transaction(const struct ws_call *call)
+{
+	json_t *when, *then;
+
+	ws_pool_begin();
+	when = ws_conditions_json(call);
+	then = json_array();
+	for (size_t i = 0; i < call->nops; i++)
+		json_array_append_new(then, ws_change_json(&call->ops[i]));
+	return ws_dump(json_pack("{s:o,s:o}", "when", when, "then", then));
+}
+
+static char *ws_encode_return(const struct ws_call *call)
 {
-	json_t *o = NULL, *a;
+	json_t *names = json_array();
+
+	for (size_t i = 0; i < call->nnames; i++)
+		json_array_append_new(names, json_string(call->names[i]));
+	return ws_dump(json_pack("{s:o}", "hosts", names));
+}
+
+static char *ws_encode_rent(const struct ws_call *call)
+{
+	return ws_dump(json_pack("{s:s,s:s,s:s,s:b,s:i}", "booking", call->key, "flavour",
+				 call->type, "hall", call->zone, "reclaimable", call->spot,
+				 "howMany", (int)call->count));
+}
+
+/* Reads, which have no body: their path. */
+static void ws_encode_read(const struct ws_call *call, char *path)
+{
+	const char *since = call->after[0] ? "&since=" : "";
 
-	*method = "GET";
 	switch (call->kind) {
-	case WS_CALL_GET: snprintf(path, WS_URL_MAX, "/kv/%s", call->key); return NULL;
+	case WS_CALL_GET: snprintf(path, WS_URL_MAX, "/kv/%s", call->key); break;
 	case WS_CALL_LIST:
-		if (call->after[0])
-			snprintf(path, WS_URL_MAX, "/kv?starts=%s&since=%s&most=1000", call->key,
-				 call->after);
-		else
-			snprintf(path, WS_URL_MAX, "/kv?starts=%s&most=1000", call->key);
-		return NULL;
+		snprintf(path, WS_URL_MAX, "/kv?starts=%s%s%s&most=1000", call->key, since,
+			 call->after);
+		break;
 	case WS_CALL_WATCH:
 		snprintf(path, WS_URL_MAX, "/watch?starts=%s&since=%llu&holdMs=%u", call->key,
 			 (unsigned long long)call->since, call->ms);
-		return NULL;
-	case WS_CALL_TXN:
-		*method = "POST";
-		snprintf(path, WS_URL_MAX, "/multi");
-		ws_pool_begin();
-		a = json_array();
-		for (size_t i = 0; i < call->nconds; i++)
-			json_array_append_new(a,
-					      json_pack("{s:s,s:I}", "k", call->conds[i].key,
-							"stamp", (json_int_t)call->conds[i].stamp));
-		o = json_pack("{s:o}", "when", a);
-		a = json_array();
-		for (size_t i = 0; i < call->nops; i++) {
-			const struct ws_op *p = &call->ops[i];
-			json_t *x;
-
-			if (p->value) {
-				x = json_pack("{s:s,s:O}", "write", p->key, "value", p->value);
-				if (p->hold)
-					json_object_set_new(x, "permit",
-							    json_integer((json_int_t)p->hold));
-			} else {
-				x = json_pack("{s:s}", "delete", p->key);
-			}
-			json_array_append_new(a, x);
-		}
-		json_object_set_new(o, "then", a);
-		return ws_dump(o);
+		break;
+	case WS_CALL_TYPES: snprintf(path, WS_URL_MAX, "/machine_types"); break;
+	case WS_CALL_HOSTS:
+		if (call->after[0])
+			snprintf(path, WS_URL_MAX, "/hosts?since=%s&most=500", call->after);
+		else
+			snprintf(path, WS_URL_MAX, "/hosts?most=500");
+		break;
+	default: path[0] = 0; break;
+	}
+}
+
+char *ws_encode_call(const struct ws_call *call, const char **method, char *path)
+{
+	*method = "POST";
+	switch (call->kind) {
+	case WS_CALL_TXN: snprintf(path, WS_URL_MAX, "/multi"); return ws_encode_transaction(call);
 	case WS_CALL_HOLD_NEW:
-		*method = "POST";
 		snprintf(path, WS_URL_MAX, "/holds");
 		return ws_dump(json_pack("{s:i}", "ttlMs", (int)call->ms));
 	case WS_CALL_HOLD_EXTEND:
-		*method = "POST";
 		snprintf(path, WS_URL_MAX, "/holds/%llu/extend", (unsigned long long)call->hold);
 		return NULL;
 	case WS_CALL_HOLD_DROP:
 		*method = "DELETE";
 		snprintf(path, WS_URL_MAX, "/holds/%llu", (unsigned long long)call->hold);
 		return NULL;
-	case WS_CALL_TYPES: snprintf(path, WS_URL_MAX, "/machine_types"); return NULL;
-	case WS_CALL_HOSTS:
-		if (call->after[0])
-			snprintf(path, WS_URL_MAX, "/hosts?since=%s&most=500", call->after);
-		else
-			snprintf(path, WS_URL_MAX, "/hosts?most=500");
-		return NULL;
-	case WS_CALL_RENT:
-		*method = "POST";
-		snprintf(path, WS_URL_MAX, "/hosts");
-		return ws_dump(json_pack("{s:s,s:s,s:s,s:b,s:i}", "booking", call->key, "flavour",
-					 call->type, "hall", call->zone, "reclaimable", call->spot,
-					 "howMany", (int)call->count));
+	case WS_CALL_RENT: snprintf(path, WS_URL_MAX, "/hosts"); return ws_encode_rent(call);
 	case WS_CALL_RETURN:
-		*method = "POST";
 		snprintf(path, WS_URL_MAX, "/hosts/return");
-		a = json_array();
-		for (size_t i = 0; i < call->nnames; i++)
-			json_array_append_new(a, json_string(call->names[i]));
-		return ws_dump(json_pack("{s:o}", "hosts", a));
+		return ws_encode_return(call);
 	case WS_CALL_ORDERS:
-		*method = "POST";
 		snprintf(path, WS_URL_MAX, "/commands");
 		return ws_encode_orders(call->epoch, call->tenure, call->orders, call->norders);
-	case WS_CALL_TESTIFY: break;
+	default:
+		*method = "GET";
+		ws_encode_read(call, path);
+		return NULL;
 	}
-	path[0] = 0;
-	return NULL;
 }
