--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -353,7 +353,7 @@
 
 /*
  * Stops what loses least to make room on each machine; the number of tasks with room to come. For a
- * gang nothing is stopped unless that makes room for all that it unmet.
+ * gang nothing is stopped unless that makes room for all that it lacks.
  */
 static uint32_t ws_preempt(struct ws_pass *p, struct ws_job *j, uint32_t want, uint32_t zones,
 			   bool cached)
@@ -609,7 +609,7 @@
 }
 
 /*
- * Plans what a gang unmet, all of it or nothing: where the image is first, or few others are
+ * Plans what a gang lacks, all of it or nothing: where the image is first, or few others are
  * fetched, then where most of it fits on one machine, since it starts with its last fetch and ends
  * with its first loss; on one that failed a task of late only if there is no other.
  */
@@ -693,85 +693,70 @@
 	return c->now - j->gang_hold < span;
 }
 
-/*
- * A gang is placed whole. What it unmet is gathered: what is free in its zone, or will be, is kept
- * from those that come after it, for good if it is enough for the whole and else half of the time,
- * so that neither can starve the other; the rest is rented, or made free if all of it can be.
- */
-static void ws_place_gang(struct ws_pass *p, struct ws_job *j, double within)
+/* Others' work ends all the time: it is stopped only when waiting for that takes too long. */
+static bool ws_may_stop_others(const struct ws_core *c, const struct ws_job *j, double within)
 {
-	struct ws_core *c = p->c;
-	struct ws_team *team = j->team;
-	uint32_t want = j->waiting, zones = ws_zones_ok(c, j), put = 0;
-	uint32_t now[WS_MAX_ZONES] = {0}, later[WS_MAX_ZONES] = {0}, have[WS_MAX_ZONES] = {0};
-	uint32_t all = 0, coming = 0;
-	uint64_t attempt = 0;
-	double since;
-	char why[128];
-	bool holds;
+	double since = j->unmet_since > 0 ? j->unmet_since : c->now;
+
+	return j->spec.tier == WS_PRODUCTION || c->now - since >= ws_patience(c, j, within);
+}
+
+/* Room for a gang, by zone, in tasks. */
+struct ws_gang_room {
+	uint32_t now[WS_MAX_ZONES];   /* free */
+	uint32_t later[WS_MAX_ZONES]; /* free, or told to end */
+	uint32_t have[WS_MAX_ZONES];  /* free, where its image is */
+	uint32_t put;		      /* zones in which it can be placed at once; 0: none */
+};
+
+static void ws_gang_count_room(struct ws_pass *p, struct ws_job *j, uint32_t zones,
+			       struct ws_gang_room *room)
+{
+	uint32_t want = j->waiting;
 
-	if (j->attempt_count && !ws_gang_gathers(j, &attempt, &since)) {
-		j->unmet_since = 0; /* it waits for its last attempt to end, not for room */
-		return;
-	}
-	if (!j->unmet_since)
-		j->unmet_since = c->now;
-	holds = ws_gang_holds(c, j);
-	if (ws_team_fits(j) < want) {
-		ws_why_waits(c, j, "its team is at its limit");
-		if (holds) {
-			team->held_cpus += want * j->spec.cpus;
-			team->held_gpus += want * j->spec.gpus;
-		}
-		return;
-	}
 	for (size_t i = 0; i < p->n; i++) {
 		struct ws_machine *m = p->ms[i];
 		uint32_t fit;
 
-		if (!ws_virt_room(j, m) || !ws_gang_ok(c, j, m, zones))
+		if (!ws_virt_room(j, m) || !ws_gang_ok(p->c, j, m, zones))
 			continue;
-		later[m->zi] += ws_fit(j, m, want, false);
-		now[m->zi] += fit = ws_fit(j, m, want, true);
+		room->later[m->zi] += ws_fit(j, m, want, false);
+		fit = ws_fit(j, m, want, true);
+		room->now[m->zi] += fit;
 		if (fit && ws_cached(m, j->image))
-			have[m->zi] += fit;
+			room->have[m->zi] += fit;
 	}
-	c->steps += p->n;
+	p->c->steps += p->n;
+}
+
+/* The zones that hold all of a gang now: the one with most of its image, if it must share one. */
+static void ws_gang_choose_zones(const struct ws_core *c, const struct ws_job *j, uint32_t zones,
+				 struct ws_gang_room *room)
+{
+	uint32_t want = j->waiting, all = 0;
+
 	for (int z = 0; z < c->nzones; z++) {
 		uint32_t part = j->spec.spread ? (j->spec.tasks + 1) / 2 - j->zone_n[z] : want;
 
 		if (!(zones >> z & 1))
 			continue;
-		now[z] = now[z] < part ? now[z] : part;
-		later[z] = later[z] < part ? later[z] : part;
-		all += now[z];
-		if (j->spec.one_zone && now[z] >= want &&
-		    (!put || have[z] > have[__builtin_ctz(put)]))
-			put = 1u << z;
+		room->now[z] = room->now[z] < part ? room->now[z] : part;
+		room->later[z] = room->later[z] < part ? room->later[z] : part;
+		all += room->now[z];
+		if (j->spec.one_zone && room->now[z] >= want &&
+		    (!room->put || room->have[z] > room->have[__builtin_ctz(room->put)]))
+			room->put = 1u << z;
 	}
 	if (!j->spec.one_zone && all >= want)
-		put = zones;
-	if (!attempt)
-		attempt = ws_attempt_number_new(c);
-	if (put && ws_gang_put(p, j, put, attempt))
-		return;
-	/* there is room, but on too many machines: nothing is held for it */
-	if (put && !j->attempt_count) {
-		ws_rentals_want(c, j, want, ws_gang_zones(p, j, zones, later));
-		return;
-	}
-	if (j->attempt_count) {
-		if (c->now - since > c->set->gang_wait_s / 4)
-			ws_gang_stop(c, j, 0, "no room for what it lost before it ran");
-		return;
-	}
-	zones = ws_gang_zones(p, j, zones, later);
-	for (int z = 0; z < c->nzones; z++)
-		coming += zones >> z & 1 ? later[z] : 0;
-	if (coming < want && !j->spec.spread &&
-	    (j->spec.tier == WS_PRODUCTION || c->now - j->unmet_since >= ws_patience(c, j, within)))
-		want -= ws_preempt(p, j, want - coming, zones, false);
-	holds |= coming >= want;
+		room->put = zones;
+}
+
+/* Keeps what is free for a gang from those that come after it; how many tasks have no room. */
+static uint32_t ws_gang_gather(struct ws_pass *p, struct ws_job *j, uint32_t zones, uint32_t want,
+			       bool holds)
+{
+	struct ws_core *c = p->c;
+
 	for (size_t i = 0; i < p->n && want; i++) {
 		struct ws_machine *m = p->ms[i];
 		uint32_t n;
@@ -785,6 +770,24 @@
 		while (holds && n--)
 			ws_virt_take(j, m);
 	}
+	return want;
+}
+
+/* A gang for which there is not enough room yet: it is gathered, made or rented. */
+static void ws_gang_await(struct ws_pass *p, struct ws_job *j, double within, uint32_t zones,
+			  const struct ws_gang_room *room, bool holds)
+{
+	struct ws_core *c = p->c;
+	uint32_t want = j->waiting, coming = 0;
+	char why[128];
+
+	zones = ws_gang_zones(p, j, zones, room->later);
+	for (int z = 0; z < c->nzones; z++)
+		coming += zones >> z & 1 ? room->later[z] : 0;
+	if (coming < want && !j->spec.spread && ws_may_stop_others(c, j, within))
+		want -= ws_preempt(p, j, want - coming, zones, false);
+	holds |= coming >= want;
+	want = ws_gang_gather(p, j, zones, want, holds);
 	if (want)
 		ws_rentals_want(c, j, want, zones);
 	snprintf(why, sizeof(why),
@@ -794,6 +797,57 @@
 	ws_why_waits(c, j, why);
 }
 
+/* Its team is at its limit: what it lacks of that is held for it. */
+static void ws_gang_at_limit(struct ws_core *c, struct ws_job *j, bool holds)
+{
+	ws_why_waits(c, j, "its team is at its limit");
+	if (!holds)
+		return;
+	j->team->held_cpus += j->waiting * j->spec.cpus;
+	j->team->held_gpus += j->waiting * j->spec.gpus;
+}
+
+/*
+ * A gang is placed whole. What it lacks is gathered: what is free in its zone, or will be, is kept
+ * from those that come after it, for good if it is enough for the whole and else half of the time,
+ * so that neither can starve the other; the rest is rented, or made free if all of it can be.
+ */
+static void ws_place_gang(struct ws_pass *p, struct ws_job *j, double within)
+{
+	struct ws_core *c = p->c;
+	struct ws_gang_room room = {0};
+	uint32_t zones = ws_zones_ok(c, j);
+	uint64_t attempt = 0;
+	double since = 0;
+	bool holds;
+
+	if (j->attempt_count && !ws_gang_gathers(j, &attempt, &since)) {
+		j->unmet_since = 0; /* it waits for its last attempt to end, not for room */
+		return;
+	}
+	if (!j->unmet_since)
+		j->unmet_since = c->now;
+	holds = ws_gang_holds(c, j);
+	if (ws_team_fits(j) < j->waiting) {
+		ws_gang_at_limit(c, j, holds);
+		return;
+	}
+	ws_gang_count_room(p, j, zones, &room);
+	ws_gang_choose_zones(c, j, zones, &room);
+	if (!attempt)
+		attempt = ws_attempt_number_new(c);
+	if (room.put && ws_gang_put(p, j, room.put, attempt))
+		return;
+	if (j->attempt_count) { /* it lost a task before it ran */
+		if (c->now - since > c->set->gang_wait_s / 4)
+			ws_gang_stop(c, j, 0, "no room for what it lost before it ran");
+	} else if (room.put) { /* on too many machines: nothing is held for it */
+		ws_rentals_want(c, j, j->waiting, ws_gang_zones(p, j, zones, room.later));
+	} else {
+		ws_gang_await(p, j, within, zones, &room, holds);
+	}
+}
+
 /* A machine that is full for any task that waits need not be looked at again in this pass. */
 static void ws_open_tidy(struct ws_pass *p)
 {
@@ -808,107 +862,157 @@
 	p->nopen = kept;
 }
 
-static void ws_place_job(struct ws_pass *p, struct ws_job *j)
+/* Of a job whose tasks are being placed in this pass. */
+struct ws_placing {
+	struct ws_job *job;
+	double within;	  /* how soon its class should start by its aim; 0: it has none */
+	uint64_t attempt; /* number of what is placed now */
+	uint32_t want;	  /* tasks that have no room yet */
+	size_t room;	  /* bytes left in its record */
+	size_t nfit;	  /* machines with room, in the pass's scratch */
+};
+
+/*
+ * Machines with room, those preferred first: ranks 0 to 3 by owner and image, no more than needed.
+ */
+static void ws_find_room(struct ws_pass *p, struct ws_placing *placing)
 {
 	struct ws_core *c = p->c;
-	struct ws_team *team = j->team;
-	double within = ws_wait_aim(c, j->spec.job_class);
-	uint32_t want, lack;
-	uint64_t attempt;
-	size_t nfit = 0, room;
-
-	j->prompt = within > 0;
-	if (!team)
-		return;
-	if (j->not_before > c->now) {
-		ws_why_waits(c, j, "held back after failures");
-		return;
-	}
-	if (j->spec.gang) {
-		ws_place_gang(p, j, within);
-		return;
-	}
-	/* no more than the team's limit allows: more machines would not help */
-	want = ws_team_fits(j);
-	if (want < j->waiting)
-		ws_why_waits(c, j, "its team is at its limit");
-	if (j->place_most && want > j->place_most)
-		want = j->place_most;
-	if (!want)
-		return;
-	room = ws_record_room(c, j);
-	attempt = ws_attempt_number_new(c);
-	/* machines with room, those preferred first: 0 to 3 by owner and image; no more than needed
-	 */
+	struct ws_job *j = placing->job;
+
 	ws_open_tidy(p);
-	for (size_t i = 0, sure = 0; i < p->nopen && sure < want; i++) {
+	for (size_t i = 0, sure = 0; i < p->nopen && sure < placing->want; i++) {
 		struct ws_machine *m = p->open[i];
 
 		c->steps++;
-		if (ws_kind_ok(j, m) && ws_virt_room(j, m) && ws_room(j, m) &&
-		    ws_zone_ok(c, j, m->zi)) {
-			bool here = ws_cached(m, j->image);
-
-			m->rank = here ? 0 : 1;
-			if (!j->prompt && !m->owned)
-				m->rank += 2;
-			if (!m->rank)
-				sure += ws_fit(j, m, want, true);
-			p->fit[nfit++] = m;
-		}
+		if (!ws_kind_ok(j, m) || !ws_virt_room(j, m) || !ws_room(j, m) ||
+		    !ws_zone_ok(c, j, m->zi))
+			continue;
+		m->rank = ws_cached(m, j->image) ? 0 : 1;
+		if (!j->prompt && !m->owned)
+			m->rank += 2;
+		if (!m->rank)
+			sure += ws_fit(j, m, placing->want, true);
+		p->fit[placing->nfit++] = m;
 	}
-	for (int rank = 0; rank < 4 && want && room; rank++) {
-		/* a fetch would take longer than the class may wait for its start */
-		if (rank == 1 && j->prompt && j->spec.tier == WS_PRODUCTION) {
-			bool slow = nfit > 0;
-
-			for (size_t i = 0; i < nfit && slow; i++)
-				slow = p->fit[i]->type->fetch_gb_s > 0 &&
-				       j->spec.image_gb / p->fit[i]->type->fetch_gb_s > within;
-			if (slow)
-				want -= ws_preempt(p, j, want, ws_zones_ok(c, j), true);
-		}
-		for (size_t i = 0; i < nfit && want && room; i++)
-			if (p->fit[i]->rank == rank)
-				want -= ws_place_on(c, j, p->fit[i], want, attempt, &room);
+}
+
+/* Whether on each machine with room the fetch takes longer than the class may wait for its start.
+ */
+static bool ws_fetches_slow(const struct ws_pass *p, const struct ws_placing *placing)
+{
+	bool slow = placing->nfit > 0;
+
+	for (size_t i = 0; i < placing->nfit && slow; i++) {
+		double rate = p->fit[i]->type->fetch_gb_s;
+
+		slow = rate > 0 && placing->job->spec.image_gb / rate > placing->within;
 	}
-	if (j->waiting < j->waiting_before) {
-		j->placed_at = c->now;
-		ws_job_dirty(c, j, true);
+	return slow;
+}
+
+/* Places tasks on the machines found, by rank. */
+static void ws_take_room(struct ws_pass *p, struct ws_placing *placing)
+{
+	struct ws_core *c = p->c;
+	struct ws_job *j = placing->job;
+
+	for (int rank = 0; rank < 4 && placing->want && placing->room; rank++) {
+		if (rank == 1 && j->prompt && j->spec.tier == WS_PRODUCTION &&
+		    ws_fetches_slow(p, placing))
+			placing->want -= ws_preempt(p, j, placing->want, ws_zones_ok(c, j), true);
+		for (size_t i = 0; i < placing->nfit && placing->want && placing->room; i++)
+			if (p->fit[i]->rank == rank)
+				placing->want -= ws_place_on(c, j, p->fit[i], placing->want,
+							     placing->attempt, &placing->room);
 	}
-	if (!room)
-		return; /* as many as can be on record: the rest when these are over */
-	/* room that is being made already, or can be made */
-	for (size_t i = 0; i < p->nending && want; i++) {
-		struct ws_machine *m = p->ending[i];
+}
 
-		c->steps++;
-		if (ws_kind_ok(j, m) && ws_zone_ok(c, j, m->zi)) {
-			uint32_t n = ws_fit(j, m, want, false);
+/* Counts on room that is being made already. */
+static void ws_await_room(struct ws_pass *p, struct ws_placing *placing)
+{
+	struct ws_job *j = placing->job;
 
-			for (uint32_t k = 0; k < n; k++)
-				ws_virt_take(j, m);
-			want -= n;
-		}
+	for (size_t i = 0; i < p->nending && placing->want; i++) {
+		struct ws_machine *m = p->ending[i];
+		uint32_t n;
+
+		p->c->steps++;
+		if (!ws_kind_ok(j, m) || !ws_zone_ok(p->c, j, m->zi))
+			continue;
+		n = ws_fit(j, m, placing->want, false);
+		for (uint32_t k = 0; k < n; k++)
+			ws_virt_take(j, m);
+		placing->want -= n;
 	}
-	/* others' work ends all the time: it is stopped only when waiting for that takes too long
-	 */
-	if (want &&
-	    (j->spec.tier == WS_PRODUCTION ||
-	     c->now - (j->unmet_since > 0 ? j->unmet_since : c->now) >= ws_patience(c, j, within)))
-		want -= ws_preempt(p, j, want, ws_zones_ok(c, j), j->prompt && !j->guaranteed);
-	lack = want;
-	if (!lack) {
+}
+
+static void ws_log_unmet(struct ws_core *c, struct ws_job *j, uint32_t tasks)
+{
+	if (c->now - j->wait_logged <= c->set->lease_s)
+		return;
+	j->wait_logged = c->now;
+	ws_log(c, WS_LOG_INFO, "job %s: %u tasks wait for room (%s%s)", j->spec.id, tasks,
+	       j->guaranteed ? "guaranteed, " : "",
+	       j->spec.spot ? "spot allowed" : "ordinary machines only");
+}
+
+/* What found no room is waited for, made room for, or rented. */
+static void ws_place_unmet(struct ws_pass *p, struct ws_placing *placing)
+{
+	struct ws_core *c = p->c;
+	struct ws_job *j = placing->job;
+
+	ws_await_room(p, placing);
+	if (placing->want && ws_may_stop_others(c, j, placing->within))
+		placing->want -=
+		    ws_preempt(p, j, placing->want, ws_zones_ok(c, j), j->prompt && !j->guaranteed);
+	if (!placing->want) {
 		j->unmet_since = 0;
 		return;
 	}
-	ws_rentals_want(c, j, lack, ws_zones_ok(c, j));
-	if (c->now - j->wait_logged > c->set->lease_s) {
-		j->wait_logged = c->now;
-		ws_log(c, WS_LOG_INFO, "job %s: %u tasks wait for room (%s%s)", j->spec.id, lack,
-		       j->guaranteed ? "guaranteed, " : "",
-		       j->spec.spot ? "spot allowed" : "ordinary machines only");
+	ws_rentals_want(c, j, placing->want, ws_zones_ok(c, j));
+	ws_log_unmet(c, j, placing->want);
+}
+
+static void ws_place_array(struct ws_pass *p, struct ws_placing *placing)
+{
+	struct ws_core *c = p->c;
+	struct ws_job *j = placing->job;
+
+	/* no more than the team's limit allows: more machines would not help */
+	placing->want = ws_team_fits(j);
+	if (placing->want < j->waiting)
+		ws_why_waits(c, j, "its team is at its limit");
+	if (j->place_most && placing->want > j->place_most)
+		placing->want = j->place_most;
+	if (!placing->want)
+		return;
+	placing->room = ws_record_room(c, j);
+	placing->attempt = ws_attempt_number_new(c);
+	ws_find_room(p, placing);
+	ws_take_room(p, placing);
+	if (j->waiting < j->waiting_before) {
+		j->placed_at = c->now;
+		ws_job_dirty(c, j, true);
 	}
+	if (placing->room) /* else as many as can be on record: the rest when these are over */
+		ws_place_unmet(p, placing);
+}
+
+static void ws_place_job(struct ws_pass *p, struct ws_job *j)
+{
+	struct ws_placing placing = {.job = j, .within = ws_wait_aim(p->c, j->spec.job_class)};
+
+	j->prompt = placing.within > 0;
+	if (!j->team)
+		return;
+	if (j->not_before > p->c->now)
+		ws_why_waits(p->c, j, "held back after failures");
+	else if (j->spec.gang)
+		ws_place_gang(p, j, placing.within);
+	else
+		ws_place_array(p, &placing);
 }
 
 /* All machines in the order of first fit. Names change seldom, so neither does the order. */
@@ -1103,48 +1207,68 @@
 		ws_room_ahead(p, jobs[i]);
 }
 
-void ws_place(struct ws_core *c)
+/* Memory and figures of a pass; the list for its jobs. */
+static struct ws_job **ws_pass_begin(struct ws_core *c, struct ws_pass *p)
 {
-	size_t nj = HASH_COUNT(c->jobs), n = 0, nw = 0;
-	struct ws_job **all, *j, *jt;
-	struct ws_pass p = {.c = c, .lowest = 1000};
-	uint64_t began = c->steps;
-
 	ws_order(c);
-	p.victims = ws_pass_memory(c, c->norder, nj);
-	p.ms = (struct ws_machine **)(p.victims + c->norder);
-	p.fit = p.ms + c->norder;
-	p.open = p.fit + c->norder;
-	p.ending = p.open + c->norder;
-	all = (struct ws_job **)(p.ending + c->norder);
-	p.least = 1e18;
+	p->victims = ws_pass_memory(c, c->norder, HASH_COUNT(c->jobs));
+	p->ms = (struct ws_machine **)(p->victims + c->norder);
+	p->fit = p->ms + c->norder;
+	p->open = p->fit + c->norder;
+	p->ending = p->open + c->norder;
+	p->least = 1e18;
+	p->steps_end = c->steps + WS_PASS_STEPS * (uint64_t)(c->norder + WS_VICTIMS);
 	c->place_wanted = false;
 	c->place_next = c->now + ws_sweep_every(c) / 2;
 	c->pass_at = c->now;
-	p.steps_end = began + WS_PASS_STEPS * (uint64_t)(c->norder + WS_VICTIMS);
-	HASH_ITER (hh, c->jobs, j, jt)
-		if (!ws_job_over(j))
-			all[n++] = j;
-	ws_mark_guaranteed(c, all, n);
-	ws_subsystems_pass(c);
 	for (size_t i = 0; i < c->set->nteams; i++)
 		c->teams[i].held_cpus = c->teams[i].held_gpus = 0;
-	for (size_t i = 0; i < n; i++) {
-		if (all[i]->spec.gang && all[i]->attempt_count)
-			ws_gang_tend(c, all[i]);
-		ws_job_fits(c, all[i]); /* also of those that only run: they may have to move */
-		if (all[i]->attempt_count && ws_rank(all[i]) < p.lowest)
-			p.lowest = ws_rank(all[i]);
-		all[i]->aged = all[i]->waiting && ws_aged(c, all[i]);
-		all[i]->takes_avoided = ws_takes_avoided(c, all[i]);
-		if (all[i]->waiting) {
-			p.least = fmin(p.least, all[i]->spec.cpus);
-			all[nw++] = all[i];
-		} else {
-			all[i]->unmet_since = 0;
-		}
-	}
-	qsort(all, nw, sizeof(*all), ws_want_cmp);
+	return (struct ws_job **)(p->ending + c->norder);
+}
+
+/* Brings a job up to date for a pass; whether tasks of it wait. */
+static bool ws_pass_job(struct ws_pass *p, struct ws_job *j)
+{
+	struct ws_core *c = p->c;
+
+	if (j->spec.gang && j->attempt_count)
+		ws_gang_tend(c, j);
+	ws_job_fits(c, j); /* also of those that only run: they may have to move */
+	if (j->attempt_count && ws_rank(j) < p->lowest)
+		p->lowest = ws_rank(j);
+	j->aged = j->waiting && ws_aged(c, j);
+	j->takes_avoided = ws_takes_avoided(c, j);
+	if (j->waiting)
+		p->least = fmin(p->least, j->spec.cpus);
+	else
+		j->unmet_since = 0;
+	return j->waiting > 0;
+}
+
+/* The live jobs with tasks that wait, in the order in which they are served. */
+static size_t ws_pass_jobs(struct ws_pass *p, struct ws_job **jobs)
+{
+	struct ws_core *c = p->c;
+	struct ws_job *j, *next;
+	size_t n = 0, waiting = 0;
+
+	HASH_ITER (hh, c->jobs, j, next)
+		if (!ws_job_over(j))
+			jobs[n++] = j;
+	ws_mark_guaranteed(c, jobs, n);
+	ws_subsystems_pass(c);
+	for (size_t i = 0; i < n; i++)
+		if (ws_pass_job(p, jobs[i]))
+			jobs[waiting++] = jobs[i];
+	qsort(jobs, waiting, sizeof(*jobs), ws_want_cmp);
+	return waiting;
+}
+
+/* The machines that can be used, and what each has left. */
+static void ws_pass_machines(struct ws_pass *p)
+{
+	struct ws_core *c = p->c;
+
 	for (size_t i = 0; i < c->norder; i++) {
 		struct ws_machine *m = c->order[i];
 
@@ -1152,19 +1276,29 @@
 			ws_machine_place(c, m, m->type_name, m->zone, m->spot);
 		if (!ws_machine_usable(c, m))
 			continue;
-		p.ms[p.n++] = m;
+		p->ms[p->n++] = m;
 		m->avoided = ws_subsystems_avoided(c, m);
 		m->virt_cpus = m->type->cpus - m->used_cpus + m->stop_cpus;
 		m->virt_gpus = m->type->gpus - m->used_gpus + m->stop_gpus;
 		m->virt_mem = m->type->mem - m->used_mem + m->stop_mem;
-		p.open[p.nopen++] = m;
+		p->open[p->nopen++] = m;
 		if (m->stop_cpus > 0 || m->stop_mem > 0)
-			p.ending[p.nending++] = m;
+			p->ending[p->nending++] = m;
 	}
-	ws_place_jobs(&p, all, nw);
-	ws_place_ahead(&p, all);
+}
+
+void ws_place(struct ws_core *c)
+{
+	struct ws_pass p = {.c = c, .lowest = 1000};
+	uint64_t began = c->steps;
+	struct ws_job **jobs = ws_pass_begin(c, &p);
+	size_t waiting = ws_pass_jobs(&p, jobs);
+
+	ws_pass_machines(&p);
+	ws_place_jobs(&p, jobs, waiting);
+	ws_place_ahead(&p, jobs);
 	ws_rentals_plan(c);
 	c->steps_most = c->steps - began > c->steps_most ? c->steps - began : c->steps_most;
-	if (!nw)
+	if (!waiting)
 		ws_consolidate(c, p.ms, p.n);
 }
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -107,7 +107,7 @@
 		return;
 	f->times = refused ? f->times + 1 : 0;
 	f->back = 0;
-	/* what the cloud unmet may come back: ask again, at growing intervals, since every request
+	/* what the cloud lacks may come back: ask again, at growing intervals, since every request
 	 * spent on it is a second that a kind it does have comes later */
 	f->until = refused ? c->now + c->set->list_lag_s * (1 << (f->times < 4 ? f->times : 4)) : 0;
 }
--- a/src/core/writing.c
+++ b/src/core/writing.c
@@ -328,7 +328,7 @@
 		snprintf(t->ops[t->nops].key, WS_KEY_MAX, "old/%s", j->spec.id);
 		t->ops[t->nops++].value = ws_record_final(j);
 		ws_put(t, "job/", j->spec.id, j->stamp, NULL);
-		/* pieces for which there is no room now are found as orphaned_parts by the next
+		/* pieces for which there is no room now are found as orphaned parts by the next
 		 * leader */
 		for (uint32_t i = 0; i < j->pieces && t->nops < (size_t)c->ops_most; i++)
 			snprintf(t->ops[t->nops++].key, WS_KEY_MAX, "more/%s/%u", j->spec.id, i);
