Zones: a recorded verdict on a zone that the settings don't list is taken over

Cause: such a zone is known by its machines alone, so a new leader read its record before it knew the zone, and dropped it.

--- a/src/zones/domains.c
+++ b/src/zones/domains.c
@@ -178,6 +178,16 @@
 	return error->code == WS_ZONES_OK;
 }
 
+struct ws_zones_domain *ws_zones_add_zone(struct ws_zones *zones, const char *name)
+{
+	struct ws_zones_domain *domain = NULL;
+
+	domain_add(zones, name, true, &domain);
+	if (domain)
+		domain->since = domain->penalty_at = domain->clean_since = zones->clock_read;
+	return domain;
+}
+
 bool ws_zones_domains_create(struct ws_zones *zones, struct ws_zones_error *error)
 {
 	struct ws_zones_domain *domain;
@@ -255,7 +265,7 @@
 	if (facts->zone[0]) {
 		zone = ws_zones_domain_find(zones, facts->zone);
 		if (!zone) /* the settings don't list it */
-			domain_add(zones, facts->zone, true, &zone);
+			zone = ws_zones_add_zone(zones, facts->zone);
 		if (zone && !zone->is_zone) {
 			ws_zones_logf(zones, "zones: zone %s of machine %s is named like a domain",
 				      facts->zone, facts->name);
--- a/src/zones/internal.h
+++ b/src/zones/internal.h
@@ -186,8 +186,7 @@
 	size_t machine_count; /* ever added: gives each its place in the ramp */
 	bool later_format;    /* a record is of a later format: nothing is judged or written */
 	double hold_read_next;
-	bool unknown_records; /* some were found that no domain owns */
-	uint64_t steps;	      /* of work on single machines, counted for tests */
+	uint64_t steps; /* of work on single machines, counted for tests */
 	struct ws_zones_plan plan;
 };
 
@@ -197,6 +196,8 @@
 /* domains.c */
 struct ws_zones_domain *ws_zones_domain_find(struct ws_zones *zones, const char *name);
 bool ws_zones_domains_create(struct ws_zones *zones, struct ws_zones_error *error);
+/* A zone that the settings don't list; NULL: its name can be no key. */
+struct ws_zones_domain *ws_zones_add_zone(struct ws_zones *zones, const char *name);
 void ws_zones_domains_free(struct ws_zones *zones);
 void ws_zones_join(struct ws_zones *zones, struct ws_zones_machine *machine,
 		   const struct ws_machine_facts *facts);
--- a/src/zones/records.c
+++ b/src/zones/records.c
@@ -73,10 +73,10 @@
 {
 	struct ws_zones_domain *domain = ws_zones_domain_find(zones, name);
 
-	if (!domain) {
-		zones->unknown_records = true;
+	if (!domain) /* of a zone that machines brought, or of a domain declared no more */
+		domain = ws_zones_add_zone(zones, name);
+	if (!domain)
 		return;
-	}
 	domain->penalty = fmin(zones->settings.penalty_max,
 			       fmax(0, json_number_value(json_object_get(value, "penalty"))));
 	domain->state = state_read(json_string_value(json_object_get(value, "state")));
--- a/src/zones/zones.c
+++ b/src/zones/zones.c
@@ -152,7 +152,7 @@
 		domain->held = domain->held_read = domain->record_due = false;
 		domain->removed = 0;
 	}
-	zones->later_format = zones->unknown_records = false;
+	zones->later_format = false;
 	zones->serving = false; /* judge after the first tick that finds it so */
 	zones->clock = zones->judge_from = 0;
 	zones->clock_read = now;
--- a/tests/zones_test.c
+++ b/tests/zones_test.c
@@ -141,6 +141,30 @@
 	ws_subsystem_free(&settings);
 }
 
+/* A record of a zone that the settings don't list is a leader's verdict all the same. */
+static void check_unlisted(void)
+{
+	struct ws_zones_settings settings;
+	struct ws_cluster_limits limits = {.report_s = 2, .lease_s = 16, .node_zone = "a"};
+	struct ws_zones_error wrong;
+	struct ws_zones *zones;
+	const struct ws_zones_domain *domain;
+	json_t *record = json_pack("{s:i,s:s,s:f}", "v", 1, "state", "dark", "penalty", 2.0);
+
+	ws_zones_defaults(&settings);
+	zones = ws_zones_new(&settings, &limits, log_text, &wrong);
+	ws_zones_ops.elected(zones, 10);
+	ws_zones_ops.record_loaded(zones, "domain/far", record);
+	ws_zones_ops.records_loaded(zones, 10);
+	domain = ws_zones_domain_find(zones, "far");
+	check("a zone on record that is not listed is dark",
+	      domain && domain->state == WS_ZONES_DARK && domain->penalty == 2);
+	check("and avoided", ws_zones_ops.zone_avoided(zones, 11, "far"));
+	check("one that nobody has heard of is not", !ws_zones_ops.zone_avoided(zones, 11, "near"));
+	json_decref(record);
+	ws_zones_free(zones);
+}
+
 int main(void)
 {
 	struct ws_subsystem_settings settings;
@@ -153,6 +177,7 @@
 		  strstr(error, "/nowhere.toml"));
 	check_refusals();
 	check_lookups();
+	check_unlisted();
 	printf("%d passed, %d failed\n", good, bad);
 	return bad != 0;
 }
