--- a/tests/sim_zones.c
+++ b/tests/sim_zones.c
@@ -243,12 +243,26 @@
 /* What a measurement by hand takes down, with -v: see docs/measurements.md. */
 static void measured(struct sim *s)
 {
-	int finishes = 0, done = 0;
+	int finishes = 0, done = 0, due = 0, kept = 0;
+	double price = 0;
 
 	for (int i = 0; i < s->njobs; i++) {
-		finishes += s->jobs[i].finishes;
-		done += s->jobs[i].done;
+		const struct sim_job *j = &s->jobs[i];
+		bool has = j->spec.deadline_s >= 0;
+
+		finishes += j->finishes;
+		done += j->done;
+		due += has;
+		kept += has && j->done && j->told_done <= j->submit_at + j->spec.deadline_s;
+	}
+	for (int i = 0; i < s->nw; i++) {
+		const struct sim_worker *w = &s->w[i];
+		double hours = ((w->deleted ? w->deleted_at : s->now) - w->rented) / 3600;
+
+		if (!w->owned)
+			price += hours * s->types[w->type].t.price;
 	}
+	fprintf(stderr, "measured: %d of %d deadlines kept, rentals cost %.2f\n", kept, due, price);
 	fprintf(stderr,
 		"measured: %llu starts, %d finishes, %d jobs done, %d rented, %d returned, "
 		"%llu changes\n",
