--- a/src/zones/domains.c
+++ b/src/zones/domains.c
@@ -218,9 +218,8 @@
 	}
 }
 
-/* Adds a machine to a domain, or takes it off, in the domain's counts. */
-static void domain_count(struct ws_zones_domain *domain, const struct ws_zones_machine *machine,
-			 int sign)
+void ws_zones_domain_count(struct ws_zones_domain *domain, const struct ws_zones_machine *machine,
+			   int sign)
 {
 	size_t change = (size_t)(ssize_t)sign;
 
@@ -241,7 +240,7 @@
 	member->domain = domain;
 	member->machine = machine;
 	DL_APPEND(domain->members, member);
-	domain_count(domain, machine, 1);
+	ws_zones_domain_count(domain, machine, 1);
 }
 
 void ws_zones_leave(struct ws_zones_machine *machine)
@@ -251,7 +250,7 @@
 
 		if (!member->domain)
 			continue;
-		domain_count(member->domain, machine, -1);
+		ws_zones_domain_count(member->domain, machine, -1);
 		DL_DELETE(member->domain->members, member);
 		member->domain = NULL;
 	}
--- a/src/zones/health.c
+++ b/src/zones/health.c
@@ -56,12 +56,8 @@
 	for (size_t i = 0; i < WS_ZONES_MEMBERSHIPS; i++) {
 		struct ws_zones_domain *domain = machine->memberships[i].domain;
 
-		if (!domain)
-			continue;
-		domain->live += machine->presence == WS_ZONES_LIVE ? change : 0;
-		domain->silent += machine->presence == WS_ZONES_SILENT ? change : 0;
-		if (machine->presence == WS_ZONES_SILENT && machine->unanswered)
-			domain->unanswered += change;
+		if (domain)
+			ws_zones_domain_count(domain, machine, sign);
 	}
 }
 
--- a/src/zones/internal.h
+++ b/src/zones/internal.h
@@ -202,6 +202,9 @@
 void ws_zones_join(struct ws_zones *zones, struct ws_zones_machine *machine,
 		   const struct ws_machine_facts *facts);
 void ws_zones_leave(struct ws_zones_machine *machine);
+/* Adds a machine to the counts of one of its domains, or takes it off. */
+void ws_zones_domain_count(struct ws_zones_domain *domain, const struct ws_zones_machine *machine,
+			   int sign);
 
 /* health.c */
 void ws_zones_listen(struct ws_zones *zones, double now);
--- a/tests/sim_zones.c
+++ b/tests/sim_zones.c
@@ -118,7 +118,7 @@
 	moves->sum += span;
 }
 
-static bool zone_trouble(struct sim *s, struct sim_worker *w, const char *verb, const char *kind,
+static void zone_trouble(struct sim *s, struct sim_worker *w, const char *verb, const char *kind,
 			 double span)
 {
 	if (!strcmp(verb, "kill-zone")) {
@@ -134,7 +134,6 @@
 	} else {
 		w->cut_until = s->now + span;
 	}
-	return true;
 }
 
 /* Nodes of the other version end, so that one of the version named leads. */
