--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -420,32 +420,49 @@
 void ws_machine_dirty(struct ws_core *c, struct ws_machine *m);
 void ws_machine_place(struct ws_core *c, struct ws_machine *m, const char *type, const char *zone,
 		      bool spot);
+void ws_machine_doubt(struct ws_core *c, struct ws_machine *m, uint64_t known);
+bool ws_machine_hears(const struct ws_machine *m);
+bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m);
+void ws_machine_gone(struct ws_core *c, struct ws_machine *m, const char *why);
+void ws_machine_forget(struct ws_core *c, struct ws_machine *m);
+void ws_machine_host(struct ws_core *c, const struct ws_host *h);
+bool ws_overdue(const struct ws_core *c, double since);
 int ws_chunk_size(const struct ws_core *c);
 struct ws_chunk *ws_chunk_at(struct ws_core *c, int i);
 void ws_chunk_dirty(struct ws_core *c, int i);
 bool ws_tombstone_holds(struct ws_core *c, struct ws_tombstone *const *tombstones,
 			const char *name);
 void ws_tombstone_set(struct ws_tombstone **tombstones, const char *name, double until);
+void ws_tombstones_clear(struct ws_core *c, bool all);
+void ws_fleet_tick(struct ws_core *c);
+double ws_sweep_every(const struct ws_core *c);
+const struct ws_type *ws_type_find(const struct ws_core *c, const char *name);
+double ws_lease_length(const struct ws_settings *s);
+double ws_lease_out(const struct ws_core *c, double from);
+
+/* attempts.c */
 void ws_attempt_free(struct ws_attempt *s);
 void ws_attempt_count(struct ws_core *c, struct ws_attempt *s, int sign);
-void ws_machine_gone(struct ws_core *c, struct ws_machine *m, const char *why);
-void ws_tombstones_clear(struct ws_core *c, bool all);
-void ws_machine_forget(struct ws_core *c, struct ws_machine *m);
 struct ws_attempt *ws_attempt_add(struct ws_core *c, struct ws_machine *m, const char *job,
 				  uint32_t task, uint64_t attempt);
 void ws_attempt_release(struct ws_core *c, struct ws_attempt *s);
+/* Runs may reach the worker only while nothing else stands against the attempt. */
+bool ws_attempt_runnable(const struct ws_core *c, const struct ws_attempt *s);
 void ws_attempt_ends(struct ws_attempt *s);
 void ws_attempt_stop(struct ws_core *c, struct ws_attempt *s, double grace, const char *why);
-void ws_fleet_tick(struct ws_core *c);
-double ws_sweep_every(const struct ws_core *c);
+
+/* reports.c */
+/* Takes in the newest word of a worker: a report, or the answer to a direct command. */
+void ws_fleet_read(struct ws_core *c, struct ws_machine *m, const struct ws_report *r);
+
+/* commands.c */
+/* Commands in the answer to a report: keeps it under the line limit. */
+#define WS_ANSWER_ORDERS 400
+struct ws_order *ws_orders(struct ws_core *c, struct ws_machine *m, const struct ws_report *r,
+			   size_t max, bool direct, size_t *n);
+bool ws_machine_probe(struct ws_core *c, struct ws_machine *m);
 void ws_fleet_push(struct ws_core *c, struct ws_machine *m);
-bool ws_machine_hears(const struct ws_machine *m);
-bool ws_overdue(const struct ws_core *c, double since);
-bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m);
-void ws_machine_host(struct ws_core *c, const struct ws_host *h);
-const struct ws_type *ws_type_find(const struct ws_core *c, const char *name);
-double ws_lease_length(const struct ws_settings *s);
-double ws_lease_out(const struct ws_core *c, double from);
+void ws_fleet_probe(struct ws_core *c);
 
 /* placement.c */
 uint32_t ws_tasks_fit(const struct ws_spec *s, double cpus, double gpus, double mem, uint32_t most);
