--- /dev/null
+++ b/src/coldstart/kept.c
@@ -0,0 +1,213 @@
+/*
+ * Attempts of jobs that no record names. Each job is looked up; one that is over ends at once. One
+ * that the store never heard of is kept until its user submits it again or its time is over, and
+ * from then on the store is doubted.
+ */
+#include "internal.h"
+
+/* While a look-up goes unanswered it is repeated so often, in leases; */
+#define RETRY_LEASES (1.0 / 48)
+/* after this the job may be a cancelled one, and ends. */
+#define UNREADABLE_LEASES 0.25
+
+static struct ws_coldstart_kept *kept_find(const struct ws_coldstart *coldstart, const char *job)
+{
+	struct ws_coldstart_kept *kept;
+
+	HASH_FIND_STR(coldstart->kept, job, kept);
+	return kept;
+}
+
+static struct ws_coldstart_kept *kept_get(struct ws_coldstart *coldstart, const char *job,
+					  double now)
+{
+	struct ws_coldstart_kept *kept = kept_find(coldstart, job);
+
+	if (kept)
+		return kept;
+	kept = calloc(1, sizeof(*kept));
+	if (!kept)
+		abort();
+	snprintf(kept->job, sizeof(kept->job), "%s", job);
+	kept->since = now;
+	kept->asked_at = -1;
+	HASH_ADD_STR(coldstart->kept, job, kept);
+	return kept;
+}
+
+void ws_coldstart_kept_free(struct ws_coldstart *coldstart)
+{
+	struct ws_coldstart_kept *kept, *next;
+
+	HASH_ITER (hh, coldstart->kept, kept, next) {
+		HASH_DEL(coldstart->kept, kept);
+		free(kept);
+	}
+}
+
+static double kept_for(const struct ws_coldstart_kept *kept, double now)
+{
+	return kept->before_s + (now - kept->since);
+}
+
+bool ws_coldstart_keep(struct ws_coldstart *coldstart, double now, const struct ws_finding *finding)
+{
+	struct ws_coldstart_kept *kept = kept_get(coldstart, finding->job, now);
+
+	coldstart->steps++;
+	if (!kept->reported) {
+		kept->reported = true;
+		snprintf(kept->machine, sizeof(kept->machine), "%s", finding->machine);
+	}
+	return !kept->ended;
+}
+
+/* An earlier leader kept it: for how long counts, also where no worker reports it any more. */
+void ws_coldstart_kept_loaded(struct ws_coldstart *coldstart, const char *job, json_t *value)
+{
+	struct ws_coldstart_kept *kept = kept_get(coldstart, job, coldstart->elected_at);
+
+	kept->before_s = fmax(0, json_number_value(json_object_get(value, "kept_s")));
+	kept->on_record = true;
+}
+
+void ws_coldstart_looked_up(void *self, double now, const char *job, enum ws_job_standing standing)
+{
+	struct ws_coldstart *coldstart = self;
+	struct ws_coldstart_kept *kept = kept_find(coldstart, job);
+
+	if (!kept || kept->ended || standing == WS_JOB_UNREADABLE)
+		return;
+	kept->looked_up = true;
+	kept->standing = standing;
+	coldstart->counts_changed = true;
+	if (standing != WS_JOB_NEVER_HEARD)
+		return;
+	coldstart->counts.kept++;
+	kept->record_due = true;
+	ws_coldstart_logf(coldstart,
+			  "cold start: machine %s reports job %s, of which the store has never "
+			  "heard: kept for %.0f s unless its user submits it again",
+			  kept->machine, job,
+			  fmax(0, coldstart->settings.keep_s - kept_for(kept, now)));
+	if (!coldstart->doubted)
+		ws_coldstart_logf(coldstart,
+				  "cold start: the store has lost records; first starts wait "
+				  "until all machines answered or their leases are out");
+	coldstart->doubted = true;
+}
+
+static void kept_record_delete(struct ws_coldstart_kept *kept, struct ws_request_queue *out)
+{
+	char name[WS_COLDSTART_NAME_MAX + 8];
+
+	kept->record_due = false;
+	if (!kept->on_record)
+		return;
+	kept->on_record = false;
+	snprintf(name, sizeof(name), "kept/%s", kept->job);
+	ws_request_delete(out, name);
+}
+
+/* It was submitted again, or its record was there all the time. */
+void ws_coldstart_adopted(void *self, double now, const char *job, uint32_t count)
+{
+	struct ws_coldstart *coldstart = self;
+	struct ws_coldstart_kept *kept = kept_find(coldstart, job);
+
+	(void)now;
+	coldstart->counts.adopted += count;
+	coldstart->counts_changed = true;
+	if (!kept || kept->ended)
+		return;
+	kept->ended = true; /* its record goes with the next tick */
+	ws_coldstart_logf(coldstart, "cold start: job %s is known: adopted", job);
+}
+
+static void kept_end(struct ws_coldstart *coldstart, struct ws_coldstart_kept *kept, double grace_s,
+		     struct ws_request_queue *out)
+{
+	kept->ended = true;
+	coldstart->counts_changed = true;
+	ws_request_end_kept(out, kept->job, grace_s);
+}
+
+/* Whether it was ended because it must not go on. */
+static bool kept_must_end(const struct ws_coldstart *coldstart,
+			  const struct ws_coldstart_kept *kept, double now)
+{
+	if (kept->looked_up)
+		return kept->standing == WS_JOB_OVER;
+	return now - kept->since > UNREADABLE_LEASES * coldstart->limits.lease_s;
+}
+
+static void kept_look_up(struct ws_coldstart *coldstart, struct ws_coldstart_kept *kept, double now,
+			 struct ws_request_queue *out)
+{
+	if (kept->looked_up || (kept->asked_at >= 0 &&
+				now - kept->asked_at < RETRY_LEASES * coldstart->limits.lease_s))
+		return;
+	kept->asked_at = now;
+	ws_request_look_up(out, kept->job);
+}
+
+static void kept_write(struct ws_coldstart_kept *kept, double now, struct ws_request_queue *out)
+{
+	char name[WS_COLDSTART_NAME_MAX + 8];
+
+	kept->record_due = false;
+	kept->on_record = true;
+	snprintf(name, sizeof(name), "kept/%s", kept->job);
+	ws_request_write(out, name, ws_coldstart_kept_record(kept, now), false);
+}
+
+static void kept_one(struct ws_coldstart *coldstart, struct ws_coldstart_kept *kept, double now,
+		     struct ws_request_queue *out)
+{
+	coldstart->steps++;
+	if (kept->ended) {
+		kept_record_delete(kept, out);
+		return;
+	}
+	if (kept_must_end(coldstart, kept, now)) {
+		coldstart->counts.over++;
+		ws_coldstart_logf(coldstart, "cold start: job %s is %s: stopped", kept->job,
+				  kept->looked_up ? "over on record" : "not to be looked up");
+		kept_end(coldstart, kept, 0, out);
+		return;
+	}
+	if (kept_for(kept, now) >= coldstart->settings.keep_s) {
+		coldstart->counts.unclaimed++;
+		ws_coldstart_logf(coldstart,
+				  "cold start: nobody submitted job %s again within %.0f s: "
+				  "stopped with time to save; it ran on machine %s",
+				  kept->job, coldstart->settings.keep_s, kept->machine);
+		kept_end(coldstart, kept, coldstart->limits.lease_s, out);
+		return;
+	}
+	kept_look_up(coldstart, kept, now, out);
+	if (kept->record_due)
+		kept_write(kept, now, out);
+}
+
+void ws_coldstart_kept_tick(struct ws_coldstart *coldstart, double now,
+			    struct ws_request_queue *out)
+{
+	for (struct ws_coldstart_kept *kept = coldstart->kept; kept; kept = kept->hh.next)
+		kept_one(coldstart, kept, now, out);
+}
+
+void ws_coldstart_kept_forget(struct ws_coldstart *coldstart, struct ws_request_queue *out)
+{
+	for (struct ws_coldstart_kept *kept = coldstart->kept; kept; kept = kept->hh.next)
+		kept_record_delete(kept, out);
+	ws_coldstart_kept_free(coldstart);
+}
+
+bool ws_coldstart_keeps(const struct ws_coldstart *coldstart)
+{
+	for (const struct ws_coldstart_kept *kept = coldstart->kept; kept; kept = kept->hh.next)
+		if (!kept->ended)
+			return true;
+	return false;
+}
--- /dev/null
+++ b/src/coldstart/observation.c
@@ -0,0 +1,166 @@
+/*
+ * Observation: which of the machines that ought to answer have, zone by zone. A zone has answered
+ * when the wanted share of them has shown this leader's token, or when their leases are surely out.
+ */
+#include "internal.h"
+
+static struct ws_coldstart_zone *zone_get(struct ws_coldstart *coldstart, const char *name)
+{
+	struct ws_coldstart_zone *zone;
+
+	HASH_FIND_STR(coldstart->zones, name, zone);
+	if (zone)
+		return zone;
+	zone = calloc(1, sizeof(*zone));
+	if (!zone)
+		abort();
+	snprintf(zone->name, sizeof(zone->name), "%s", name);
+	HASH_ADD_STR(coldstart->zones, name, zone);
+	return zone;
+}
+
+void ws_coldstart_zones_free(struct ws_coldstart *coldstart)
+{
+	struct ws_coldstart_zone *zone, *next;
+
+	HASH_ITER (hh, coldstart->zones, zone, next) {
+		HASH_DEL(coldstart->zones, zone);
+		free(zone);
+	}
+}
+
+/* ---- machines ---- */
+
+static void machine_count(struct ws_coldstart_machine *machine, bool in)
+{
+	if (!machine->expected)
+		return;
+	if (in) {
+		machine->zone->expected++;
+		machine->zone->heard += machine->heard;
+	} else {
+		machine->zone->expected--;
+		machine->zone->heard -= machine->heard;
+	}
+}
+
+void *ws_coldstart_machine_added(void *self, double now, const struct ws_machine_facts *facts)
+{
+	struct ws_coldstart *coldstart = self;
+	struct ws_coldstart_machine *machine = calloc(1, sizeof(*machine));
+
+	(void)now;
+	if (!machine)
+		abort();
+	coldstart->steps++;
+	machine->zone = zone_get(coldstart, facts->zone);
+	machine->expected = facts->expected;
+	machine_count(machine, true);
+	if (facts->unknown && ws_coldstart_active(coldstart)) {
+		coldstart->counts.findings[WS_FINDING_UNKNOWN_MACHINE]++;
+		coldstart->counts_changed = true;
+		ws_coldstart_logf(coldstart,
+				  "cold start: machine %s is neither on record nor listed",
+				  facts->name);
+	}
+	return machine;
+}
+
+void ws_coldstart_machine_changed(void *self, void *handle, const struct ws_machine_facts *facts)
+{
+	struct ws_coldstart_machine *machine = handle;
+
+	machine_count(machine, false);
+	machine->zone = zone_get(self, facts->zone);
+	machine_count(machine, true);
+}
+
+void ws_coldstart_machine_removed(void *self, void *handle)
+{
+	struct ws_coldstart_machine *machine = handle;
+
+	(void)self;
+	machine_count(machine, false);
+	free(machine);
+}
+
+/* A machine that is gone will not answer, so nobody waits for it. */
+void ws_coldstart_machine_lost(void *self, double now, void *handle, enum ws_machine_loss loss)
+{
+	struct ws_coldstart_machine *machine = handle;
+
+	(void)self;
+	(void)now;
+	if (loss == WS_LOSS_LEASE)
+		return;
+	machine_count(machine, false);
+	machine->expected = false;
+}
+
+void ws_coldstart_heartbeat_seen(void *self, double now, void *handle)
+{
+	struct ws_coldstart *coldstart = self;
+	struct ws_coldstart_machine *machine = handle;
+
+	(void)now;
+	if (machine->heard)
+		return;
+	coldstart->steps++;
+	machine_count(machine, false);
+	machine->heard = true;
+	machine_count(machine, true);
+	coldstart->counts_changed = true;
+}
+
+/* ---- zones ---- */
+
+bool ws_coldstart_zone_waits(const struct ws_coldstart *coldstart, const char *name)
+{
+	const struct ws_coldstart_zone *zone;
+
+	HASH_FIND_STR(coldstart->zones, name, zone);
+	return zone && !zone->observed && zone->expected;
+}
+
+size_t ws_coldstart_unheard(const struct ws_coldstart *coldstart)
+{
+	size_t unheard = 0;
+
+	for (const struct ws_coldstart_zone *zone = coldstart->zones; zone; zone = zone->hh.next)
+		unheard += zone->expected - zone->heard;
+	return unheard;
+}
+
+static bool zone_answered(const struct ws_coldstart *coldstart,
+			  const struct ws_coldstart_zone *zone, double now)
+{
+	double wanted = coldstart->settings.heard_share * (double)zone->expected;
+
+	return (double)zone->heard >= wanted - 1e-9 || now >= coldstart->leases_out;
+}
+
+bool ws_coldstart_observe(struct ws_coldstart *coldstart, double now)
+{
+	bool all = true;
+
+	for (struct ws_coldstart_zone *zone = coldstart->zones; zone; zone = zone->hh.next) {
+		if (zone->observed)
+			continue;
+		if (!zone_answered(coldstart, zone, now)) {
+			all = false;
+			continue;
+		}
+		zone->observed = true;
+		coldstart->counts_changed = true;
+		if (zone->expected)
+			ws_coldstart_logf(
+			    coldstart,
+			    "cold start: zone %s: %zu of %zu machines answered "
+			    "within %.1f s%s",
+			    zone->name, zone->heard, zone->expected, now - coldstart->elected_at,
+			    zone->heard < zone->expected && now >= coldstart->leases_out
+				? ", the leases of the others are out"
+				: "");
+	}
+	return all;
+}
--- /dev/null
+++ b/src/coldstart/records.c
@@ -0,0 +1,144 @@
+/* Records of the coldstart package: what each holds, and what a leader takes over from them. */
+#include "internal.h"
+
+static const char *const phase_names[] = {
+    [WS_COLDSTART_NONE] = "none",
+    [WS_COLDSTART_OBSERVING] = "observing",
+    [WS_COLDSTART_RECOVERING] = "recovering",
+    [WS_COLDSTART_ENDED] = "ended",
+};
+#define PHASES (sizeof(phase_names) / sizeof(phase_names[0]))
+
+static const char *const finding_names[] = {
+    [WS_FINDING_AGREED] = "agreed",
+    [WS_FINDING_NOT_REPORTED] = "not_reported",
+    [WS_FINDING_UNRECORDED] = "unrecorded",
+    [WS_FINDING_SUPERSEDED] = "superseded",
+    [WS_FINDING_TWO_MACHINES] = "two_machines",
+    [WS_FINDING_OVER] = "over",
+    [WS_FINDING_ENDED_DONE] = "ended_done",
+    [WS_FINDING_ENDED_FAILED] = "ended_failed",
+    [WS_FINDING_ENDED_STOPPED] = "ended_stopped",
+    [WS_FINDING_LEASE_LOST] = "lease_lost",
+    [WS_FINDING_LEASE_OUT] = "lease_out",
+    [WS_FINDING_MACHINE_GONE] = "machine_gone",
+    [WS_FINDING_UNKNOWN_JOB] = "unknown_job",
+    [WS_FINDING_UNKNOWN_MACHINE] = "unknown_machine",
+};
+_Static_assert(sizeof(finding_names) / sizeof(finding_names[0]) == WS_FINDING_KINDS,
+	       "each finding has a name");
+
+const char *ws_coldstart_phase_name(enum ws_coldstart_phase phase)
+{
+	return phase_names[phase];
+}
+
+const char *ws_coldstart_finding_name(enum ws_finding_kind kind)
+{
+	return finding_names[kind];
+}
+
+/* ---- written ---- */
+
+json_t *ws_coldstart_phase_record(const struct ws_coldstart *coldstart)
+{
+	return json_pack("{s:i,s:s,s:I,s:I,s:b}", "v", WS_COLDSTART_FORMAT, "phase",
+			 ws_coldstart_phase_name(coldstart->phase), "term",
+			 (json_int_t)coldstart->term, "began", (json_int_t)coldstart->began_term,
+			 "doubted", coldstart->doubted);
+}
+
+static json_t *findings_record(const struct ws_coldstart *coldstart)
+{
+	json_t *findings = json_object();
+
+	for (int kind = 0; kind < WS_FINDING_KINDS; kind++)
+		if (coldstart->counts.findings[kind])
+			json_object_set_new(
+			    findings, finding_names[kind],
+			    json_integer((json_int_t)coldstart->counts.findings[kind]));
+	return findings;
+}
+
+/* Machines of each zone: expected, heard, and whether the zone's observation has ended. */
+static json_t *zones_record(const struct ws_coldstart *coldstart)
+{
+	json_t *zones = json_object();
+
+	for (const struct ws_coldstart_zone *zone = coldstart->zones; zone; zone = zone->hh.next)
+		if (zone->expected)
+			json_object_set_new(zones, zone->name,
+					    json_pack("[I,I,b]", (json_int_t)zone->expected,
+						      (json_int_t)zone->heard, zone->observed));
+	return zones;
+}
+
+json_t *ws_coldstart_account_record(const struct ws_coldstart *coldstart, double now)
+{
+	const struct ws_coldstart_counts *counts = &coldstart->counts;
+	double left = coldstart->leases_out - now;
+	json_t *record =
+	    json_pack("{s:i,s:s,s:I,s:I,s:f,s:f,s:f,s:b}", "v", WS_COLDSTART_FORMAT, "phase",
+		      ws_coldstart_phase_name(coldstart->phase), "term",
+		      (json_int_t)coldstart->term, "began", (json_int_t)coldstart->began_term,
+		      "unproven_s", isfinite(coldstart->unproven_s) ? coldstart->unproven_s : -1,
+		      "for_s", now - coldstart->elected_at, "leases_out_s", left > 0 ? left : 0.0,
+		      "doubted", coldstart->doubted);
+
+	json_object_set_new(record, "findings", findings_record(coldstart));
+	json_object_update_new(
+	    record,
+	    json_pack("{s:I,s:I,s:I,s:I,s:I,s:I}", "lost_jobs", (json_int_t)counts->lost_jobs,
+		      "recovered_jobs", (json_int_t)counts->recovered_jobs, "kept",
+		      (json_int_t)counts->kept, "adopted", (json_int_t)counts->adopted, "unclaimed",
+		      (json_int_t)counts->unclaimed, "over", (json_int_t)counts->over));
+	json_object_set_new(record, "zones", zones_record(coldstart));
+	/* the core leaves out a record that is too large: better one without its zones */
+	if (json_dumpb(record, NULL, 0, JSON_COMPACT) >= coldstart->limits.value_bytes)
+		json_object_del(record, "zones");
+	return record;
+}
+
+json_t *ws_coldstart_kept_record(const struct ws_coldstart_kept *kept, double now)
+{
+	return json_pack("{s:i,s:f,s:s}", "v", WS_COLDSTART_FORMAT, "kept_s",
+			 kept->before_s + now - kept->since, "machine", kept->machine);
+}
+
+/* ---- read ---- */
+
+static enum ws_coldstart_phase phase_read(const char *name)
+{
+	for (size_t i = 0; name && i < PHASES; i++)
+		if (!strcmp(phase_names[i], name))
+			return (enum ws_coldstart_phase)i;
+	return WS_COLDSTART_NONE;
+}
+
+static void phase_loaded(struct ws_coldstart *coldstart, json_t *value)
+{
+	coldstart->recorded_phase = phase_read(json_string_value(json_object_get(value, "phase")));
+	coldstart->recorded_term = (uint64_t)json_integer_value(json_object_get(value, "term"));
+	coldstart->recorded_began = (uint64_t)json_integer_value(json_object_get(value, "began"));
+	coldstart->recorded_doubt = json_is_true(json_object_get(value, "doubted"));
+}
+
+void ws_coldstart_record_loaded(void *self, const char *name, json_t *value)
+{
+	struct ws_coldstart *coldstart = self;
+	json_int_t format = json_integer_value(json_object_get(value, "v"));
+
+	if (format > WS_COLDSTART_FORMAT) {
+		if (!coldstart->later_format)
+			ws_coldstart_logf(coldstart,
+					  "cold start: record %s has format %lld, later than %d: "
+					  "records are left alone and nothing is held",
+					  name, (long long)format, WS_COLDSTART_FORMAT);
+		coldstart->later_format = true;
+		return;
+	}
+	if (!strcmp(name, "phase"))
+		phase_loaded(coldstart, value);
+	else if (!strncmp(name, "kept/", 5))
+		ws_coldstart_kept_loaded(coldstart, name + 5, value);
+}
--- /dev/null
+++ b/src/coldstart/recovery.c
@@ -0,0 +1,158 @@
+/*
+ * Paced recovery: jobs that lost attempts in the stop get places before others of their rank, in
+ * order, a window of them at a time.
+ */
+#include "internal.h"
+
+/* The share of the state service's changes in a report period that they may take first. */
+#define WINDOW_SHARE 0.25
+#define WINDOW_MIN 8
+
+void ws_coldstart_lost_add(struct ws_coldstart *coldstart, const char *job)
+{
+	struct ws_coldstart_lost *lost;
+
+	coldstart->steps++;
+	HASH_FIND_STR(coldstart->lost, job, lost);
+	if (!lost) {
+		lost = calloc(1, sizeof(*lost));
+		if (!lost)
+			abort();
+		snprintf(lost->job, sizeof(lost->job), "%s", job);
+		HASH_ADD_STR(coldstart->lost, job, lost);
+		coldstart->counts.lost_jobs++;
+	}
+	lost->attempts++;
+	lost->fresh = true;
+	coldstart->counts_changed = true;
+}
+
+void ws_coldstart_lost_free(struct ws_coldstart *coldstart)
+{
+	struct ws_coldstart_lost *lost, *next;
+
+	HASH_ITER (hh, coldstart->lost, lost, next) {
+		HASH_DEL(coldstart->lost, lost);
+		free(lost);
+	}
+}
+
+/* ---- survey ---- */
+
+bool ws_coldstart_attempt_surveyed(void *self, void *machine)
+{
+	(void)self;
+	(void)machine;
+	return false; /* all attempts count as elsewhere: whether any replica may be alive */
+}
+
+void ws_coldstart_job_surveyed(void *self, const struct ws_job_facts *facts)
+{
+	struct ws_coldstart *coldstart = self;
+	struct ws_coldstart_lost *lost;
+
+	coldstart->steps++;
+	HASH_FIND_STR(coldstart->lost, facts->id, lost);
+	if (!lost)
+		return;
+	lost->surveyed = true;
+	lost->guaranteed = facts->guaranteed;
+	lost->first_replica = facts->service && !facts->elsewhere;
+	lost->priority = facts->priority;
+	lost->latest_start = facts->latest_start;
+	lost->waiting = facts->waiting;
+}
+
+static int compare_lost(struct ws_coldstart_lost *a, struct ws_coldstart_lost *b)
+{
+	if (a->first_replica != b->first_replica)
+		return a->first_replica ? -1 : 1;
+	if (a->guaranteed != b->guaranteed)
+		return a->guaranteed ? -1 : 1;
+	if (a->priority != b->priority)
+		return a->priority > b->priority ? -1 : 1;
+	if (a->latest_start != b->latest_start)
+		return a->latest_start < b->latest_start ? -1 : 1;
+	return strcmp(a->job, b->job);
+}
+
+void ws_coldstart_survey_done(void *self, double now)
+{
+	struct ws_coldstart *coldstart = self;
+
+	(void)now;
+	HASH_SORT(coldstart->lost, compare_lost);
+	for (struct ws_coldstart_lost *lost = coldstart->lost; lost; lost = lost->hh.next)
+		lost->fresh = false;
+	coldstart->survey_done = true;
+}
+
+/* ---- moves ---- */
+
+static void move_ask(struct ws_coldstart_lost *lost, uint32_t position, bool apart,
+		     struct ws_request_queue *out)
+{
+	const struct ws_move move = {
+	    .job = lost->job, .position = position, .replicas_apart = apart};
+
+	if (lost->position == position && lost->replicas_apart == apart)
+		return;
+	lost->position = position;
+	lost->replicas_apart = apart;
+	ws_request_move(out, &move);
+}
+
+static uint32_t window(const struct ws_coldstart *coldstart)
+{
+	double share =
+	    WINDOW_SHARE * coldstart->limits.state_write_rps * coldstart->limits.report_s;
+
+	return share < WINDOW_MIN ? WINDOW_MIN : (uint32_t)share;
+}
+
+/* By the last survey: what waits gets its place, what does not is done with. */
+static void moves_give(struct ws_coldstart *coldstart, struct ws_request_queue *out)
+{
+	struct ws_coldstart_lost *lost, *next;
+	uint32_t position = 0;
+
+	HASH_ITER (hh, coldstart->lost, lost, next) {
+		coldstart->steps++;
+		if (lost->fresh)
+			continue;
+		if (lost->surveyed && lost->waiting) {
+			bool within = position < window(coldstart);
+
+			position += within;
+			move_ask(lost, within ? position : 0, within && lost->first_replica, out);
+			lost->surveyed = false;
+			continue;
+		}
+		/* it runs again, or is over */
+		coldstart->counts.recovered_jobs++;
+		coldstart->counts_changed = true;
+		move_ask(lost, 0, false, out);
+		HASH_DEL(coldstart->lost, lost);
+		free(lost);
+	}
+}
+
+void ws_coldstart_recovery_tick(struct ws_coldstart *coldstart, double now,
+				struct ws_request_queue *out)
+{
+	if (coldstart->survey_done) {
+		coldstart->survey_done = false;
+		moves_give(coldstart, out);
+	}
+	if (!coldstart->lost || now < coldstart->survey_next)
+		return;
+	coldstart->survey_next = now + coldstart->limits.report_s;
+	ws_request_survey(out);
+}
+
+void ws_coldstart_recovery_end(struct ws_coldstart *coldstart, struct ws_request_queue *out)
+{
+	for (struct ws_coldstart_lost *lost = coldstart->lost; lost; lost = lost->hh.next)
+		move_ask(lost, 0, false, out);
+	ws_coldstart_lost_free(coldstart);
+}
--- a/src/core/attempts.c
+++ b/src/core/attempts.c
@@ -114,6 +114,7 @@
 
 	if (s->state == WS_ATTEMPT_GONE)
 		return;
+	ws_kept_drop(c, s);
 	ws_attempt_count(c, s, -1);
 	if (!m->attempt_count)
 		m->empty_since = c->now;
@@ -151,6 +152,7 @@
 {
 	if (s->state == WS_ATTEMPT_GONE)
 		return;
+	ws_kept_drop(c, s);
 	if (!s->stop) {
 		if (why)
 			ws_log(c, WS_LOG_INFO, "machine %s: stop %s/%u: %s", s->machine->name,
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -164,18 +164,19 @@
 
 bool ws_machine_usable(const struct ws_core *c, const struct ws_machine *m)
 {
-	return ws_machine_hears(m) && !m->unreachable && !m->invalid_name && m->reported &&
-	       m->type && !m->gone && !m->returning && !m->failed && m->tenure &&
+	return ws_machine_hears(m) && !m->unreachable && !m->invalid_name && !m->kept_count &&
+	       m->reported && m->type && !m->gone && !m->returning && !m->failed && m->tenure &&
 	       c->now - m->heard < 3 * c->set->report_s && ws_machine_reports(c, m) &&
 	       c->now < m->alive_until && c->now >= m->quarantine_until &&
 	       c->now >= m->refused_until && !m->noticed;
 }
 
 /* The machine and all on it are surely gone, or its lease is. */
-static void ws_machine_clear(struct ws_core *c, struct ws_machine *m)
+static void ws_machine_clear(struct ws_core *c, struct ws_machine *m, enum ws_finding_kind kind)
 {
 	for (struct ws_attempt *s = m->attempts, *n; s; s = n) {
 		n = s->next;
+		ws_attempt_finding(c, s, kind);
 		ws_attempt_release(c, s);
 	}
 }
@@ -189,7 +190,7 @@
 	ws_subsystems_lost(c, m, WS_LOSS_RETURNED);
 	ws_tombstone_set(&c->tombstones, m->name,
 			 c->now + c->set->lease_s + 4 * c->set->list_lag_s);
-	ws_machine_clear(c, m);
+	ws_machine_clear(c, m, WS_FINDING_MACHINE_GONE);
 	c->rentals_stale = true;
 	if (m->chunk >= 0)
 		ws_chunk_dirty(c, m->chunk);
@@ -271,7 +272,7 @@
 		m->failed = true;
 		ws_subsystems_lost(c, m, WS_LOSS_FAILED);
 		ws_log(c, WS_LOG_INFO, "machine %s failed, says the cloud", m->name);
-		ws_machine_clear(c, m);
+		ws_machine_clear(c, m, WS_FINDING_MACHINE_GONE);
 	}
 }
 
@@ -316,7 +317,7 @@
 			ws_log(c, WS_LOG_INFO, "machine %s: its lease has surely run out", m->name);
 			m->least_tenure = m->tenure + 1;
 			ws_subsystems_lost(c, m, WS_LOSS_LEASE);
-			ws_machine_clear(c, m);
+			ws_machine_clear(c, m, WS_FINDING_LEASE_OUT);
 		}
 		if (m->noticed && c->now < m->notice_until + c->set->lease_s) {
 			/* replicas move on notice; arrays that can't save run on while they can */
--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -108,7 +108,8 @@
 		attempt = s->attempt > attempt ? s->attempt : attempt;
 		if (s->at == WS_TASK_WAITING && s->waiting_at > 0)
 			since = fmin(since, s->waiting_at);
-		else if (s->sent && ws_overdue(c, fmax(s->machine->heard, c->woke_at)))
+		else if (s->sent && ws_overdue(c, fmax(s->machine->heard, c->woke_at)) &&
+			 !ws_subsystems_hold(c, WS_ORDER_STOP_GANG, s->machine->zi))
 			silent_until = fmax(silent_until, s->machine->alive_until);
 	}
 	if (stopping == members)
--- a/src/core/hooks.h
+++ b/src/core/hooks.h
@@ -28,6 +28,70 @@
 	const char *address; /* IP address in text; empty if unknown */
 	const char *zone;    /* empty if unknown */
 	bool expected;	     /* on record as having been up, not yet heard by this leader */
+	bool unknown;	     /* reports, but neither the records nor the cloud's list name it */
+};
+
+/* What an elected process knows of the leaders before it. */
+struct ws_election_facts {
+	double now;
+	uint64_t term; /* revision of its leader key: each leader's is above those before it */
+	/*
+	 * For how long this process has had no proof that some leader lived, itself included;
+	 * INFINITY: it never had one. By a steady clock that goes on while the process stands
+	 * still.
+	 */
+	double unproven_s;
+	uint64_t proven_term; /* of the leader that the proof is of; 0: none */
+	/* When every lease that an earlier leader may have renewed has surely run out. */
+	double leases_out;
+};
+
+/*
+ * What became of an attempt that was on record at the election, or of a task that a report names
+ * without one. Each has one finding, at the first word that tells.
+ */
+enum ws_finding_kind {
+	WS_FINDING_AGREED,	  /* runs, as recorded */
+	WS_FINDING_NOT_REPORTED,  /* its machine hears us and does not name it */
+	WS_FINDING_UNRECORDED,	  /* runs; its job is on record, no newer attempt of the task is */
+	WS_FINDING_SUPERSEDED,	  /* runs; a newer attempt of the task is on record */
+	WS_FINDING_TWO_MACHINES,  /* runs; the same attempt is on record for another machine */
+	WS_FINDING_OVER,	  /* runs; the job or the task is over on record */
+	WS_FINDING_ENDED_DONE,	  /* recorded, and completed while nobody listened */
+	WS_FINDING_ENDED_FAILED,  /* recorded, and failed or refused */
+	WS_FINDING_ENDED_STOPPED, /* recorded, and stopped */
+	WS_FINDING_LEASE_LOST,	  /* recorded for a tenure that its machine says is over */
+	WS_FINDING_LEASE_OUT,	  /* recorded; its machine stayed silent until its lease was out */
+	WS_FINDING_MACHINE_GONE,  /* recorded; the cloud says that its machine is gone or failed */
+	WS_FINDING_UNKNOWN_JOB,	  /* runs, or completed; no record names its job */
+	WS_FINDING_UNKNOWN_MACHINE, /* not an attempt: see struct ws_machine_facts */
+	WS_FINDING_KINDS,
+};
+
+struct ws_finding {
+	enum ws_finding_kind kind;
+	const char *machine;
+	const char *job; /* empty for an unknown machine */
+	uint32_t task;
+	uint64_t attempt, tenure;
+};
+
+/* What the records say of a job that the leader's replica of the live jobs does not name. */
+enum ws_job_standing {
+	WS_JOB_NEVER_HEARD, /* neither live nor over */
+	WS_JOB_LIVE,
+	WS_JOB_OVER,
+	WS_JOB_UNREADABLE, /* the state service did not tell */
+};
+
+/* Orders that a subsystem may hold back for a while. */
+enum ws_order_kind {
+	WS_ORDER_PREEMPT,	/* stop of work for room on a machine of the zone */
+	WS_ORDER_STOP_GANG,	/* stop of a gang because a machine of the zone is silent */
+	WS_ORDER_RETURN_SILENT, /* of a rental of the zone that is silent */
+	WS_ORDER_RETURN_EMPTY,	/* of a rental of the zone that is empty */
+	WS_ORDER_FIRST_START,	/* of a job of which nothing was ever started; in any zone */
+	WS_ORDER_KINDS,
 };
 
 /* What is known of a job that is not over. */
@@ -62,6 +126,7 @@
 	double report_s, lease_s;
 	double state_write_rps;
 	size_t value_bytes; /* of one record */
+	double cancel_s;    /* a cancelled job must be gone within it */
 	const char *node_zone;
 	const char *const *zones;
 	size_t zone_count;
@@ -73,7 +138,7 @@
 	void (*destroy)(void *self);
 
 	/* Leadership. Records come between elected() and records_loaded(). */
-	void (*elected)(void *self, double now);
+	void (*elected)(void *self, const struct ws_election_facts *facts);
 	void (*record_loaded)(void *self, const char *name, json_t *value);
 	void (*records_loaded)(void *self, double now);
 	/* After machine_removed() for each machine. */
@@ -90,12 +155,26 @@
 	void (*command_answered)(void *self, void *machine, bool answered);
 	void (*machine_lost)(void *self, double now, void *machine, enum ws_machine_loss loss);
 
+	/*
+	 * Reconciliation of reports with the records. Returns whether the attempt is to be kept
+	 * apart: neither stopped nor reaped. Asked for of WS_FINDING_UNRECORDED and
+	 * WS_FINDING_UNKNOWN_JOB, passed over for the others.
+	 */
+	bool (*attempt_found)(void *self, double now, const struct ws_finding *finding);
+	/* Answer to a look-up. */
+	void (*job_looked_up)(void *self, double now, const char *job,
+			      enum ws_job_standing standing);
+	/* Attempts that were kept apart are on their job's record from now on. */
+	void (*attempts_adopted)(void *self, double now, const char *job, uint32_t count);
+
 	/* Placement filter: machines to be used only by work that has found no other room. */
 	bool (*machine_avoided)(void *self, double now, const void *machine);
 	/* The same for whole zones: work that may be elsewhere goes elsewhere. */
 	bool (*zone_avoided)(void *self, double now, const char *zone);
 	/* No machine is rented in this zone. */
 	bool (*zone_closed)(void *self, double now, const char *zone);
+	/* Whether orders of a kind wait for now; the zone is empty where it is unknown. */
+	bool (*order_held)(void *self, double now, enum ws_order_kind kind, const char *zone);
 
 	/*
 	 * Answer to a survey: whether an attempt on this machine is affected, for each attempt that
@@ -122,6 +201,11 @@
 /* Reads the records whose names begin so. */
 void ws_request_read(struct ws_request_queue *queue, const char *name_prefix);
 void ws_request_survey(struct ws_request_queue *queue);
+/* Reads what the records say of a job: first among the live ones, then among those that are over.
+ */
+void ws_request_look_up(struct ws_request_queue *queue, const char *job);
+/* Ends all attempts of a job that are kept apart; they have so long to save, 0: at once. */
+void ws_request_end_kept(struct ws_request_queue *queue, const char *job, double grace_s);
 
 /* How a job that loses attempts is to be served until the next request for it. */
 struct ws_move {
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -10,6 +10,8 @@
 #include <string.h>
 #include <utlist.h>
 
+/* A leader key that was read for longer than this, in ttl, proves that its holder renewed it. */
+#define WS_PROOF_TTLS 1.25
 /* Bits of the epoch kept for the leader's own counter, below the leader key's stamp. */
 #define WS_EPOCH_SHIFT 20
 /* An attempt's number: the leader key's stamp, shifted by this, plus a counter. */
@@ -45,6 +47,12 @@
 	bool writing;	  /* its completion is in the record being written */
 };
 
+/* struct ws_move without the job's name. */
+struct ws_job_move {
+	uint32_t position, room_ahead;
+	bool replicas_apart;
+};
+
 struct ws_job {
 	struct ws_spec spec;
 	enum ws_phase phase;   /* as last read or written */
@@ -80,9 +88,10 @@
 	uint32_t gang_stops;	    /* how often it made room for others */
 	int gang_zone;		    /* of a gang that waits: the zone it gathers room in, from 1 */
 	uint32_t pieces;	    /* records beside its own that name attempts: see record.c */
-	uint32_t move_position;	    /* asked for by a subsystem, see struct ws_move */
-	uint32_t room_ahead;
-	bool replicas_apart;
+	struct ws_job_move moves[WS_SUBSYSTEMS_MAX]; /* as each subsystem asked for last */
+	uint32_t move_position; /* of these: the smallest; see struct ws_move */
+	uint32_t room_ahead;	/* the largest */
+	bool replicas_apart;	/* whether any asked for it */
 	bool place_later;	/* the rest of its replicas come in the second round */
 	uint32_t room_reserved; /* of the room ahead, in the pass under way */
 	uint32_t place_most;	/* tasks to be placed in this round of a pass; 0: all */
@@ -106,6 +115,8 @@
 	enum ws_attempt_state state;
 	bool sent;	       /* a run may have reached the worker, or may still */
 	bool orphan;	       /* reported but on no record */
+	bool loaded;	       /* on record at the election, and has no finding yet */
+	bool kept;	       /* an orphan that a subsystem keeps: neither stopped nor reaped */
 	bool seen;	       /* the worker has reported it */
 	bool stop;	       /* is to end */
 	bool stop_sent;	       /* and a command said so */
@@ -170,6 +181,8 @@
 	double virt_cpus, virt_gpus, virt_mem; /* scratch of one placement pass */
 	int rank;
 	bool avoided; /* by a subsystem's filter, in the pass under way */
+	bool unknown; /* when it first reported, neither records nor the cloud's list named it */
+	uint32_t kept_count; /* attempts there that are kept apart: it takes nothing new */
 	void *handles[WS_SUBSYSTEMS_MAX];
 	UT_hash_handle hh;
 };
@@ -220,6 +233,22 @@
 	int back; /* machines of this kind given back since */
 };
 
+/* A job of which attempts are kept apart. */
+struct ws_kept_job {
+	char id[WS_ID_MAX];
+	uint32_t count;
+	UT_hash_handle hh;
+};
+
+/* What proves that some leader lived, see election.c. */
+struct ws_leader_proof {
+	uint64_t key; /* revision of the leader key that was last read; 0: none, or refused since */
+	double key_since; /* when the question was asked that first brought it */
+	bool any;
+	double at; /* a leader lived then or later */
+	uint64_t term;
+};
+
 enum ws_role { WS_FOLLOWER, WS_ASKING, WS_LOADING, WS_LEADER };
 
 struct ws_tombstone { /* a machine the cloud confirmed as gone; lagging lists still name it */
@@ -274,6 +303,7 @@
 	double peers_ok_at, peers_next; /* while the state service refuses us */
 
 	/* leadership */
+	struct ws_leader_proof proof;
 	enum ws_role role;
 	uint64_t hold;
 	double ttl, entitled_until, extend_next, campaign_after, elected_at;
@@ -301,6 +331,7 @@
 	struct ws_job *jobs;
 	struct ws_machine *machines;
 	struct ws_rental *rentals;
+	struct ws_kept_job *kept_jobs;
 	struct ws_team teams[WS_MAX_TEAMS];
 	struct ws_machine **order; /* all machines as first fit takes them */
 	size_t norder;
@@ -455,6 +486,23 @@
 /* Takes in the newest word of a worker: a report, or the answer to a direct command. */
 void ws_fleet_read(struct ws_core *c, struct ws_machine *m, const struct ws_report *r);
 
+/* reconcile.c */
+/* What a report says of an attempt that was on record at the election; the first word counts. */
+void ws_attempt_finding(struct ws_core *c, struct ws_attempt *s, enum ws_finding_kind kind);
+void ws_attempt_reported(struct ws_core *c, struct ws_attempt *s, const struct ws_task_report *t);
+/* A report names an attempt that no record does; NULL if nothing of it counts. */
+struct ws_attempt *ws_attempt_foreign(struct ws_core *c, struct ws_machine *m,
+				      const struct ws_task_report *t);
+/* A worker that hears us reports an attempt that is kept apart: its job's record is to name it. */
+void ws_kept_reported(struct ws_core *c, struct ws_attempt *s);
+void ws_kept_drop(struct ws_core *c, struct ws_attempt *s);
+/* A job has just become known. */
+void ws_kept_link(struct ws_core *c, struct ws_job *j);
+void ws_kept_end(struct ws_core *c, const char *job, double grace_s);
+/* What attempts of unknown teams may use at the most. */
+void ws_kept_reserve(struct ws_core *c, double *cpus, double *gpus);
+void ws_kept_clear(struct ws_core *c);
+
 /* commands.c */
 /* Commands in the answer to a report: keeps it under the line limit. */
 #define WS_ANSWER_ORDERS 400
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -92,6 +92,7 @@
 			ws_attempt_count(c, s, -1);
 		DL_DELETE2(j->attempts, s, jprev, jnext);
 		s->job = NULL;
+		ws_kept_drop(c, s);
 		if (alive) { /* its record is gone, the attempt may live on: it is told to stop */
 			s->stop = s->orphan = true;
 			ws_attempt_count(c, s, 1);
@@ -249,6 +250,7 @@
 	n->waiting = n->spec.tasks - n->ndone;
 	n->known_at = c->now;
 	HASH_ADD_STR(c->jobs, spec.id, n);
+	ws_kept_link(c, n);
 	if (c->role == WS_LEADER) {
 		ws_log(c, WS_LOG_DEBUG, "job %s known: %u tasks of %s %s", id, n->spec.tasks,
 		       n->spec.team, n->spec.job_class);
--- a/src/core/loading.c
+++ b/src/core/loading.c
@@ -82,6 +82,7 @@
 		x->tenure = list[i].tenure;
 		x->state = WS_ATTEMPT_RECORDED;
 		x->sent = true; /* for all we know */
+		x->loaded = true;
 		if (!x->job || (x->task < x->job->spec.tasks && x->job->tasks[x->task].done))
 			ws_attempt_ends(x);
 	}
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -304,6 +304,8 @@
 {
 	double cpus = m->virt_cpus, gpus = m->virt_gpus, mem = m->virt_mem, cost = 0;
 
+	if (ws_subsystems_hold(c, WS_ORDER_PREEMPT, m->zi))
+		return -1;
 	c->pass++;
 	while (cpus + 1e-9 < j->spec.cpus || gpus + 1e-9 < j->spec.gpus ||
 	       mem + 1e-9 < j->spec.mem) {
@@ -1210,6 +1212,8 @@
 /* Memory and figures of a pass; the list for its jobs. */
 static struct ws_job **ws_pass_begin(struct ws_core *c, struct ws_pass *p)
 {
+	double cpus, gpus;
+
 	ws_order(c);
 	p->victims = ws_pass_memory(c, c->norder, HASH_COUNT(c->jobs));
 	p->ms = (struct ws_machine **)(p->victims + c->norder);
@@ -1221,11 +1225,21 @@
 	c->place_wanted = false;
 	c->place_next = c->now + ws_sweep_every(c) / 2;
 	c->pass_at = c->now;
-	for (size_t i = 0; i < c->set->nteams; i++)
-		c->teams[i].held_cpus = c->teams[i].held_gpus = 0;
+	ws_kept_reserve(c, &cpus, &gpus);
+	for (size_t i = 0; i < c->set->nteams; i++) {
+		c->teams[i].held_cpus = cpus;
+		c->teams[i].held_gpus = gpus;
+	}
 	return (struct ws_job **)(p->ending + c->norder);
 }
 
+/* Whether nothing of a job was ever started, and such starts wait for now. */
+static bool ws_first_start_held(const struct ws_core *c, const struct ws_job *j)
+{
+	return ws_subsystems_hold(c, WS_ORDER_FIRST_START, -1) && j->phase == WS_QUEUED &&
+	       !j->attempt_count && !j->ndone;
+}
+
 /* Brings a job up to date for a pass; whether tasks of it wait. */
 static bool ws_pass_job(struct ws_pass *p, struct ws_job *j)
 {
@@ -1238,6 +1252,8 @@
 		p->lowest = ws_rank(j);
 	j->aged = j->waiting && ws_aged(c, j);
 	j->takes_avoided = ws_takes_avoided(c, j);
+	if (ws_first_start_held(c, j))
+		return false;
 	if (j->waiting)
 		p->least = fmin(p->least, j->spec.cpus);
 	else
--- a/src/core/rentals.c
+++ b/src/core/rentals.c
@@ -699,13 +699,15 @@
 {
 	const char *silent = most_heard ? ws_silent_reason(c, m, up) : NULL;
 
+	if (silent && ws_subsystems_hold(c, WS_ORDER_RETURN_SILENT, m->zi))
+		silent = NULL;
 	if (m->failed)
 		return "failed";
 	if (ws_boot_late(c, m) && c->now - c->elected_at > c->set->lease_s)
 		return "did not come up";
 	if (silent)
 		return silent;
-	if (ws_empty_for_long(c, m))
+	if (ws_empty_for_long(c, m) && !ws_subsystems_hold(c, WS_ORDER_RETURN_EMPTY, m->zi))
 		return "empty";
 	if (m->consecutive_failures >= 3 && !m->attempt_count)
 		return "fails its tasks";
--- a/src/core/reports.c
+++ b/src/core/reports.c
@@ -120,6 +120,8 @@
 	/* the cloud's list may have told its address before it was ever heard */
 	bool moved = !m->reported || address || strcmp(m->zone, r->zone) != 0;
 
+	if (!m->reported)
+		m->unknown = !m->on_record && !m->listed && !m->owned && !m->type_name[0];
 	ws_machine_place(c, m, r->type, r->zone, r->spot);
 	if (!m->reported)
 		ws_machine_up(c, m);
@@ -170,18 +172,6 @@
 	return s;
 }
 
-/* An attempt is alive on a machine, though not ours: it counts until it is gone. */
-static struct ws_attempt *ws_attempt_foreign(struct ws_core *c, struct ws_machine *m,
-					     const struct ws_task_report *t)
-{
-	struct ws_attempt *s = ws_attempt_add(c, m, t->job, t->task, t->attempt);
-
-	s->orphan = s->seen = s->sent = true;
-	s->state = WS_ATTEMPT_RECORDED;
-	ws_attempt_stop(c, s, 0, "not in the plan");
-	return s;
-}
-
 static void ws_attempt_runs(struct ws_core *c, struct ws_machine *m, struct ws_attempt *s)
 {
 	struct ws_job *j = s->job;
@@ -205,17 +195,20 @@
 {
 	struct ws_attempt *s = ws_attempt_find(m, t);
 
-	if (!s && t->state == WS_TASK_EXITED) {
-		struct ws_job *j = ws_job_find(c, t->job);
-
-		if (t->why == WS_WHY_DONE && j)
-			ws_job_task_done(c, j, t->task);
-		return;
-	}
 	if (!s)
 		s = ws_attempt_foreign(c, m, t);
+	if (!s)
+		return;
 	s->pass = c->pass;
 	s->seen = s->sent = true;
+	ws_attempt_reported(c, s, t);
+	if (s->kept && !s->job && t->state == WS_TASK_EXITED && t->why == WS_WHY_DONE) {
+		s->at = t->state; /* the result waits for its job */
+		s->why = t->why;
+		return;
+	}
+	if (s->kept && s->job && t->state != WS_TASK_EXITED && ws_machine_hears(m))
+		ws_kept_reported(c, s);
 	if (t->state == WS_TASK_WAITING && s->at != WS_TASK_WAITING) {
 		s->waiting_at = c->now;
 		if (s->job) /* it has its image */
@@ -239,6 +232,8 @@
 		n = s->next;
 		if (s->state == WS_ATTEMPT_GONE || s->pass == c->pass || s->tenure != m->tenure)
 			continue;
+		if (ws_machine_hears(m))
+			ws_attempt_finding(c, s, WS_FINDING_NOT_REPORTED);
 		/* it was there and is no more; or it was told to run, is not there, and no command
 		 * is on its way that could bring it */
 		if (s->seen || (s->sent && s->stop && !m->fence && !m->commands))
@@ -256,8 +251,10 @@
 	 * tenure that another's, or the fleet's, knows to be over */
 	for (struct ws_attempt *s = m->attempts, *n; s; s = n) {
 		n = s->next;
-		if (s->tenure < r->tenure)
+		if (s->tenure < r->tenure) {
+			ws_attempt_finding(c, s, WS_FINDING_LEASE_LOST);
 			ws_attempt_release(c, s);
+		}
 	}
 	m->counter = r->counter;
 	m->epoch = r->epoch;
--- a/src/core/subsystems.c
+++ b/src/core/subsystems.c
@@ -13,6 +13,8 @@
 	WS_REQUEST_READ,
 	WS_REQUEST_SURVEY,
 	WS_REQUEST_MOVE,
+	WS_REQUEST_LOOK_UP,
+	WS_REQUEST_END_KEPT,
 };
 
 struct ws_request {
@@ -21,6 +23,7 @@
 	json_t *value;
 	bool urgent;
 	struct ws_move move; /* its job is `name` */
+	double grace_s;
 	struct ws_request *next;
 };
 
@@ -72,6 +75,16 @@
 	ws_request_add(queue, WS_REQUEST_MOVE, move->job)->move = *move;
 }
 
+void ws_request_look_up(struct ws_request_queue *queue, const char *job)
+{
+	ws_request_add(queue, WS_REQUEST_LOOK_UP, job);
+}
+
+void ws_request_end_kept(struct ws_request_queue *queue, const char *job, double grace_s)
+{
+	ws_request_add(queue, WS_REQUEST_END_KEPT, job)->grace_s = grace_s;
+}
+
 /* ---- attaching ---- */
 
 bool ws_core_attach(struct ws_core *core, const struct ws_subsystem_ops *ops, void *self)
@@ -266,7 +279,40 @@
 
 void ws_subsystems_elected(struct ws_core *c)
 {
-	WS_EACH_HOOK(c, elected, c->now);
+	const struct ws_election_facts facts = {
+	    .now = c->now,
+	    .term = c->epoch >> WS_EPOCH_SHIFT,
+	    .unproven_s = c->proof.any ? c->now - c->proof.at : INFINITY,
+	    .proven_term = c->proof.term,
+	    .leases_out = ws_lease_out(c, c->elected_at),
+	};
+
+	WS_EACH_HOOK(c, elected, &facts);
+}
+
+/* The filters of orders, asked once a tick. */
+static void ws_subsystems_ask_held(struct ws_core *c)
+{
+	struct ws_subsystems *all = &c->subsystems;
+
+	memset(all->held, 0, sizeof(all->held));
+	for (size_t i = 0; i < all->count; i++) {
+		const struct ws_subsystem *subsystem = &all->list[i];
+
+		if (!subsystem->ops->order_held)
+			continue;
+		for (int kind = 0; kind < WS_ORDER_KINDS; kind++)
+			for (int z = -1; z < c->nzones; z++)
+				if (subsystem->ops->order_held(subsystem->self, c->now,
+							       (enum ws_order_kind)kind,
+							       z < 0 ? "" : c->zones[z]))
+					all->held[kind] |= 1ULL << (z + 1);
+	}
+}
+
+bool ws_subsystems_hold(const struct ws_core *c, enum ws_order_kind kind, int zone)
+{
+	return c->subsystems.held[kind] >> (zone + 1) & 1;
 }
 
 void ws_subsystems_loaded(struct ws_core *c)
@@ -279,6 +325,7 @@
 		if (m->tenure)
 			ws_subsystems_machine(c, m);
 	WS_EACH_HOOK(c, records_loaded, c->now);
+	ws_subsystems_ask_held(c);
 }
 
 void ws_subsystems_step_down(struct ws_core *c)
@@ -301,6 +348,7 @@
 	c->subsystems.dirty_records = 0;
 	c->subsystems.tick_next = 0;
 	c->subsystems.zones_avoided = c->subsystems.zones_closed = 0;
+	memset(c->subsystems.held, 0, sizeof(c->subsystems.held));
 	c->subsystems.moves = false;
 }
 
@@ -315,7 +363,12 @@
 void ws_subsystems_machine(struct ws_core *c, struct ws_machine *m)
 {
 	const struct ws_machine_facts facts = {
-	    .name = m->name, .address = m->host, .zone = m->zone, .expected = !m->reported};
+	    .name = m->name,
+	    .address = m->host,
+	    .zone = m->zone,
+	    .expected = !m->reported,
+	    .unknown = m->unknown,
+	};
 
 	for (size_t i = 0; i < c->subsystems.count; i++) {
 		const struct ws_subsystem *subsystem = &c->subsystems.list[i];
@@ -355,6 +408,34 @@
 	WS_EACH_MACHINE_HOOK(c, m, machine_lost, c->now, m->handles[i_], loss);
 }
 
+/* ---- reconciliation ---- */
+
+bool ws_subsystems_found(struct ws_core *c, const struct ws_attempt *s, enum ws_finding_kind kind)
+{
+	const struct ws_finding finding = {
+	    .kind = kind,
+	    .machine = s->machine->name,
+	    .job = s->job_id,
+	    .task = s->task,
+	    .attempt = s->attempt,
+	    .tenure = s->tenure,
+	};
+	bool keep = false;
+
+	for (size_t i = 0; i < c->subsystems.count; i++) {
+		const struct ws_subsystem *subsystem = &c->subsystems.list[i];
+
+		if (subsystem->ops->attempt_found)
+			keep |= subsystem->ops->attempt_found(subsystem->self, c->now, &finding);
+	}
+	return keep;
+}
+
+void ws_subsystems_adopted(struct ws_core *c, const char *job, uint32_t count)
+{
+	WS_EACH_HOOK(c, attempts_adopted, c->now, job, count);
+}
+
 /* ---- placement ---- */
 
 bool ws_subsystems_avoided(struct ws_core *c, const struct ws_machine *m)
@@ -459,25 +540,84 @@
 	snprintf(call->after, sizeof(call->after), "%s", after);
 }
 
-static void ws_subsystem_move(struct ws_core *c, const struct ws_request *request)
+/* What the subsystems together ask for of a job. */
+static void ws_job_moves_merge(struct ws_job *j)
+{
+	j->move_position = j->room_ahead = 0;
+	j->replicas_apart = false;
+	for (size_t i = 0; i < WS_SUBSYSTEMS_MAX; i++) {
+		const struct ws_job_move *move = &j->moves[i];
+
+		if (move->position && (!j->move_position || move->position < j->move_position))
+			j->move_position = move->position;
+		if (move->room_ahead > j->room_ahead)
+			j->room_ahead = move->room_ahead;
+		j->replicas_apart |= move->replicas_apart;
+	}
+}
+
+static void ws_subsystem_move(struct ws_core *c, size_t i, const struct ws_request *request)
 {
 	struct ws_job *j = ws_job_find(c, request->name);
 
 	if (!j)
 		return;
-	j->move_position = request->move.position;
-	j->room_ahead = request->move.room_ahead;
-	j->replicas_apart = request->move.replicas_apart;
+	j->moves[i] = (struct ws_job_move){
+	    .position = request->move.position,
+	    .room_ahead = request->move.room_ahead,
+	    .replicas_apart = request->move.replicas_apart,
+	};
+	ws_job_moves_merge(j);
 	c->subsystems.moves = true;
 	c->place_wanted = true;
 }
 
+static void ws_subsystem_looked_up(struct ws_core *c, struct ws_call *call,
+				   const struct ws_result *r);
+
+/* Asks for the record of a job under one of the two prefixes, for the i-th subsystem. */
+static void ws_subsystem_look_up(struct ws_core *c, size_t i, const char *prefix, const char *job)
+{
+	struct ws_call *call = ws_call(c, WS_CALL_GET, ws_subsystem_looked_up);
+
+	snprintf(call->key, sizeof(call->key), "%s%.*s", prefix, WS_ID_MAX, job);
+	snprintf(call->ctx_name, sizeof(call->ctx_name), "%.*s", WS_ID_MAX, job);
+	call->ctx_n = i;
+}
+
+static void ws_subsystem_looked_up(struct ws_core *c, struct ws_call *call,
+				   const struct ws_result *r)
+{
+	bool live = !strncmp(call->key, "job/", 4);
+	enum ws_job_standing standing = WS_JOB_UNREADABLE;
+	const struct ws_subsystem *subsystem = &c->subsystems.list[call->ctx_n];
+
+	if (call->generation != c->generation || c->role != WS_LEADER)
+		return;
+	if (r->status == 404 && live) { /* a job moves to old/ in one transaction, never back */
+		ws_subsystem_look_up(c, call->ctx_n, "old/", call->ctx_name);
+		return;
+	}
+	if (r->status == 404)
+		standing = WS_JOB_NEVER_HEARD;
+	else if (r->status == 200)
+		standing = live ? WS_JOB_LIVE : WS_JOB_OVER;
+	if (subsystem->ops->job_looked_up)
+		subsystem->ops->job_looked_up(subsystem->self, c->now, call->ctx_name, standing);
+}
+
+static bool ws_request_names_record(const struct ws_request *request)
+{
+	return request->kind == WS_REQUEST_WRITE || request->kind == WS_REQUEST_DELETE ||
+	       request->kind == WS_REQUEST_READ;
+}
+
 static void ws_request_carry_out(struct ws_core *c, size_t i, struct ws_request *request)
 {
 	char key[2 * WS_KEY_MAX];
 
 	snprintf(key, sizeof(key), "%s%s", c->subsystems.list[i].ops->prefix, request->name);
-	if (request->kind != WS_REQUEST_MOVE && strlen(key) >= WS_KEY_MAX) {
+	if (ws_request_names_record(request) && strlen(key) >= WS_KEY_MAX) {
 		ws_log(c, WS_LOG_ERROR, "the key %s is too long: left out", key);
 		json_decref(request->value);
 		return;
@@ -489,7 +629,9 @@
 	case WS_REQUEST_DELETE: ws_subsystem_record_set(c, key, NULL, false); break;
 	case WS_REQUEST_READ: ws_subsystem_read(c, key, ""); break;
 	case WS_REQUEST_SURVEY: ws_survey(c, i); break;
-	case WS_REQUEST_MOVE: ws_subsystem_move(c, request); break;
+	case WS_REQUEST_MOVE: ws_subsystem_move(c, i, request); break;
+	case WS_REQUEST_LOOK_UP: ws_subsystem_look_up(c, i, "job/", request->name); break;
+	case WS_REQUEST_END_KEPT: ws_kept_end(c, request->name, request->grace_s); break;
 	}
 }
 
@@ -518,4 +660,5 @@
 			free(request);
 		}
 	}
+	ws_subsystems_ask_held(c);
 }
--- a/src/core/subsystems.h
+++ b/src/core/subsystems.h
@@ -6,6 +6,7 @@
 
 struct ws_machine;
 struct ws_job;
+struct ws_attempt;
 
 /* A record of a subsystem, as this leader last wrote or read it. */
 struct ws_subsystem_record {
@@ -29,6 +30,8 @@
 	double tick_next;
 	/* of the pass under way, a bit for each zone: what the filters say */
 	uint32_t zones_avoided, zones_closed;
+	/* of the last tick: the zones in which orders of a kind wait; bit 0: no known zone */
+	uint64_t held[WS_ORDER_KINDS];
 	bool moves; /* some job has a move */
 };
 
@@ -50,6 +53,12 @@
 void ws_subsystems_answered(struct ws_core *c, struct ws_machine *m, bool answered);
 void ws_subsystems_lost(struct ws_core *c, struct ws_machine *m, enum ws_machine_loss loss);
 
+/* Whether a subsystem wants the attempt kept apart. */
+bool ws_subsystems_found(struct ws_core *c, const struct ws_attempt *s, enum ws_finding_kind kind);
+void ws_subsystems_adopted(struct ws_core *c, const char *job, uint32_t count);
+/* Whether orders of a kind wait in a zone, by its number; -1: no known zone. */
+bool ws_subsystems_hold(const struct ws_core *c, enum ws_order_kind kind, int zone);
+
 /* Asks the filters what this placement pass must avoid. */
 void ws_subsystems_pass(struct ws_core *c);
 bool ws_subsystems_avoided(struct ws_core *c, const struct ws_machine *m);
--- a/src/zones/zones.c
+++ b/src/zones/zones.c
@@ -139,9 +139,10 @@
 	ws_zones_free(self);
 }
 
-static void elected(void *self, double now)
+static void elected(void *self, const struct ws_election_facts *facts)
 {
 	struct ws_zones *zones = self;
+	const double now = facts->now;
 
 	for (struct ws_zones_domain *domain = zones->domains; domain; domain = domain->hh.next) {
 		domain->state = WS_ZONES_HEALTHY;
--- a/tests/zones_test.c
+++ b/tests/zones_test.c
@@ -153,7 +153,7 @@
 
 	ws_zones_defaults(&settings);
 	zones = ws_zones_new(&settings, &limits, log_text, &wrong);
-	ws_zones_ops.elected(zones, 10);
+	ws_zones_ops.elected(zones, &(struct ws_election_facts){.now = 10});
 	ws_zones_ops.record_loaded(zones, "domain/far", record);
 	ws_zones_ops.records_loaded(zones, 10);
 	domain = ws_zones_domain_find(zones, "far");
