--- a/src/main.c
+++ b/src/main.c
@@ -1,4 +1,5 @@
 /* waystep: a cluster scheduler. Command line, settings, log, loop. */
+#include "coldstart_command.h"
 #include "config.h"
 #include "io/pool.h"
 #include "io/service.h"
@@ -20,12 +21,14 @@
 
 struct ws_args {
 	const char *config, *policy, *subsystems;
+	/* instead of running as a controller: */
 	bool check;
-	struct ws_zones_command command; /* instead of running as a controller */
+	bool cold_start;
+	struct ws_zones_command command;
 };
 
 /* Options without a letter of their own. */
-enum { OPTION_DOMAINS = 256, OPTION_HOLD, OPTION_RELEASE };
+enum { OPTION_DOMAINS = 256, OPTION_HOLD, OPTION_RELEASE, OPTION_COLD_START };
 
 static const struct argp_option ws_options[] = {
     {"config", 'c', "FILE", 0, "The platform's settings (TOML); required", 0},
@@ -35,6 +38,8 @@
     {"domains", OPTION_DOMAINS, NULL, 0, "Show the failure domains on record and exit", 0},
     {"hold-domain", OPTION_HOLD, "NAME", 0, "Neither evacuate a domain nor let it return", 0},
     {"release-domain", OPTION_RELEASE, "NAME", 0, "End a hold", 0},
+    {"cold-start", OPTION_COLD_START, NULL, 0,
+     "Show the account of the last cold start on record and exit", 0},
     {0},
 };
 
@@ -52,6 +57,7 @@
 	case OPTION_RELEASE:
 		a->command = (struct ws_zones_command){WS_ZONES_RELEASE, arg};
 		return 0;
+	case OPTION_COLD_START: a->cold_start = true; return 0;
 	case ARGP_KEY_ARG: argp_error(state, "unexpected argument: %s", arg); return 0;
 	case ARGP_KEY_END:
 		if (!a->config)
@@ -123,6 +129,8 @@
 	if (subsystems->zones_on)
 		printf("subsystem zones is on, %zu domains besides the zones\n",
 		       subsystems->zones.declared_count);
+	if (subsystems->coldstart_on)
+		printf("subsystem coldstart is on\n");
 	if (ws_core_view_short(settings, policy))
 		printf(
 		    "%s: settings.workers.cancel_s is short for lease_s: in outages of the state "
@@ -153,7 +161,8 @@
 	ws_logf(WS_LOG_INFO,
 		"planned by: values of %g KiB, %d changes a transaction, %g changes a second",
 		settings->value_kb, settings->txn_ops, settings->state_write_rps);
-	ws_logf(WS_LOG_INFO, "subsystems: zones %s", subsystems->zones_on ? "on" : "off");
+	ws_logf(WS_LOG_INFO, "subsystems: zones %s, coldstart %s",
+		subsystems->zones_on ? "on" : "off", subsystems->coldstart_on ? "on" : "off");
 	ev_signal_init(&term, ws_stop, SIGTERM);
 	term.data = service;
 	ev_signal_start(loop, &term);
@@ -195,6 +204,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	if (args.check) {
 		ws_print_check(args.config, &settings, &policy, &subsystems);
+	} else if (args.cold_start) {
+		status = ws_coldstart_command_run(&settings);
 	} else if (args.command.verb != WS_ZONES_NO_VERB) {
 		status = ws_zones_command_run(&args.command, &settings, &subsystems);
 	} else {
--- a/src/state_tool.c
+++ b/src/state_tool.c
@@ -89,3 +89,15 @@
 	}
 	return true;
 }
+
+const char *ws_state_tool_text(json_t *record, const char *name)
+{
+	const char *text = json_string_value(json_object_get(record, name));
+
+	return text ? text : "?";
+}
+
+long long ws_state_tool_count(json_t *record, const char *name)
+{
+	return json_integer_value(json_object_get(record, name));
+}
--- a/src/state_tool.h
+++ b/src/state_tool.h
@@ -16,4 +16,8 @@
 /* Lists all records whose keys begin so, page by page; false if it could not. */
 bool ws_state_tool_list(struct ws_state_tool *tool, const char *prefix, ws_state_tool_fn each,
 			void *context);
+
+/* Fields of a record, to be printed: "?" and 0 where it has none. */
+const char *ws_state_tool_text(json_t *record, const char *name);
+long long ws_state_tool_count(json_t *record, const char *name);
 #endif
--- a/src/subsystem_settings.c
+++ b/src/subsystem_settings.c
@@ -11,6 +11,8 @@
 {
 	settings->zones_on = false;
 	ws_zones_defaults(&settings->zones);
+	settings->coldstart_on = false;
+	ws_coldstart_defaults(&settings->coldstart);
 }
 
 void ws_subsystem_free(struct ws_subsystem_settings *settings)
@@ -94,19 +96,42 @@
 	read_domains(reader, zones);
 }
 
+static void read_coldstart(struct ws_config_reader *reader, struct ws_subsystem_settings *settings)
+{
+	static const char *const known[] = {"enabled", "keep_s", "heard_share"};
+	struct ws_coldstart_settings *coldstart = &settings->coldstart;
+
+	ws_config_known_keys(reader, "coldstart", known, sizeof(known) / sizeof(known[0]));
+	if (ws_toml_bool(reader->toml, "coldstart.enabled", &settings->coldstart_on) != WS_TOML_OK)
+		ws_config_fail(reader, "coldstart.enabled", "must be true or false");
+	ws_config_number(reader, "coldstart.keep_s", &coldstart->keep_s, 0, false);
+	ws_config_number(reader, "coldstart.heard_share", &coldstart->heard_share, 0.5, false);
+	if (coldstart->heard_share > 1)
+		ws_config_fail(reader, "coldstart.heard_share", "must be at most 1");
+}
+
+/* Reads the table of a subsystem if there is one. */
+static void read_table(struct ws_config_reader *reader, const char *name,
+		       void (*read)(struct ws_config_reader *, struct ws_subsystem_settings *),
+		       struct ws_subsystem_settings *settings)
+{
+	if (ws_toml_table(reader->toml, name))
+		read(reader, settings);
+	else if (ws_toml_has(reader->toml, name))
+		ws_config_fail(reader, name, "must be a table");
+}
+
 bool ws_subsystem_read(const char *path, struct ws_subsystem_settings *settings, char *error,
 		       size_t error_size)
 {
-	static const char *const known[] = {"zones"};
+	static const char *const known[] = {"zones", "coldstart"};
 	struct ws_config_reader reader;
 
 	if (!ws_config_open(&reader, path, error, error_size))
 		return false;
 	ws_config_known_keys(&reader, "", known, sizeof(known) / sizeof(known[0]));
-	if (ws_toml_table(reader.toml, "zones"))
-		read_zones(&reader, settings);
-	else if (ws_toml_has(reader.toml, "zones"))
-		ws_config_fail(&reader, "zones", "must be a table");
+	read_table(&reader, "zones", read_zones, settings);
+	read_table(&reader, "coldstart", read_coldstart, settings);
 	return ws_config_close(&reader);
 }
 
@@ -115,35 +140,55 @@
 	ws_log_write(WS_LOG_INFO, text);
 }
 
+static bool attach_zones(struct ws_core *core, const struct ws_zones_settings *settings,
+			 const struct ws_cluster_limits *limits, char *error, size_t error_size)
+{
+	struct ws_zones_error wrong;
+	struct ws_zones *zones = ws_zones_new(settings, limits, log_line, &wrong);
+
+	if (!zones) {
+		snprintf(error, error_size, "zones.domains: %s%s%s %s", wrong.domain,
+			 wrong.network[0] ? ": " : "", wrong.network,
+			 ws_zones_error_text(wrong.code));
+		return false;
+	}
+	if (core && ws_core_attach(core, &ws_zones_ops, zones))
+		return true;
+	ws_zones_free(zones);
+	return !core;
+}
+
+static bool attach_coldstart(struct ws_core *core, const struct ws_coldstart_settings *settings,
+			     const struct ws_cluster_limits *limits)
+{
+	struct ws_coldstart *coldstart = ws_coldstart_new(settings, limits, log_line);
+
+	if (ws_core_attach(core, &ws_coldstart_ops, coldstart))
+		return true;
+	ws_coldstart_free(coldstart);
+	return false;
+}
+
 bool ws_subsystem_attach(struct ws_core *core, const struct ws_subsystem_settings *settings,
 			 const struct ws_settings *platform, char *error, size_t error_size)
 {
 	const char *names[WS_MAX_ZONES];
-	struct ws_zones_error wrong;
-	struct ws_zones *zones;
 	struct ws_cluster_limits limits = {
 	    .report_s = platform->report_s,
 	    .lease_s = platform->lease_s,
 	    .state_write_rps = platform->state_write_rps,
 	    .value_bytes = (size_t)(platform->value_kb * 1024),
+	    .cancel_s = platform->cancel_s,
 	    .node_zone = platform->zone,
 	    .zones = names,
 	    .zone_count = platform->nzones,
 	};
 
-	if (!settings->zones_on && core)
-		return true;
 	for (size_t i = 0; i < platform->nzones; i++)
 		names[i] = platform->zones[i];
-	zones = ws_zones_new(&settings->zones, &limits, log_line, &wrong);
-	if (!zones) {
-		snprintf(error, error_size, "zones.domains: %s%s%s %s", wrong.domain,
-			 wrong.network[0] ? ": " : "", wrong.network,
-			 ws_zones_error_text(wrong.code));
+	if ((settings->zones_on || !core) &&
+	    !attach_zones(core, &settings->zones, &limits, error, error_size))
 		return false;
-	}
-	if (core && ws_core_attach(core, &ws_zones_ops, zones))
-		return true;
-	ws_zones_free(zones);
-	return !core;
+	return !core || !settings->coldstart_on ||
+	       attach_coldstart(core, &settings->coldstart, &limits);
 }
--- a/src/subsystem_settings.h
+++ b/src/subsystem_settings.h
@@ -2,11 +2,14 @@
 #ifndef WS_SUBSYSTEM_SETTINGS_H
 #define WS_SUBSYSTEM_SETTINGS_H
 #include "core/core.h"
+#include "coldstart/coldstart.h"
 #include "zones/zones.h"
 
 struct ws_subsystem_settings {
 	bool zones_on;
 	struct ws_zones_settings zones;
+	bool coldstart_on;
+	struct ws_coldstart_settings coldstart;
 };
 
 /* All off. */
--- a/src/zones_command.c
+++ b/src/zones_command.c
@@ -10,39 +10,29 @@
 /* A hold that others change at the same moment is tried again so often. */
 #define HOLD_TRIES 3
 
-static const char *text_of(json_t *record, const char *name)
-{
-	const char *text = json_string_value(json_object_get(record, name));
-
-	return text ? text : "?";
-}
-
-static long long count_of(json_t *record, const char *name)
-{
-	return json_integer_value(json_object_get(record, name));
-}
-
 /* ---- showing ---- */
 
 static void print_domain(const char *name, json_t *record)
 {
 	printf("domain %s: %s for %.0f s when written (%s), penalty %.1f%s\n", name,
-	       text_of(record, "state"), json_number_value(json_object_get(record, "for_s")),
-	       text_of(record, "evidence"), json_number_value(json_object_get(record, "penalty")),
+	       ws_state_tool_text(record, "state"),
+	       json_number_value(json_object_get(record, "for_s")),
+	       ws_state_tool_text(record, "evidence"),
+	       json_number_value(json_object_get(record, "penalty")),
 	       json_is_true(json_object_get(record, "held")) ? ", held" : "");
 	printf("  machines: %lld live, %lld silent, %lld of them left a command unanswered, "
 	       "%lld gone\n",
-	       count_of(record, "live"), count_of(record, "silent"), count_of(record, "unanswered"),
-	       count_of(record, "gone"));
+	       ws_state_tool_count(record, "live"), ws_state_tool_count(record, "silent"),
+	       ws_state_tool_count(record, "unanswered"), ws_state_tool_count(record, "gone"));
 }
 
 static void print_progress(json_t *record)
 {
 	printf("plan: %lld tasks; %lld moved or over, %lld called off, %lld may be alive still, "
 	       "%lld wait for room, %lld for their zone\n",
-	       count_of(record, "planned"), count_of(record, "moved"),
-	       count_of(record, "called_off"), count_of(record, "moving"),
-	       count_of(record, "waiting"), count_of(record, "pinned"));
+	       ws_state_tool_count(record, "planned"), ws_state_tool_count(record, "moved"),
+	       ws_state_tool_count(record, "called_off"), ws_state_tool_count(record, "moving"),
+	       ws_state_tool_count(record, "waiting"), ws_state_tool_count(record, "pinned"));
 }
 
 static void print_part(json_t *record)
