--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -42,15 +42,23 @@
 
 struct loopback_job *loopback_submit(const char *job_class, unsigned tasks, bool service,
 				     double run_s);
+/* Its user sends it again, as if it had not been accepted. */
+void loopback_resubmit(struct loopback_job *job);
 /* The workers of a zone, by its index, neither send nor answer anything. */
 void loopback_dark(int zone, bool dark);
 void loopback_kill_node(int node);
 void loopback_start_node(int node);
+void loopback_kill_all(void);
+void loopback_start_all(void);
 /* Tasks that run in a zone now. */
 unsigned loopback_running(int zone);
 /* State on record of a domain; "" without one. */
 const char *loopback_domain(const char *name);
 unsigned loopback_keys(const char *prefix);
+/* A text of a record; "" without one. */
+const char *loopback_record_text(const char *key, const char *field);
+/* The store has never heard of it from now on. */
+void loopback_lose_record(const char *key);
 /* Runs the program beside the controllers with an option, and an argument of it or NULL; what it
  * printed first goes to `line`; its exit status. */
 int loopback_command(const char *option, const char *argument, char *line, unsigned size);
--- /dev/null
+++ b/tests/loopback_parts.h
@@ -0,0 +1,71 @@
+/* What the stand-ins of the loopback cluster share. */
+#ifndef WS_TEST_LOOPBACK_PARTS_H
+#define WS_TEST_LOOPBACK_PARTS_H
+#include "../src/io/http.h"
+#include "loopback.h"
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/types.h>
+
+#define LOOPBACK_TASKS 32
+
+enum loopback_task_state { LOOPBACK_PULLING, LOOPBACK_RUNNING, LOOPBACK_EXITED };
+
+struct loopback_task {
+	char job[32];
+	unsigned number;
+	uint64_t attempt;
+	enum loopback_task_state state;
+	const char *cause;
+	double until;
+};
+
+struct loopback_worker {
+	char name[32];
+	int zone, port, node;
+	struct ws_server *server;
+	struct ws_client *to[LOOPBACK_NODES];
+	uint64_t tenure, counter, epoch, report;
+	double answered_sent, sent_at, next_report;
+	bool waiting, dark;
+	struct loopback_task tasks[LOOPBACK_TASKS];
+	unsigned count;
+};
+
+struct loopback_node {
+	pid_t pid;
+	int port, peer_port;
+	char file[64];
+	struct ws_client *client;
+};
+
+extern const char *const loopback_zones[LOOPBACK_NODES];
+extern struct loopback_worker loopback_workers[LOOPBACK_WORKERS];
+extern struct loopback_node loopback_nodes[LOOPBACK_NODES];
+extern struct loopback_counts loopback_count;
+
+/* Answers a request and drops the body. */
+void loopback_answer(struct ws_server *server, uint64_t token, int status, json_t *body);
+
+/* loopback_state.c: the state service */
+struct ws_server *loopback_state_open(struct ev_loop *loop, const struct ws_server_opts *options);
+void loopback_state_close(void);
+/* Ends holds that were not renewed, answers watches. */
+void loopback_state_step(void);
+/* The value on record; NULL: there is none. */
+json_t *loopback_record(const char *key);
+
+/* loopback_cloud.c: a cloud that has nothing to rent */
+struct ws_server *loopback_cloud_open(struct ev_loop *loop, const struct ws_server_opts *options);
+
+/* loopback_workers.c */
+void loopback_worker_open(struct ev_loop *loop, int i, const struct ws_server_opts *options);
+void loopback_workers_close(void);
+void loopback_workers_step(void);
+
+/* loopback_users.c */
+struct loopback_job *loopback_job_of(const char *id);
+void loopback_users_step(void);
+#endif
--- /dev/null
+++ b/tests/loopback_state.c
@@ -0,0 +1,240 @@
+/* The loopback cluster's state service: records, holds, watches. */
+#include "loopback_parts.h"
+
+#define WATCHES 32
+#define HOLDS 256
+
+static struct ws_server *state;
+static json_t *records, *removed;
+static json_int_t revision = 1;
+static struct {
+	uint64_t token;
+	json_int_t since;
+	double until;
+	char prefix[64];
+} watches[WATCHES];
+static struct {
+	double ttl, until;
+	bool live;
+} holds[HOLDS];
+static unsigned hold_count;
+
+static void record_put(const char *key, json_t *value, json_int_t hold)
+{
+	if (value) {
+		json_object_set_new(
+		    records, key,
+		    json_pack("{s:O,s:I,s:I}", "value", value, "stamp", revision, "hold", hold));
+		json_object_del(removed, key);
+	} else if (!json_object_del(records, key)) {
+		json_object_set_new(removed, key, json_integer(revision));
+	}
+}
+
+static json_t *record_list(const char *prefix, json_int_t since, bool events)
+{
+	json_t *list = json_array(), *record;
+	const char *key;
+
+	json_object_foreach (records, key, record) {
+		json_int_t stamp = json_integer_value(json_object_get(record, "stamp"));
+
+		if (strncmp(key, prefix, strlen(prefix)) != 0 || stamp <= since)
+			continue;
+		json_array_append_new(list, json_pack("{s:s,s:O,s:I}", events ? "write" : "k", key,
+						      "value", json_object_get(record, "value"),
+						      "stamp", stamp));
+	}
+	if (!events)
+		return list;
+	json_object_foreach (removed, key, record)
+		if (!strncmp(key, prefix, strlen(prefix)) && json_integer_value(record) > since)
+			json_array_append_new(
+			    list, json_pack("{s:s,s:O}", "delete", key, "stamp", record));
+	return list;
+}
+
+static void watches_wake(void)
+{
+	for (int i = 0; i < WATCHES; i++) {
+		json_t *news;
+
+		if (!watches[i].token)
+			continue;
+		news = record_list(watches[i].prefix, watches[i].since, true);
+		if (!json_array_size(news) && ws_now() < watches[i].until) {
+			json_decref(news);
+			continue;
+		}
+		loopback_answer(state, watches[i].token, 200,
+				json_pack("{s:I,s:o}", "ledgerRev", revision, "news", news));
+		watches[i].token = 0;
+	}
+}
+
+static void on_watch(uint64_t token, const char *path, const char *prefix)
+{
+	for (int i = 0; i < WATCHES; i++) {
+		if (watches[i].token)
+			continue;
+		watches[i].token = token;
+		watches[i].since = atoll(strstr(path, "since=") + 6);
+		watches[i].until = ws_now() + atof(strstr(path, "holdMs=") + 7) / 1000;
+		snprintf(watches[i].prefix, sizeof(watches[i].prefix), "%s", prefix);
+		watches_wake();
+		return;
+	}
+	loopback_answer(state, token, 503, json_object());
+}
+
+static bool hold_live(json_int_t id)
+{
+	return id > 0 && id <= (json_int_t)hold_count && holds[id - 1].live;
+}
+
+static void on_transaction(uint64_t token, json_t *body)
+{
+	json_t *failed = json_array(), *entry;
+	size_t i;
+
+	json_array_foreach (json_object_get(body, "when"), i, entry) {
+		const char *key = json_string_value(json_object_get(entry, "k"));
+		json_t *record = json_object_get(records, key);
+
+		if (json_integer_value(json_object_get(record, "stamp")) !=
+		    json_integer_value(json_object_get(entry, "stamp")))
+			json_array_append_new(failed, json_string(key));
+	}
+	if (json_array_size(failed)) {
+		loopback_answer(state, token, 409,
+				json_pack("{s:o,s:I}", "failed", failed, "ledgerRev", revision));
+		return;
+	}
+	json_decref(failed);
+	revision++;
+	json_array_foreach (json_object_get(body, "then"), i, entry) {
+		const char *key = json_string_value(json_object_get(entry, "write"));
+
+		if (key)
+			record_put(key, json_object_get(entry, "value"),
+				   json_integer_value(json_object_get(entry, "permit")));
+		else
+			record_put(json_string_value(json_object_get(entry, "delete")), NULL, 0);
+	}
+	loopback_answer(state, token, 200, json_pack("{s:I}", "ledgerRev", revision));
+	watches_wake();
+}
+
+static void hold_end(json_int_t id)
+{
+	json_t *record;
+	const char *key;
+	void *next;
+
+	holds[id - 1].live = false;
+	json_object_foreach_safe(records, next, key, record)
+	{
+		if (json_integer_value(json_object_get(record, "hold")) != id)
+			continue;
+		revision++;
+		record_put(key, NULL, 0);
+	}
+	watches_wake();
+}
+
+static void on_hold(uint64_t token, const char *method, const char *path, json_t *body)
+{
+	json_int_t id = atoll(path + strcspn(path + 1, "/") + 2);
+
+	if (!strcmp(path, "/holds")) {
+		holds[hold_count].ttl = json_number_value(json_object_get(body, "ttlMs")) / 1000;
+		id = ++hold_count % HOLDS;
+		holds[id - 1].live = true;
+	} else if (!hold_live(id)) {
+		loopback_answer(state, token, 404, json_object());
+		return;
+	} else if (!strcmp(method, "DELETE")) {
+		hold_end(id);
+	}
+	holds[id - 1].until = ws_now() + holds[id - 1].ttl;
+	loopback_answer(state, token, 200, json_pack("{s:I}", "permit", id));
+}
+
+static void on_state(void *context, uint64_t token, const char *method, const char *path,
+		     const char *body, size_t length)
+{
+	json_t *request = length ? json_loadb(body, length, 0, NULL) : NULL;
+	char prefix[64] = "";
+
+	(void)context;
+	if (strstr(path, "starts="))
+		sscanf(strstr(path, "starts=") + 7, "%63[^&]", prefix);
+	if (!strncmp(path, "/kv?", 4)) {
+		loopback_answer(state, token, 200,
+				json_pack("{s:o,s:b,s:I}", "entries", record_list(prefix, 0, false),
+					  "hasNext", 0, "ledgerRev", revision));
+	} else if (!strncmp(path, "/kv/", 4)) {
+		json_t *record = json_object_get(records, path + 4);
+
+		loopback_answer(state, token, record ? 200 : 404,
+				record ? json_pack("{s:s,s:O,s:O}", "k", path + 4, "value",
+						   json_object_get(record, "value"), "stamp",
+						   json_object_get(record, "stamp"))
+				       : json_pack("{s:I}", "ledgerRev", revision));
+	} else if (!strncmp(path, "/watch", 6)) {
+		on_watch(token, path, prefix);
+	} else if (!strcmp(path, "/multi")) {
+		on_transaction(token, request);
+	} else {
+		on_hold(token, method, path, request);
+	}
+	json_decref(request);
+}
+
+struct ws_server *loopback_state_open(struct ev_loop *loop, const struct ws_server_opts *options)
+{
+	char error[200];
+
+	records = json_object();
+	removed = json_object();
+	state = ws_server_new(loop, "127.0.0.1", 0, options, on_state, NULL, error, sizeof(error));
+	return state;
+}
+
+void loopback_state_close(void)
+{
+	ws_server_free(state);
+	json_decref(records);
+	json_decref(removed);
+}
+
+void loopback_state_step(void)
+{
+	for (unsigned i = 0; i < hold_count; i++)
+		if (holds[i].live && ws_now() > holds[i].until)
+			hold_end((json_int_t)i + 1);
+	watches_wake();
+}
+
+json_t *loopback_record(const char *key)
+{
+	return json_object_get(json_object_get(records, key), "value");
+}
+
+unsigned loopback_keys(const char *prefix)
+{
+	const char *key;
+	json_t *record;
+	unsigned n = 0;
+
+	json_object_foreach (records, key, record)
+		n += !strncmp(key, prefix, strlen(prefix));
+	return n;
+}
+
+void loopback_lose_record(const char *key)
+{
+	revision++;
+	record_put(key, NULL, 0);
+	watches_wake();
+}
