--- /dev/null
+++ b/tests/coldstart_test.c
@@ -0,0 +1,222 @@
+/*
+ * The coldstart package by itself: its settings are refused by name, the rule that tells a cold
+ * start has its bounds where the note says, its records read back; and the core merges what several
+ * subsystems ask of one job.
+ */
+#include "../src/coldstart/internal.h"
+#include "../src/core/internal.h"
+#include "../src/subsystem_settings.h"
+#include "check.h"
+#include <unistd.h>
+
+#define LEASE_S 16.0
+
+static const struct ws_settings platform = {.zone = "a",
+					    .zones = {"a", "b"},
+					    .nzones = 2,
+					    .report_s = 2,
+					    .lease_s = LEASE_S,
+					    .cancel_s = 46,
+					    .value_kb = 4,
+					    .txn_ops = 12,
+					    .state_write_rps = 50};
+
+/* ---- settings ---- */
+
+static bool read_text(const char *text, struct ws_subsystem_settings *settings, char *error,
+		      size_t size)
+{
+	char file[] = "/tmp/waystep-coldstart-XXXXXX";
+	FILE *f = fdopen(mkstemp(file), "w");
+	bool ok;
+
+	fputs(text, f);
+	fclose(f);
+	error[0] = 0;
+	ws_subsystem_defaults(settings);
+	ok = ws_subsystem_read(file, settings, error, size);
+	unlink(file);
+	return ok;
+}
+
+struct refusal {
+	const char *text, *names; /* what the message must name */
+};
+
+static const struct refusal refusals[] = {
+    {"coldstart = 1\n", "coldstart"},
+    {"[coldstart]\n", "coldstart.enabled"},
+    {"[coldstart]\nenabled = 'yes'\n", "coldstart.enabled"},
+    {"[coldstart]\nenabled = true\nkeep = 2\n", "coldstart.keep"},
+    {"[coldstart]\nenabled = true\nkeep_s = -1\n", "coldstart.keep_s"},
+    {"[coldstart]\nenabled = true\nheard_share = 0.4\n", "coldstart.heard_share"},
+    {"[coldstart]\nenabled = true\nheard_share = 1.1\n", "coldstart.heard_share"},
+};
+
+static void check_settings(void)
+{
+	struct ws_subsystem_settings settings;
+	char error[512], what[128];
+
+	for (size_t i = 0; i < sizeof(refusals) / sizeof(refusals[0]); i++) {
+		bool ok = read_text(refusals[i].text, &settings, error, sizeof(error));
+
+		snprintf(what, sizeof(what), "refused, naming %s", refusals[i].names);
+		check(what, !ok && strstr(error, refusals[i].names));
+		ws_subsystem_free(&settings);
+	}
+	check("off without its table",
+	      read_text("", &settings, error, sizeof(error)) && !settings.coldstart_on);
+	ws_subsystem_free(&settings);
+	check("all is read",
+	      read_text("[coldstart]\nenabled = true\nkeep_s = 9.0\nheard_share = 1.0\n", &settings,
+			error, sizeof(error)) &&
+		  settings.coldstart_on && settings.coldstart.keep_s == 9 &&
+		  settings.coldstart.heard_share == 1);
+	ws_subsystem_free(&settings);
+}
+
+/* ---- the rule ---- */
+
+static struct ws_coldstart *package(void)
+{
+	struct ws_coldstart_settings settings;
+	const struct ws_cluster_limits limits = {.report_s = 2,
+						 .lease_s = LEASE_S,
+						 .cancel_s = 46,
+						 .state_write_rps = 50,
+						 .value_bytes = 4096};
+
+	ws_coldstart_defaults(&settings);
+	return ws_coldstart_new(&settings, &limits, NULL);
+}
+
+/* The phase of a leader that has no proof of another for so long, with a phase on record. */
+static enum ws_coldstart_phase phase_after(double unproven_s, const char *recorded,
+					   uint64_t recorded_term, uint64_t proven_term)
+{
+	struct ws_coldstart *coldstart = package();
+	const struct ws_election_facts facts = {.now = 100,
+						.term = 50,
+						.unproven_s = unproven_s,
+						.proven_term = proven_term,
+						.leases_out = 117};
+	enum ws_coldstart_phase phase;
+
+	ws_coldstart_ops.elected(coldstart, &facts);
+	if (recorded) {
+		json_t *value =
+		    json_pack("{s:i,s:s,s:I,s:I}", "v", 1, "phase", recorded, "term",
+			      (json_int_t)recorded_term, "began", (json_int_t)recorded_term);
+
+		ws_coldstart_ops.record_loaded(coldstart, "phase", value);
+		json_decref(value);
+	}
+	ws_coldstart_ops.records_loaded(coldstart, 100);
+	phase = coldstart->phase;
+	ws_coldstart_free(coldstart);
+	return phase;
+}
+
+static void check_rule(void)
+{
+	check("a proof younger than half a lease is warm",
+	      phase_after(0.49 * LEASE_S, NULL, 0, 40) == WS_COLDSTART_NONE);
+	check("an older one is cold",
+	      phase_after(0.5 * LEASE_S, NULL, 0, 40) == WS_COLDSTART_OBSERVING);
+	check("none is cold", phase_after(INFINITY, NULL, 0, 0) == WS_COLDSTART_OBSERVING);
+	check("a warm leader goes on with the phase of the one before it",
+	      phase_after(1, "recovering", 40, 40) == WS_COLDSTART_OBSERVING);
+	check("but not where another led in between",
+	      phase_after(1, "observing", 40, 45) == WS_COLDSTART_ENDED);
+	check("nor with one that is ended", phase_after(1, "ended", 40, 40) == WS_COLDSTART_NONE);
+	check("a cold one goes on with any that is open",
+	      phase_after(INFINITY, "observing", 40, 0) == WS_COLDSTART_OBSERVING);
+}
+
+/* ---- records ---- */
+
+static void check_records(void)
+{
+	struct ws_coldstart *coldstart = package();
+	const struct ws_election_facts facts = {
+	    .now = 100, .term = 50, .unproven_s = INFINITY, .leases_out = 117};
+	const struct ws_finding finding = {
+	    .kind = WS_FINDING_UNKNOWN_JOB, .machine = "m", .job = "job-000001"};
+	json_t *value;
+
+	ws_coldstart_ops.elected(coldstart, &facts);
+	value = json_pack("{s:i,s:f,s:s}", "v", 1, "kept_s", 30.0, "machine", "m");
+	ws_coldstart_ops.record_loaded(coldstart, "kept/job-000001", value);
+	json_decref(value);
+	ws_coldstart_ops.records_loaded(coldstart, 100);
+	check("an unknown job is kept", ws_coldstart_ops.attempt_found(coldstart, 101, &finding));
+	value = ws_coldstart_kept_record(coldstart->kept, 111);
+	check("and for how long it was kept before counts",
+	      fabs(json_number_value(json_object_get(value, "kept_s")) - 41) < 1e-6);
+	json_decref(value);
+	value = ws_coldstart_account_record(coldstart, 110);
+	check("the account counts it",
+	      json_integer_value(
+		  json_object_get(json_object_get(value, "findings"), "unknown_job")) == 1);
+	json_decref(value);
+	coldstart->limits.value_bytes = 100;
+	value = ws_coldstart_account_record(coldstart, 110);
+	check("one that is too large goes without its zones",
+	      !json_object_get(value, "zones") && json_object_get(value, "findings"));
+	json_decref(value);
+	ws_coldstart_free(coldstart);
+}
+
+/* ---- moves of several subsystems ---- */
+
+struct mover {
+	struct ws_move move;
+};
+
+static void mover_tick(void *self, const struct ws_tick_facts *facts, struct ws_request_queue *out)
+{
+	(void)facts;
+	ws_request_move(out, &((struct mover *)self)->move);
+}
+
+static const struct ws_subsystem_ops mover_ops = {.prefix = "mover/", .tick = mover_tick};
+
+static void check_moves(void)
+{
+	static const struct ws_spec spec = {.id = "job-000001", .team = "t", .tasks = 1, .cpus = 1};
+	struct mover first = {.move = {.job = "job-000001", .position = 3, .room_ahead = 2}};
+	struct mover second = {
+	    .move = {.job = "job-000001", .position = 5, .room_ahead = 1, .replicas_apart = true}};
+	struct ws_policy policy;
+	struct ws_core *core;
+	const struct ws_job *job;
+	json_t *record = ws_record_spec(&spec, WS_QUEUED, 0);
+
+	ws_policy_defaults(&policy);
+	core = ws_core_new(&platform, &policy, NULL, 0, 1);
+	ws_core_attach(core, &mover_ops, &first);
+	ws_core_attach(core, &mover_ops, &second);
+	ws_job_event(core, "job-000001", record, 1);
+	json_decref(record);
+	job = ws_job_find(core, "job-000001");
+	ws_subsystems_tick(core);
+	check("of two places the smaller one counts",
+	      job->move_position == 3 && job->room_ahead == 2 && job->replicas_apart);
+	first.move = (struct ws_move){.job = "job-000001"};
+	core->now += 1;
+	ws_subsystems_tick(core);
+	check("and the other one when that is given up",
+	      job->move_position == 5 && job->room_ahead == 1 && job->replicas_apart);
+	ws_core_free(core);
+}
+
+int main(void)
+{
+	check_settings();
+	check_rule();
+	check_records();
+	check_moves();
+	printf("%d passed, %d failed\n", good, bad);
+	return bad != 0;
+}
--- /dev/null
+++ b/tests/random_coldstart.c
@@ -0,0 +1,89 @@
+/*
+ * Scenarios drawn at random: all controllers stop, once or several times, and return together or
+ * one by one; machines lose power, zones are late, the state service is out or slow, late messages
+ * come, and the store may lose records. No order may start anew what is alive, and in the end every
+ * job is answered for.
+ */
+#include "random_parts.h"
+
+static double draw_span(void)
+{
+	static const int spans[] = {1, 4, 8, 12, 15, 17, 25, 40, 50, 70};
+
+	return spans[random_draw(10)] + random_draw(10) / 10.0;
+}
+
+static void draw_return(double at, double span)
+{
+	if (random_chance(30))
+		random_event(at, "crash-in-turn first=%.1f every=%u", span, 1 + random_draw(30));
+	else if (random_chance(10))
+		for (unsigned n = 0; n < 3; n++)
+			random_event(at, "freeze %u for=%.1f", n, span + random_draw(4));
+	else
+		random_event(at, "crash all for=%.1f", span);
+}
+
+/* What else fails with the site. */
+static void draw_company(double at, double span, unsigned zones)
+{
+	if (random_chance(30))
+		random_event(at, "power-loss share=0.%u for=%u", 2 + random_draw(8),
+			     3 + random_draw(60));
+	if (random_chance(25))
+		random_event(at, "dark %c for=%u", 'a' + (int)random_draw(zones),
+			     5 + random_draw(50));
+	if (random_chance(20))
+		random_event(at, "state-outage for=%.1f", span + random_draw(10));
+	if (random_chance(15))
+		random_event(at + span, "slow-state 0.%u for=10", 1 + random_draw(8));
+	if (random_chance(15))
+		random_event(at + span, "refuse %u for=%u", random_draw(3), 3 + random_draw(20));
+	if (random_chance(15))
+		random_event(at + span, "cloud-outage for=20");
+	if (random_chance(20))
+		random_event(at - 6, "copies %u for=8 for-next", 10 + random_draw(30));
+	if (random_chance(15))
+		random_event(at - 1, "late orders times=3 by=%u", 5 + random_draw(25));
+	if (random_chance(15))
+		random_event(at - 3, "late-writes 0.5 for=4 most=15");
+	if (random_chance(15))
+		random_event(at + span, "crash-on txn %sskip=%u for=3",
+			     random_chance(50) ? "after " : "", random_draw(6));
+	if (random_chance(25))
+		random_event(at + span + random_draw(8), "crash leader for=%u",
+			     2 + random_draw(20));
+}
+
+static void draw_stop(unsigned jobs, unsigned zones)
+{
+	double at = 25 + random_draw(100), span = draw_span();
+
+	draw_return(at, span);
+	draw_company(at, span, zones);
+	if (random_chance(40))
+		random_event(at - random_draw(2), "abort job-%06u", 1 + random_draw(jobs));
+}
+
+static void generate(void)
+{
+	unsigned zones = 2 + random_draw(3), jobs, stops;
+
+	random_line("subsystem coldstart %s", random_chance(30) ? "share=1" : "");
+	if (random_chance(50))
+		random_line("subsystem zones");
+	if (random_chance(30))
+		random_line("nodes 5");
+	random_cluster(zones);
+	jobs = 4 + random_draw(10);
+	for (unsigned i = 1; i <= jobs; i++)
+		random_job(i, zones);
+	stops = 1 + random_draw(3);
+	for (unsigned i = 0; i < stops; i++)
+		draw_stop(jobs, zones);
+}
+
+int main(int argc, char **argv)
+{
+	return random_main(argc, argv, generate);
+}
--- /dev/null
+++ b/tests/random_parts.c
@@ -0,0 +1,146 @@
+#include "random_parts.h"
+#include <stdarg.h>
+
+#define EVENTS_MAX 128
+#define PLAYED_S 420
+
+static uint64_t state;
+static struct sim *sim;
+static char error[512];
+
+unsigned random_draw(unsigned below)
+{
+	state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (unsigned)((state >> 33) % below);
+}
+
+bool random_chance(unsigned percent)
+{
+	return random_draw(100) < percent;
+}
+
+void random_line(const char *format, ...)
+{
+	char text[300];
+	va_list arguments;
+
+	va_start(arguments, format);
+	vsnprintf(text, sizeof(text), format, arguments);
+	va_end(arguments);
+	if (sim_verbose)
+		fprintf(stderr, "%s\n", text);
+	if (!error[0])
+		sim_line(sim, text, error, sizeof(error));
+}
+
+struct event {
+	double at;
+	char text[120];
+};
+static struct event events[EVENTS_MAX];
+static size_t event_count;
+
+void random_event(double at, const char *format, ...)
+{
+	struct event *e = &events[event_count++];
+	va_list arguments;
+
+	e->at = at;
+	va_start(arguments, format);
+	vsnprintf(e->text, sizeof(e->text), format, arguments);
+	va_end(arguments);
+}
+
+static int by_time(const void *a, const void *b)
+{
+	const struct event *x = a, *y = b;
+
+	return (x->at > y->at) - (x->at < y->at);
+}
+
+void random_cluster(unsigned zones)
+{
+	bool long_lease = random_chance(50);
+
+	random_line("seed %u", random_draw(1000000));
+	random_line("lease %d", long_lease ? 45 : 16);
+	random_line("report %d", long_lease ? 3 : 2);
+	random_line("cancel %d", long_lease ? 75 : 46);
+	for (unsigned z = 0; z < zones; z++)
+		random_line("zone %c", 'a' + (int)z);
+	random_line("type std 16 128 1.0 %d %s", random_chance(50) ? 10 : 30,
+		    zones == 2	 ? "a b"
+		    : zones == 3 ? "a b c"
+				 : "a b c d");
+	for (unsigned z = 0; z < zones; z++)
+		random_line("owned std %c %u", 'a' + (int)z, 1 + random_draw(4));
+	random_line("capacity 30");
+	if (random_chance(30))
+		random_line("network rack 10.1.0.0/30");
+	random_line("team t %d 240", random_chance(50) ? 40 : 200);
+}
+
+void random_job(unsigned number, unsigned zones)
+{
+	static const char *const tiers[] = {"urgent", "normal", "best"};
+	double at = 5 + random_draw(80);
+	char where[32] = "";
+
+	if (random_chance(10))
+		snprintf(where, sizeof(where), " zone=%c", 'a' + (int)random_draw(zones));
+	else if (random_chance(20))
+		snprintf(where, sizeof(where), " one-zone");
+	if (random_chance(20))
+		random_event(
+		    at, "submit job-%06u class=portal service tasks=%u cpus=2 tier=production%s",
+		    number, 1 + random_draw(4), random_chance(60) ? " spread" : "");
+	else if (random_chance(20))
+		random_event(
+		    at,
+		    "submit job-%06u class=gang gang tasks=%u cpus=4 run=%u checkpoint=5 save=1%s",
+		    number, 2 + random_draw(4), 5 + random_draw(25), where);
+	else
+		random_event(at, "submit job-%06u class=accrual tasks=%u cpus=4 run=%u tier=%s%s",
+			     number, 1 + random_draw(6), 5 + random_draw(55), tiers[random_draw(3)],
+			     where);
+	if (random_chance(20))
+		random_event(at + 1 + random_draw(60), "abort job-%06u", number);
+}
+
+static bool play(unsigned seed, void (*generate)(void))
+{
+	bool ok;
+
+	state = seed * 2654435761ULL + 1;
+	event_count = 0;
+	error[0] = 0;
+	sim = sim_new();
+	generate();
+	qsort(events, event_count, sizeof(*events), by_time);
+	for (size_t i = 0; i < event_count; i++)
+		random_line("at %.2f %s", events[i].at, events[i].text);
+	random_line("at %d expect leader", PLAYED_S);
+	random_line("at %d expect all-answered 75", PLAYED_S);
+	ok = !error[0] && sim_play(sim, error, sizeof(error));
+	if (!ok)
+		printf("FAIL seed %u: %s\n", seed, error);
+	sim_free(sim);
+	return ok;
+}
+
+int random_main(int argc, char **argv, void (*generate)(void))
+{
+	unsigned good = 0, bad = 0;
+	int at = 1;
+
+	if (argc > 1 && !strcmp(argv[1], "-v")) {
+		sim_verbose = true;
+		at = 2;
+	}
+	if (argc != at + 2)
+		return 2;
+	for (unsigned i = 0; i < (unsigned)atoi(argv[at + 1]); i++)
+		play((unsigned)atoi(argv[at]) + i, generate) ? good++ : bad++;
+	printf("%u passed, %u failed\n", good, bad);
+	return bad != 0;
+}
