--- a/src/coldstart/coldstart.c
+++ b/src/coldstart/coldstart.c
@@ -227,7 +227,7 @@
 	case WS_ORDER_FIRST_START:
 		return coldstart->doubted && now < coldstart->leases_out &&
 		       ws_coldstart_unheard(coldstart) > 0;
-	case WS_ORDER_RESTART: return ws_coldstart_active(coldstart);
+	case WS_ORDER_SECOND_REPLICA: return ws_coldstart_active(coldstart);
 	case WS_ORDER_KINDS: break;
 	}
 	return false;
--- a/src/coldstart/recovery.c
+++ b/src/coldstart/recovery.c
@@ -26,7 +26,7 @@
 	}
 	lost->attempts++;
 	lost->fresh = true;
-	lost->ordered = false; /* the core holds it until it is told */
+	lost->ordered = false;
 	coldstart->lost_new = true;
 	coldstart->counts_changed = true;
 }
--- a/src/core/hooks.h
+++ b/src/core/hooks.h
@@ -91,8 +91,11 @@
 	WS_ORDER_RETURN_SILENT, /* of a rental of the zone that is silent */
 	WS_ORDER_RETURN_EMPTY,	/* of a rental of the zone that is empty */
 	WS_ORDER_FIRST_START,	/* of a job of which nothing was ever started; in any zone */
-	/* of a job that lost recorded attempts, until a move of it was asked for; in any zone */
-	WS_ORDER_RESTART,
+	/*
+	 * Of a second replica of a service that lost recorded attempts, before other services of
+	 * its rank have a first one; until a move of the service is asked for. In any zone.
+	 */
+	WS_ORDER_SECOND_REPLICA,
 	WS_ORDER_KINDS,
 };
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -92,7 +92,7 @@
 	uint32_t move_position; /* of these: the smallest; see struct ws_move */
 	uint32_t room_ahead;	/* the largest */
 	bool replicas_apart;	/* whether any asked for it */
-	bool restart_unordered; /* it lost recorded attempts, and no move was asked for since */
+	bool lost_attempts;	/* that were on record, and no move was asked for since */
 	bool place_later;	/* the rest of its replicas come in the second round */
 	uint32_t room_reserved; /* of the room ahead, in the pass under way */
 	uint32_t place_most;	/* tasks to be placed in this round of a pass; 0: all */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -1131,6 +1131,13 @@
 			j->room_reserved = 1 - ws_room_reserve(p, j, ws_zones_ahead(c, j), 1);
 }
 
+/* Whether a service's first replica goes before other replicas of its rank. */
+static bool ws_replicas_apart(const struct ws_core *c, const struct ws_job *j)
+{
+	return j->replicas_apart || (j->spec.service && j->lost_attempts &&
+				     ws_subsystems_hold(c, WS_ORDER_SECOND_REPLICA, -1));
+}
+
 /*
  * Places what waits, in order. Of a service with its replicas apart the first is placed in its
  * turn, the others after all else of the same rank.
@@ -1144,9 +1151,9 @@
 			struct ws_job *j = jobs[to];
 
 			j->waiting_before = j->waiting;
-			j->place_later = j->replicas_apart;
-			j->place_most = j->replicas_apart;
-			if (!j->replicas_apart || !ws_has_replica(p->c, j))
+			j->place_later = ws_replicas_apart(p->c, j);
+			j->place_most = j->place_later;
+			if (!j->place_later || !ws_has_replica(p->c, j))
 				ws_place_job(p, j);
 			j->place_most = 0;
 		}
@@ -1233,11 +1240,9 @@
 	return (struct ws_job **)(p->ending + c->norder);
 }
 
-/* Whether a subsystem holds first starts, or restarts, and the job's are such. */
-static bool ws_start_held(const struct ws_core *c, const struct ws_job *j)
+/* Whether a subsystem holds first starts, and the job's are such. */
+static bool ws_first_start_held(const struct ws_core *c, const struct ws_job *j)
 {
-	if (j->restart_unordered && ws_subsystems_hold(c, WS_ORDER_RESTART, -1))
-		return true;
 	return ws_subsystems_hold(c, WS_ORDER_FIRST_START, -1) && j->phase == WS_QUEUED &&
 	       !j->attempt_count && !j->ndone;
 }
@@ -1254,7 +1259,7 @@
 		p->lowest = ws_rank(j);
 	j->aged = j->waiting && ws_aged(c, j);
 	j->takes_avoided = ws_takes_avoided(c, j);
-	if (ws_start_held(c, j))
+	if (ws_first_start_held(c, j))
 		return false;
 	if (j->waiting)
 		p->least = fmin(p->least, j->spec.cpus);
--- a/src/core/reconcile.c
+++ b/src/core/reconcile.c
@@ -23,7 +23,7 @@
 		return;
 	s->loaded = false;
 	if (s->job && ws_finding_loses(kind))
-		s->job->restart_unordered = true;
+		s->job->lost_attempts = true;
 	ws_subsystems_found(c, s, kind);
 }
 
--- a/src/core/subsystems.c
+++ b/src/core/subsystems.c
@@ -568,7 +568,7 @@
 	    .replicas_apart = request->move.replicas_apart,
 	};
 	ws_job_moves_merge(j);
-	j->restart_unordered = false;
+	j->lost_attempts = false;
 	c->subsystems.moves = true;
 	c->place_wanted = true;
 }
