--- a/src/coldstart/internal.h
+++ b/src/coldstart/internal.h
@@ -63,6 +63,7 @@
 	size_t waiting;
 	uint32_t position; /* as last asked of the core; 0: its ordinary turn */
 	bool replicas_apart;
+	struct ws_coldstart_lost *next_recovered;
 	UT_hash_handle hh;
 };
 
--- a/src/coldstart/kept.c
+++ b/src/coldstart/kept.c
@@ -41,10 +41,11 @@
 
 void ws_coldstart_kept_free(struct ws_coldstart *coldstart)
 {
-	struct ws_coldstart_kept *kept, *next;
+	struct ws_coldstart_kept *kept = coldstart->kept, *next;
 
-	HASH_ITER (hh, coldstart->kept, kept, next) {
-		HASH_DEL(coldstart->kept, kept);
+	HASH_CLEAR(hh, coldstart->kept);
+	for (; kept; kept = next) {
+		next = kept->hh.next;
 		free(kept);
 	}
 }
--- a/src/coldstart/observation.c
+++ b/src/coldstart/observation.c
@@ -21,10 +21,11 @@
 
 void ws_coldstart_zones_free(struct ws_coldstart *coldstart)
 {
-	struct ws_coldstart_zone *zone, *next;
+	struct ws_coldstart_zone *zone = coldstart->zones, *next;
 
-	HASH_ITER (hh, coldstart->zones, zone, next) {
-		HASH_DEL(coldstart->zones, zone);
+	HASH_CLEAR(hh, coldstart->zones);
+	for (; zone; zone = next) {
+		next = zone->hh.next;
 		free(zone);
 	}
 }
--- a/src/coldstart/recovery.c
+++ b/src/coldstart/recovery.c
@@ -33,10 +33,11 @@
 
 void ws_coldstart_lost_free(struct ws_coldstart *coldstart)
 {
-	struct ws_coldstart_lost *lost, *next;
+	struct ws_coldstart_lost *lost = coldstart->lost, *next;
 
-	HASH_ITER (hh, coldstart->lost, lost, next) {
-		HASH_DEL(coldstart->lost, lost);
+	HASH_CLEAR(hh, coldstart->lost);
+	for (; lost; lost = next) {
+		next = lost->hh.next;
 		free(lost);
 	}
 }
@@ -115,39 +116,65 @@
 	return share < WINDOW_MIN ? WINDOW_MIN : (uint32_t)share;
 }
 
-/* By the last survey: what waits gets its place, what does not is done with. */
-static void moves_give(struct ws_coldstart *coldstart, struct ws_request_queue *out)
+/* Runs again or is over, as far as the last survey tells. */
+static bool lost_recovered(const struct ws_coldstart_lost *lost)
 {
-	struct ws_coldstart_lost *lost, *next;
-	uint32_t position = 0;
+	return !lost->fresh && !(lost->surveyed && lost->waiting);
+}
+
+/* Takes jobs that are recovered off the list, as one linked by `next_recovered`. */
+static struct ws_coldstart_lost *lost_take_recovered(struct ws_coldstart *coldstart)
+{
+	struct ws_coldstart_lost *lost, *next, *recovered = NULL;
 
 	HASH_ITER (hh, coldstart->lost, lost, next) {
 		coldstart->steps++;
-		if (lost->fresh)
+		if (!lost_recovered(lost))
 			continue;
-		if (lost->surveyed && lost->waiting) {
-			bool within = position < window(coldstart);
+		HASH_DEL(coldstart->lost, lost);
+		lost->next_recovered = recovered;
+		recovered = lost;
+	}
+	return recovered;
+}
 
-			position += within;
-			move_ask(lost, within ? position : 0, within && lost->first_replica, out);
-			lost->surveyed = false;
-			continue;
-		}
-		/* it runs again, or is over */
+/* What runs again, or is over, is done with. */
+static void recovered_finish(struct ws_coldstart *coldstart, struct ws_request_queue *out)
+{
+	struct ws_coldstart_lost *lost = lost_take_recovered(coldstart), *next;
+
+	for (; lost; lost = next) {
+		next = lost->next_recovered;
 		coldstart->counts.recovered_jobs++;
 		coldstart->counts_changed = true;
 		move_ask(lost, 0, false, out);
-		HASH_DEL(coldstart->lost, lost);
 		free(lost);
 	}
 }
 
+/* What waits gets its place, by the last survey. */
+static void places_give(struct ws_coldstart *coldstart, struct ws_request_queue *out)
+{
+	uint32_t position = 0;
+
+	for (struct ws_coldstart_lost *lost = coldstart->lost; lost; lost = lost->hh.next) {
+		bool within = position < window(coldstart);
+
+		if (lost->fresh || lost_recovered(lost))
+			continue;
+		position += within;
+		move_ask(lost, within ? position : 0, within && lost->first_replica, out);
+	}
+}
+
 void ws_coldstart_recovery_tick(struct ws_coldstart *coldstart, double now,
 				struct ws_request_queue *out)
 {
 	if (coldstart->survey_done) {
 		coldstart->survey_done = false;
-		moves_give(coldstart, out);
+		places_give(coldstart, out);
+		recovered_finish(coldstart, out);
+		return;
 	}
 	if (!coldstart->lost ||
 	    now < coldstart->surveyed_at +
@@ -155,6 +182,8 @@
 		return;
 	coldstart->surveyed_at = now;
 	coldstart->lost_new = false;
+	for (struct ws_coldstart_lost *lost = coldstart->lost; lost; lost = lost->hh.next)
+		lost->surveyed = false;
 	ws_request_survey(out);
 }
 
--- a/src/core/followers.c
+++ b/src/core/followers.c
@@ -6,6 +6,7 @@
 	double at;
 	uint64_t stamp; /* of the leader it was sent to */
 	uint32_t seen;
+	struct ws_redirect *next_expired;
 	UT_hash_handle hh;
 };
 
@@ -55,26 +56,41 @@
 	snprintf(a->name, sizeof(a->name), "%s", c->leader);
 }
 
+/* Takes redirects that are a lease old off the table, as a list linked by `next_expired`. */
+static struct ws_redirect *ws_redirects_expired(struct ws_core *c)
+{
+	struct ws_redirect *d, *next, *expired = NULL;
+
+	HASH_ITER (hh, c->redirects, d, next) {
+		if (c->now - d->at <= c->set->lease_s)
+			continue;
+		HASH_DEL(c->redirects, d);
+		d->next_expired = expired;
+		expired = d;
+	}
+	return expired;
+}
+
 void ws_redirects_tick(struct ws_core *c)
 {
-	struct ws_redirect *d, *t;
+	struct ws_redirect *d, *next;
 
 	if (c->now < c->redirects_next)
 		return;
 	c->redirects_next = c->now + c->set->lease_s / 4;
-	HASH_ITER (hh, c->redirects, d, t)
-		if (c->now - d->at > c->set->lease_s) {
-			HASH_DEL(c->redirects, d);
-			free(d);
-		}
+	for (d = ws_redirects_expired(c); d; d = next) {
+		next = d->next_expired;
+		free(d);
+	}
 }
 
 void ws_redirects_free(struct ws_core *c)
 {
-	struct ws_redirect *d, *t;
+	struct ws_redirect *d = c->redirects, *next;
 
-	HASH_ITER (hh, c->redirects, d, t) {
-		HASH_DEL(c->redirects, d);
+	HASH_CLEAR(hh, c->redirects);
+	for (; d; d = next) {
+		next = d->hh.next;
 		free(d);
 	}
 }
--- a/src/core/polls.c
+++ b/src/core/polls.c
@@ -155,10 +155,13 @@
 
 static void ws_seen_clear(struct ws_core *c)
 {
-	struct ws_seen *s, *t;
+	struct ws_seen *s = c->seen, *next;
 
-	HASH_ITER (hh, c->seen, s, t)
-		ws_seen_drop(c, s);
+	HASH_CLEAR(hh, c->seen);
+	for (; s; s = next) {
+		next = s->hh.next;
+		free(s);
+	}
 	c->seen_ready = false;
 	c->seen_rev = 0;
 }
@@ -324,16 +327,17 @@
 
 void ws_polls_free(struct ws_core *c)
 {
-	struct ws_poll *p, *n;
-	struct ws_final *f, *fn;
+	struct ws_poll *p, *next_poll;
+	struct ws_final *f = c->finals, *next_final;
 
 	ws_seen_clear(c);
-	DL_FOREACH_SAFE (c->polls, p, n) {
+	DL_FOREACH_SAFE (c->polls, p, next_poll) {
 		DL_DELETE(c->polls, p);
 		free(p);
 	}
-	HASH_ITER (hh, c->finals, f, fn) {
-		HASH_DEL(c->finals, f);
+	HASH_CLEAR(hh, c->finals);
+	for (; f; f = next_final) {
+		next_final = f->hh.next;
 		free(f);
 	}
 }
--- a/src/core/reconcile.c
+++ b/src/core/reconcile.c
@@ -133,10 +133,11 @@
 
 void ws_kept_clear(struct ws_core *c)
 {
-	struct ws_kept_job *kept, *next;
+	struct ws_kept_job *kept = c->kept_jobs, *next;
 
-	HASH_ITER (hh, c->kept_jobs, kept, next) {
-		HASH_DEL(c->kept_jobs, kept);
+	HASH_CLEAR(hh, c->kept_jobs);
+	for (; kept; kept = next) {
+		next = kept->hh.next;
 		free(kept);
 	}
 }
--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -124,14 +124,25 @@
 	ev_timer_start(loop, &ticker);
 }
 
-void loopback_abandon(void)
+static void on_signal(struct ev_loop *l, ev_signal *watcher, int events)
 {
-	for (int n = 0; n < LOOPBACK_NODES; n++) {
-		if (loopback_nodes[n].pid > 0)
-			kill(loopback_nodes[n].pid, SIGKILL);
-		if (loopback_nodes[n].file[0])
-			unlink(loopback_nodes[n].file);
-	}
+	(void)l;
+	(void)watcher;
+	(void)events;
+	loopback_kill_all();
+	for (int n = 0; n < LOOPBACK_NODES; n++)
+		unlink(loopback_nodes[n].file);
+	exit(130);
+}
+
+void loopback_leave_on_signals(void)
+{
+	static ev_signal interrupt, terminate;
+
+	ev_signal_init(&interrupt, on_signal, SIGINT);
+	ev_signal_start(loop, &interrupt);
+	ev_signal_init(&terminate, on_signal, SIGTERM);
+	ev_signal_start(loop, &terminate);
 }
 
 void loopback_stop(void)
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -35,8 +35,8 @@
 /* Starts the stand-ins and the controllers, with a file of switches; NULL: none. */
 void loopback_start(const char *program, const char *subsystems);
 void loopback_stop(void);
-/* Ends the controllers at once and removes their files; may be called by a signal handler. */
-void loopback_abandon(void);
+/* SIGINT and SIGTERM end the controllers, remove their files, and end this process. */
+void loopback_leave_on_signals(void);
 /* Lets everything go on for so long. */
 void loopback_run(double seconds);
 /* Goes on until a condition holds, at most so long; whether it does. */
--- a/tests/try.c
+++ b/tests/try.c
@@ -4,10 +4,8 @@
  * tools/try. Exit status 0 only if nothing healthy was started again: try WAYSTEP SUBSYSTEMS.
  */
 #include "loopback.h"
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
 #define ARRAYS 3
 #define TASKS 2
@@ -16,13 +14,6 @@
 #define RUN_S 20.0
 #define DOWN_S 2.0
 
-static void interrupted(int signal)
-{
-	(void)signal;
-	loopback_abandon();
-	_exit(130);
-}
-
 static unsigned running(void)
 {
 	return loopback_running(0) + loopback_running(1) + loopback_running(2);
@@ -105,6 +96,7 @@
 {
 	printf("Three controllers, six workers in three zones, all on this machine's loopback.\n");
 	loopback_start(waystep, subsystems);
+	loopback_leave_on_signals();
 	loopback_submit("portal", REPLICAS, true, 0);
 	for (int i = 0; i < ARRAYS; i++)
 		loopback_submit("accrual", TASKS, false, RUN_S);
@@ -151,8 +143,6 @@
 	if (argc != 3)
 		return 2;
 	setvbuf(stdout, NULL, _IOLBF, 0);
-	signal(SIGINT, interrupted);
-	signal(SIGTERM, interrupted);
 	good = begin(argv[1], argv[2]) && cold_start();
 	if (good)
 		good = loopback_until(all_done, 2 * RUN_S);
--- a/tools/cppcheck_macros.h
+++ b/tools/cppcheck_macros.h
@@ -9,3 +9,5 @@
 #define DL_FOREACH_SAFE2(head, el, tmp, next) for ((el) = (head), (tmp) = (el); (el); (el) = (tmp))
 #define json_array_foreach(array, i, v) \
 	for ((i) = 0; (i) < json_array_size(array) && ((v) = json_array_get(array, i)); (i)++)
+#define json_object_foreach(object, key, v) \
+	for ((key) = json_object_iter_key(json_object_iter(object)); (key) && ((v) = json_object_get(object, key)); (key) = 0)
