--- a/tests/coldstart_loopback_test.c
+++ b/tests/coldstart_loopback_test.c
@@ -49,17 +49,6 @@
 	return loopback_keys("coldstart/kept/") == 0;
 }
 
-static bool all_done(void)
-{
-	unsigned count;
-	const struct loopback_job *jobs = loopback_jobs(&count);
-
-	for (unsigned i = 0; i < count; i++)
-		if (!jobs[i].service && !jobs[i].done)
-			return false;
-	return true;
-}
-
 static void stop_all(double seconds)
 {
 	before = *loopback_counts();
@@ -169,7 +158,7 @@
 	within_lease();
 	record_lost(job);
 	beyond_lease();
-	check("all is done", loopback_until(all_done, 2 * RUN_S));
+	check("all is done", loopback_until(loopback_all_done, 2 * RUN_S));
 	check_answers();
 	loopback_stop();
 	printf("%d passed, %d failed\n", good, bad);
--- a/tests/coldstart_test.c
+++ b/tests/coldstart_test.c
@@ -7,7 +7,7 @@
 #include "../src/core/internal.h"
 #include "../src/subsystem_settings.h"
 #include "check.h"
-#include <unistd.h>
+#include "subsystem_text.h"
 
 #define LEASE_S 16.0
 
@@ -23,22 +23,6 @@
 
 /* ---- settings ---- */
 
-static bool read_text(const char *text, struct ws_subsystem_settings *settings, char *error,
-		      size_t size)
-{
-	char file[] = "/tmp/waystep-coldstart-XXXXXX";
-	FILE *f = fdopen(mkstemp(file), "w");
-	bool ok;
-
-	fputs(text, f);
-	fclose(f);
-	error[0] = 0;
-	ws_subsystem_defaults(settings);
-	ok = ws_subsystem_read(file, settings, error, size);
-	unlink(file);
-	return ok;
-}
-
 struct refusal {
 	const char *text, *names; /* what the message must name */
 };
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -70,4 +70,6 @@
 int loopback_command(const char *option, const char *argument, char *line, unsigned size);
 const struct loopback_counts *loopback_counts(void);
 struct loopback_job *loopback_jobs(unsigned *count);
+/* Every job that ends was told done. */
+bool loopback_all_done(void);
 #endif
--- a/tests/loopback_users.c
+++ b/tests/loopback_users.c
@@ -95,3 +95,11 @@
 	*count = job_count;
 	return jobs;
 }
+
+bool loopback_all_done(void)
+{
+	for (unsigned i = 0; i < job_count; i++)
+		if (!jobs[i].service && !jobs[i].done)
+			return false;
+	return true;
+}
--- a/tests/try.c
+++ b/tests/try.c
@@ -24,17 +24,6 @@
 	return running() == ALL;
 }
 
-static bool all_done(void)
-{
-	unsigned count;
-	const struct loopback_job *jobs = loopback_jobs(&count);
-
-	for (unsigned i = 0; i < count; i++)
-		if (!jobs[i].service && !jobs[i].done)
-			return false;
-	return true;
-}
-
 static long long began; /* the term that began the cold start before */
 
 /* Tells the phase of the cold start each time it changes; whether it has ended. */
@@ -145,7 +134,7 @@
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	good = begin(argv[1], argv[2]) && cold_start();
 	if (good)
-		good = loopback_until(all_done, 2 * RUN_S);
+		good = loopback_until(loopback_all_done, 2 * RUN_S);
 	printf("How the jobs ended:\n");
 	tell_ends();
 	good = good && !loopback_counts()->twice;
--- a/tests/zones_loopback_test.c
+++ b/tests/zones_loopback_test.c
@@ -36,17 +36,6 @@
 	return loopback_running(0) == 0 && all_run();
 }
 
-static bool all_done(void)
-{
-	unsigned count;
-	const struct loopback_job *jobs = loopback_jobs(&count);
-
-	for (unsigned i = 0; i < count; i++)
-		if (!jobs[i].service && !jobs[i].done)
-			return false;
-	return true;
-}
-
 static void check_answers(void)
 {
 	unsigned count, back = 0, unknown = 0;
@@ -107,7 +96,7 @@
 	loopback_submit("late", 2, false, 1);
 	loopback_run(2);
 	check("and is not used yet", loopback_running(0) == 0);
-	check("all is done", loopback_until(all_done, 4 * RUN_S));
+	check("all is done", loopback_until(loopback_all_done, 4 * RUN_S));
 	check("zone a is healthy again", loopback_until(a_is_healthy, 4 * LOOPBACK_LEASE_S));
 	check_answers();
 	check("nothing ran twice", loopback_counts()->twice == 0);
--- a/tests/zones_test.c
+++ b/tests/zones_test.c
@@ -5,23 +5,7 @@
 #include "../src/subsystem_settings.h"
 #include "../src/zones/internal.h"
 #include "check.h"
-#include <unistd.h>
-
-static bool read_text(const char *text, struct ws_subsystem_settings *settings, char *error,
-		      size_t size)
-{
-	char file[] = "/tmp/waystep-zones-XXXXXX";
-	FILE *f = fdopen(mkstemp(file), "w");
-	bool ok;
-
-	fputs(text, f);
-	fclose(f);
-	error[0] = 0;
-	ws_subsystem_defaults(settings);
-	ok = ws_subsystem_read(file, settings, error, size);
-	unlink(file);
-	return ok;
-}
+#include "subsystem_text.h"
 
 static const struct ws_settings platform = {
     .zone = "a", .zones = {"a", "b"}, .nzones = 2, .report_s = 2, .lease_s = 16};
