--- a/tests/loopback_state.c
+++ b/tests/loopback_state.c
@@ -1,5 +1,6 @@
 /* The loopback cluster's state service: records, holds, watches. */
 #include "loopback_parts.h"
+#include "../src/core/core.h"
 
 #define WATCHES 32
 #define HOLDS 256
@@ -21,13 +22,16 @@
 
 static void record_put(const char *key, json_t *value, json_int_t hold)
 {
+	char name[WS_KEY_MAX]; /* the key may be the record's own, which goes with it */
+
+	snprintf(name, sizeof(name), "%s", key);
 	if (value) {
 		json_object_set_new(
-		    records, key,
+		    records, name,
 		    json_pack("{s:O,s:I,s:I}", "value", value, "stamp", revision, "hold", hold));
-		json_object_del(removed, key);
-	} else if (!json_object_del(records, key)) {
-		json_object_set_new(removed, key, json_integer(revision));
+		json_object_del(removed, name);
+	} else if (!json_object_del(records, name)) {
+		json_object_set_new(removed, name, json_integer(revision));
 	}
 }
 
