--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -321,7 +321,8 @@
 	uint64_t epoch;
 	uint64_t attempt_seq;
 	uint64_t rental_seq;
-	size_t loading;
+	size_t loading;	   /* which of the core's own records are read */
+	size_t loads_open; /* listings under way: the core's own, and one of each subsystem */
 	uint64_t load_rev;
 	bool job_watch;
 	uint64_t watch_rev;
--- a/src/core/loading.c
+++ b/src/core/loading.c
@@ -12,15 +12,9 @@
 	call->urgent = true;
 }
 
+/* The core's own records are read in this order, those of subsystems beside them. */
 static const char *const ws_load_order[] = {"owned", "rental/", "fleet/", "job/", "more/"};
-
-/* The prefix read as the i-th; NULL behind the last. Those of subsystems come at the end. */
-static const char *ws_load_prefix(const struct ws_core *c, size_t i)
-{
-	const size_t own = sizeof(ws_load_order) / sizeof(ws_load_order[0]);
-
-	return i < own ? ws_load_order[i] : ws_subsystems_prefix(c, i - own);
-}
+#define WS_LOAD_OWN (sizeof(ws_load_order) / sizeof(ws_load_order[0]))
 
 void ws_load(struct ws_core *c)
 {
@@ -28,7 +22,12 @@
 	ws_subsystems_elected(c);
 	c->load_rev = 0;
 	c->view_at = c->now;
-	ws_load_from(c, ws_load_prefix(c, 0), "");
+	c->loads_open = 1;
+	ws_load_from(c, ws_load_order[0], "");
+	for (size_t i = 0; ws_subsystems_prefix(c, i); i++) {
+		c->loads_open++;
+		ws_load_from(c, ws_subsystems_prefix(c, i), "");
+	}
 }
 
 static void ws_loaded(struct ws_core *c)
@@ -174,10 +173,19 @@
 	}
 }
 
-static void ws_load_page(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+/* All records under a prefix are read: the next of the core's own, or one listing less is open. */
+static void ws_load_next(struct ws_core *c, const char *prefix)
 {
-	const char *prefix;
+	bool own = c->loading < WS_LOAD_OWN && !strcmp(prefix, ws_load_order[c->loading]);
 
+	if (own && ++c->loading < WS_LOAD_OWN)
+		ws_load_from(c, ws_load_order[c->loading], "");
+	else if (!--c->loads_open)
+		ws_loaded(c);
+}
+
+static void ws_load_page(struct ws_core *c, struct ws_call *call, const struct ws_result *r)
+{
 	if (call->generation != c->generation || c->role != WS_LOADING)
 		return;
 	if (r->status != 200) {
@@ -198,11 +206,7 @@
 		ws_load_from(c, call->key, r->kvs[r->nkvs - 1].key);
 		return;
 	}
-	prefix = ws_load_prefix(c, ++c->loading);
-	if (prefix)
-		ws_load_from(c, prefix, "");
-	else
-		ws_loaded(c);
+	ws_load_next(c, call->key);
 }
 
 /*
