Every release of an attempt is logged with its evidence

Cause: a team was over its limit 0.2 s after an election, and the log could not tell whether an earlier leader, or the new one, had let go of an attempt, and on what word of its worker. Change: ws_attempt_release() takes the evidence (never sent, exit reported, not reported, later incarnation, lease expired, machine gone) and logs it at debug, with the incarnation, sequence and token of the machine's newest message. What is released, and when, is as before.

--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -89,7 +89,7 @@
 		if (attempt->reported ||
 		    (attempt->maybe_sent && attempt->stopping && !machine->commands.late_token &&
 		     !machine->commands.in_flight))
-			ws_attempt_release(core, attempt);
+			ws_attempt_release(core, attempt, WS_RELEASE_NOT_REPORTED);
 	}
 }
 
@@ -106,7 +106,7 @@
 		next_attempt = attempt->machine_next;
 		if (attempt->incarnation < heartbeat->incarnation) {
 			ws_attempt_reconcile(core, attempt, WS_RECONCILED_LEASE_LOST);
-			ws_attempt_release(core, attempt);
+			ws_attempt_release(core, attempt, WS_RELEASE_LATER_INCARNATION);
 		}
 	}
 	machine->sequence = heartbeat->sequence;
--- a/src/core/fleet/machine_leases.c
+++ b/src/core/fleet/machine_leases.c
@@ -68,13 +68,14 @@
 
 /* Releases all attempts on a machine that is gone, or whose lease has expired. */
 static void ws_machine_release_attempts(struct ws_core *core, struct ws_machine *machine,
-					enum ws_reconciliation_result result)
+					enum ws_reconciliation_result result,
+					enum ws_release_evidence evidence)
 {
 	for (struct ws_attempt *attempt = machine->attempts, *next_attempt; attempt;
 	     attempt = next_attempt) {
 		next_attempt = attempt->machine_next;
 		ws_attempt_reconcile(core, attempt, result);
-		ws_attempt_release(core, attempt);
+		ws_attempt_release(core, attempt, evidence);
 	}
 }
 
@@ -83,7 +84,8 @@
 	ws_log(core, WS_LOG_INFO, "lease expired machine=%s", machine->name);
 	machine->lease.least_incarnation = machine->incarnation + 1;
 	ws_subsystems_lost(core, machine, WS_LOSS_LEASE);
-	ws_machine_release_attempts(core, machine, WS_RECONCILED_LEASE_EXPIRED);
+	ws_machine_release_attempts(core, machine, WS_RECONCILED_LEASE_EXPIRED,
+				    WS_RELEASE_LEASE_EXPIRED);
 }
 
 void ws_machine_mark_failed(struct ws_core *core, struct ws_machine *machine)
@@ -91,7 +93,8 @@
 	machine->failed = true;
 	ws_subsystems_lost(core, machine, WS_LOSS_FAILED);
 	ws_log(core, WS_LOG_INFO, "instance failed machine=%s", machine->name);
-	ws_machine_release_attempts(core, machine, WS_RECONCILED_MACHINE_GONE);
+	ws_machine_release_attempts(core, machine, WS_RECONCILED_MACHINE_GONE,
+				    WS_RELEASE_MACHINE_GONE);
 }
 
 void ws_machine_mark_gone(struct ws_core *core, struct ws_machine *machine, const char *reason)
@@ -104,7 +107,8 @@
 	ws_tombstone_set(&core->fleet.returned_machines, machine->name,
 			 core->now + core->settings->lease_s +
 			     RETURNED_LIST_LAGS * core->settings->list_lag_s);
-	ws_machine_release_attempts(core, machine, WS_RECONCILED_MACHINE_GONE);
+	ws_machine_release_attempts(core, machine, WS_RECONCILED_MACHINE_GONE,
+				    WS_RELEASE_MACHINE_GONE);
 	ws_core_instance_gone(core);
 	if (machine->shard >= 0)
 		ws_shard_mark_dirty(core, machine->shard);
--- a/src/core/fleet/quarantine.c
+++ b/src/core/fleet/quarantine.c
@@ -24,7 +24,9 @@
 {
 	ws_quarantine_drop(core, attempt);
 	if (attempt->task_state == WS_TASK_EXITED) {
-		ws_attempt_release(core, attempt); /* its machine may forget the result */
+		ws_attempt_release(
+		    core, attempt,
+		    WS_RELEASE_EXIT_REPORTED); /* its machine may forget the result */
 		return;
 	}
 	ws_attempt_stop(core, attempt, grace_s, reason);
@@ -149,7 +151,7 @@
 	DL_FOREACH_SAFE2 (job->attempts, attempt, next, job_next) {
 		if (attempt->task_state == WS_TASK_EXITED) {
 			ws_job_task_done(core, job, attempt->task);
-			ws_attempt_release(core, attempt);
+			ws_attempt_release(core, attempt, WS_RELEASE_EXIT_REPORTED);
 		} else if (gang_is_whole) {
 			ws_quarantine_adopt(core, attempt);
 		} else if (job->spec.gang) {
--- a/src/core/fleet/task_reports.c
+++ b/src/core/fleet/task_reports.c
@@ -119,7 +119,7 @@
 			job->gang.ended_attempt = attempt->number;
 		break;
 	}
-	ws_attempt_release(core, attempt);
+	ws_attempt_release(core, attempt, WS_RELEASE_EXIT_REPORTED);
 }
 
 /* The live attempt on a machine that a status is of; NULL: none. */
--- a/src/core/jobs/attempts.c
+++ b/src/core/jobs/attempts.c
@@ -115,13 +115,34 @@
 	free(attempt);
 }
 
-void ws_attempt_release(struct ws_core *core, struct ws_attempt *attempt)
+const char *ws_release_evidence_text(enum ws_release_evidence evidence)
+{
+	static const char *const texts[WS_RELEASE_EVIDENCE_KINDS] = {
+	    [WS_RELEASE_NEVER_SENT] = "never_sent",
+	    [WS_RELEASE_EXIT_REPORTED] = "exit_reported",
+	    [WS_RELEASE_NOT_REPORTED] = "not_reported",
+	    [WS_RELEASE_LATER_INCARNATION] = "later_incarnation",
+	    [WS_RELEASE_LEASE_EXPIRED] = "lease_expired",
+	    [WS_RELEASE_MACHINE_GONE] = "machine_gone",
+	};
+
+	return texts[evidence];
+}
+
+void ws_attempt_release(struct ws_core *core, struct ws_attempt *attempt,
+			enum ws_release_evidence evidence)
 {
 	struct ws_machine *machine = attempt->machine;
 	struct ws_job *job = attempt->job;
 
 	if (attempt->state == WS_ATTEMPT_GONE)
 		return;
+	ws_log(core, WS_LOG_DEBUG,
+	       "attempt released machine=%s job=%s task=%u attempt=%llu evidence=%s "
+	       "incarnation=%llu sequence=%llu echoed_token=%llu",
+	       machine->name, attempt->job_id, attempt->task, (unsigned long long)attempt->number,
+	       ws_release_evidence_text(evidence), (unsigned long long)machine->incarnation,
+	       (unsigned long long)machine->sequence, (unsigned long long)machine->echoed_token);
 	ws_quarantine_drop(core, attempt);
 	ws_attempt_count(core, attempt, -1);
 	if (!machine->attempt_count)
@@ -189,5 +210,5 @@
 	ws_attempt_mark_stopping(attempt);
 	attempt->grace_s = grace_s;
 	if (!attempt->maybe_sent && !attempt->reported)
-		ws_attempt_release(core, attempt);
+		ws_attempt_release(core, attempt, WS_RELEASE_NEVER_SENT);
 }
--- a/src/core/jobs/job_records.c
+++ b/src/core/jobs/job_records.c
@@ -105,7 +105,7 @@
 
 	DL_FOREACH_SAFE2 (job->attempts, attempt, next, job_next)
 		if (attempt->state == WS_ATTEMPT_PLANNED)
-			ws_attempt_release(core, attempt);
+			ws_attempt_release(core, attempt, WS_RELEASE_NEVER_SENT);
 	ws_log(core, WS_LOG_INFO, "job record full job=%s", job->spec.id);
 }
 
--- a/src/core/jobs/jobs.h
+++ b/src/core/jobs/jobs.h
@@ -139,6 +139,17 @@
 	WS_STOP_REASONS,
 };
 
+/* Why an attempt is surely gone, or never was on a machine. */
+enum ws_release_evidence {
+	WS_RELEASE_NEVER_SENT,	      /* no command to run it has left this node */
+	WS_RELEASE_EXIT_REPORTED,     /* its worker reported that it exited */
+	WS_RELEASE_NOT_REPORTED,      /* its worker does not report it, and nothing may start it */
+	WS_RELEASE_LATER_INCARNATION, /* its machine lost its lease and began anew */
+	WS_RELEASE_LEASE_EXPIRED,     /* its machine's lease has expired on any clock */
+	WS_RELEASE_MACHINE_GONE,      /* the cloud says that its machine is gone or failed */
+	WS_RELEASE_EVIDENCE_KINDS,
+};
+
 /* One try to run a task on one machine. */
 struct ws_attempt {
 	struct ws_machine *machine;
@@ -249,7 +260,10 @@
 const char *ws_stop_reason_text(enum ws_stop_reason reason);
 /* An attempt is surely gone: it ceases to count, and its task may be placed again. Frees it unless
  * its job's record may name it. */
-void ws_attempt_release(struct ws_core *core, struct ws_attempt *attempt);
+void ws_attempt_release(struct ws_core *core, struct ws_attempt *attempt,
+			enum ws_release_evidence evidence);
+/* Evidence of a release as log lines have it. */
+const char *ws_release_evidence_text(enum ws_release_evidence evidence);
 /* Takes an attempt, which no longer counts, off its lists and frees it. */
 void ws_attempt_free(struct ws_attempt *attempt);
 
