--- a/tests/random_parts.c
+++ b/tests/random_parts.c
@@ -5,7 +5,7 @@
 #include "random_parts.h"
 #include <stdarg.h>
 
-#define EVENTS_MAX 128
+#define EVENTS_MAX 256
 #define PLAYED_S 420
 
 static uint64_t state;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -147,6 +147,7 @@
 	sim->store_was_down = sim->now < sim->store_down_until;
 	sim_workers_deliver_delayed_heartbeats(sim);
 	sim_calls_deliver_late_commands(sim);
+	sim_slow_answers_deliver(sim);
 	sim_nodes_step(sim);
 	for (int i = 0; i < sim->worker_count; i++)
 		sim_worker_step(sim, &sim->workers[i]);
--- a/tests/sim_actions.c
+++ b/tests/sim_actions.c
@@ -354,6 +354,14 @@
 	sim->slow_commands_s = atof(action->name);
 }
 
+/* slow-answers SECONDS [for=S] [share=X]: to heartbeats; direct commands overtake them */
+static void run_slow_answers(struct sim *sim, const struct sim_action *action)
+{
+	sim->slow_answers_by_s = atof(action->name);
+	sim->slow_answers_until = sim->now + action->span;
+	sim->slow_answers_share = sim_option(action->text, "share", 1);
+}
+
 /* copies MAX_S [for=S] [share=X] [for-next]: of heartbeats */
 static void run_copies(struct sim *sim, const struct sim_action *action)
 {
@@ -402,6 +410,7 @@
     {"once-returned", run_once_returned},
     {"refuse", run_refuse},
     {"resign", run_resign},
+    {"slow-answers", run_slow_answers},
     {"slow-orders", run_slow_orders},
     {"slow-state", run_slow_state},
     {"state-outage", run_state_outage},
--- a/tests/sim_checks.c
+++ b/tests/sim_checks.c
@@ -101,6 +101,7 @@
 	if (job->told_cancelled_at > 0 && sim->now > job->told_cancelled_at + sim->cancel_s)
 		sim_fail(sim, "ran_cancelled: %s/%u starts on %s", task->job, task->task,
 			 worker->name);
+	sim_check_quota(sim); /* now: what is over within a moment would be missed later */
 	sim->starts++;
 	sim_domains_started(sim, job, task->task);
 	sim_cold_start_started(sim, job, task->task);
@@ -119,6 +120,27 @@
 			used[i] += job->spec.cpus;
 }
 
+/* What a team runs, for the log of a play that failed. */
+static void log_running(const struct sim *sim, const char *team)
+{
+	char text[256];
+
+	for (int i = 0; i < sim->worker_count; i++)
+		for (int k = 0; k < sim->workers[i].task_count; k++) {
+			const struct sim_task *task = &sim->workers[i].tasks[k];
+			const struct sim_job *job = sim_job_of((struct sim *)sim, task->job);
+
+			if (!job || !is_there(&sim->workers[i]) || !sim_on_machine(task) ||
+			    strcmp(job->spec.team, team) != 0)
+				continue;
+			snprintf(text, sizeof(text),
+				 "running machine=%s job=%s task=%u attempt=%llu",
+				 sim->workers[i].name, task->job, task->task,
+				 (unsigned long long)task->attempt);
+			sim_log(WS_LOG_ERROR, text);
+		}
+}
+
 void sim_check_quota(struct sim *sim)
 {
 	double used[sizeof(sim->teams) / sizeof(sim->teams[0])] = {0};
@@ -134,6 +156,8 @@
 		}
 	}
 	for (int i = 0; i < sim->team_count; i++)
-		if (used[i] > sim->teams[i].cpus_max + CPU_TOLERANCE)
+		if (used[i] > sim->teams[i].cpus_max + CPU_TOLERANCE) {
+			log_running(sim, sim->teams[i].name);
 			sim_fail(sim, "quota: %s uses %.1f", sim->teams[i].name, used[i]);
+		}
 }
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -199,6 +199,13 @@
 	struct sim_delayed_heartbeat *next;
 };
 
+/* A leader's answer to a heartbeat that is still on its way to the worker. */
+struct sim_slow_answer {
+	double due_at;
+	struct ws_effect answer; /* owns its commands */
+	struct sim_slow_answer *next;
+};
+
 /* A scale-out request that the cloud has granted, by its idempotency key. */
 struct sim_scale_out {
 	char key[WS_NAME_MAX];
@@ -288,6 +295,7 @@
 	struct sim_call_in_flight *calls_in_flight; /* by time */
 	struct sim_late_command *late_commands;
 	struct sim_delayed_heartbeat *delayed_heartbeats;
+	struct sim_slow_answer *slow_answers;
 	uint64_t last_request_id;
 
 	/* faults of the store */
@@ -307,7 +315,9 @@
 	int lost_scale_outs, lost_commands; /* so many answers are lost */
 	int late_command_count;		    /* so many are executed late */
 	double late_commands_by_s;
-	double slow_commands_s;			   /* executed at once and answered so much later */
+	double slow_commands_s; /* executed at once and answered so much later */
+	double slow_answers_until, slow_answers_by_s; /* answers to heartbeats come later */
+	double slow_answers_share;		      /* that share of them */
 	double duplicates_until, duplicates_max_s; /* heartbeats come once more, later by so much */
 	double duplicates_share;
 	bool duplicates_for_next_leader; /* not by the clock, but when a new leader begins */
--- a/tests/sim_workers.c
+++ b/tests/sim_workers.c
@@ -264,6 +264,12 @@
 }
 
 void sim_worker_answer(struct sim *sim, const struct ws_effect *effect)
+{
+	if (!sim_slow_answer_add(sim, effect))
+		sim_worker_take_answer(sim, effect);
+}
+
+void sim_worker_take_answer(struct sim *sim, const struct ws_effect *effect)
 {
 	struct sim_worker *worker = &sim->workers[effect->request_id & (SIM_WORKERS - 1)];
 
@@ -341,6 +347,7 @@
 
 void sim_workers_free(struct sim *sim)
 {
+	sim_slow_answers_free(sim);
 	while (sim->delayed_heartbeats) {
 		struct sim_delayed_heartbeat *delayed = sim->delayed_heartbeats;
 
--- a/tests/sim_workers.h
+++ b/tests/sim_workers.h
@@ -17,8 +17,10 @@
 				   uint64_t fencing_token, uint64_t incarnation,
 				   const struct ws_command *commands, size_t count,
 				   struct ws_heartbeat *heartbeat);
-/* A node's answer to its heartbeat. */
+/* A node's answer to its heartbeat, which may be slow on its way. */
 void sim_worker_answer(struct sim *sim, const struct ws_effect *effect);
+/* An answer has arrived: the worker takes it unless it no longer waits for it. */
+void sim_worker_take_answer(struct sim *sim, const struct ws_effect *effect);
 /* Whether node and machine can't reach each other now. */
 bool sim_is_partitioned(const struct sim *sim, const struct sim_worker *worker,
 			const struct sim_node *node);
@@ -27,6 +29,12 @@
 void sim_workers_deliver_delayed_heartbeats(struct sim *sim);
 void sim_workers_free(struct sim *sim);
 
+/* Whether an answer is slow; if so, it is taken over and arrives later. sim_slow_answers.c */
+bool sim_slow_answer_add(struct sim *sim, const struct ws_effect *answer);
+/* Slow answers that are due arrive. */
+void sim_slow_answers_deliver(struct sim *sim);
+void sim_slow_answers_free(struct sim *sim);
+
 /* Takes commands one after another. sim_worker_tasks.c */
 void sim_worker_take_commands(struct sim *sim, struct sim_worker *worker,
 			      const struct ws_command *commands, size_t count);
