Quota: what may be alive of unknown teams is reserved whole, and until it is gone

Cause: an attempt whose job, and so team, is unknown counts for every team with "the rest of its machine": its size less all that the leader counts there. Attempts on record that the machine's heartbeat does not name were taken off as well, though they may not have begun. Class: knowledge that is stale (a copy) beside knowledge that is fresh (the records), added up as if both were of one moment; and use that ends with a decision instead of with evidence. Change: the rest is the machine less what the same heartbeat named, never below zero; an attempt of an unknown team counts until its job is known or it is gone.

--- a/src/core/fleet/fleet.h
+++ b/src/core/fleet/fleet.h
@@ -58,6 +58,7 @@
 struct ws_machine_quarantine {
 	uint32_t count;
 	uint32_t running;
+	uint32_t of_unknown_team; /* also those that were quarantined, see struct ws_attempt */
 };
 
 /* The return of a rented machine to the cloud. */
--- a/src/core/fleet/quarantine.c
+++ b/src/core/fleet/quarantine.c
@@ -13,6 +13,7 @@
 	if (attempt->task_state == WS_TASK_EXITED)
 		return;
 	attempt->machine->quarantine.running--;
+	ws_unknown_team_settled(core, attempt);
 	attempt->task_state = WS_TASK_EXITED;
 	attempt->exit_reason = WS_EXIT_DONE;
 	ws_core_request_pass(core); /* its machine may take tasks again */
@@ -135,6 +136,7 @@
 static void ws_quarantine_join_job(struct ws_core *core, struct ws_job *job,
 				   struct ws_attempt *attempt)
 {
+	ws_unknown_team_settled(core, attempt);
 	ws_attempt_count(core, attempt, -1);
 	attempt->job = job;
 	DL_APPEND2(job->attempts, attempt, job_prev, job_next);
@@ -196,17 +198,24 @@
 		}
 }
 
-/* Whether a quarantined attempt whose job, so its team, is unknown runs on a machine. */
-static bool ws_machine_runs_unknown_job(const struct ws_machine *machine)
+/*
+ * What attempts of unknown teams on a machine may use at the most: the machine less what is surely
+ * beside them. That is what the same heartbeat named, not all that counts here: attempts on record
+ * that a heartbeat does not name may not have begun, and with an old copy of one they may be too
+ * many for the machine, which once made this negative and raised the limit of every team.
+ */
+static void ws_machine_add_reserve(const struct ws_machine *machine, double *cpus, double *gpus)
 {
+	double free_cpus = machine->type->cpus, free_gpus = machine->type->gpus;
 	const struct ws_attempt *attempt;
 
-	if (!machine->quarantine.running)
-		return false;
 	for (attempt = machine->attempts; attempt; attempt = attempt->machine_next)
-		if (attempt->quarantined && !attempt->job && attempt->task_state != WS_TASK_EXITED)
-			return true;
-	return false;
+		if (attempt->job && attempt->reported && attempt->state != WS_ATTEMPT_GONE) {
+			free_cpus -= attempt->job->spec.cpus;
+			free_gpus -= attempt->job->spec.gpus;
+		}
+	*cpus += fmax(0, free_cpus);
+	*gpus += fmax(0, free_gpus);
 }
 
 void ws_quarantine_reserved(struct ws_core *core, double *cpus, double *gpus)
@@ -214,12 +223,9 @@
 	struct ws_machine *machine, *next;
 
 	*cpus = *gpus = 0;
-	if (!core->jobs.quarantined)
+	if (!core->jobs.attempts_of_unknown_teams)
 		return;
-	HASH_ITER (hh, core->fleet.machines, machine, next) {
-		if (!machine->type || !ws_machine_runs_unknown_job(machine))
-			continue;
-		*cpus += machine->type->cpus - machine->used_cpus;
-		*gpus += machine->type->gpus - machine->used_gpus;
-	}
+	HASH_ITER (hh, core->fleet.machines, machine, next)
+		if (machine->type && machine->quarantine.of_unknown_team)
+			ws_machine_add_reserve(machine, cpus, gpus);
 }
--- a/src/core/jobs/attempts.c
+++ b/src/core/jobs/attempts.c
@@ -144,6 +144,7 @@
 	       ws_release_evidence_text(evidence), (unsigned long long)machine->incarnation,
 	       (unsigned long long)machine->sequence, (unsigned long long)machine->echoed_token);
 	ws_quarantine_drop(core, attempt);
+	ws_unknown_team_settled(core, attempt);
 	ws_attempt_count(core, attempt, -1);
 	if (!machine->attempt_count)
 		machine->empty_since = core->now;
--- a/src/core/jobs/jobs.h
+++ b/src/core/jobs/jobs.h
@@ -164,6 +164,7 @@
 	bool write_in_flight;	      /* is in the record being written */
 	bool unrecorded;	      /* reported, and no record names it */
 	bool quarantined;	      /* unrecorded, and neither stopped nor reaped */
+	bool of_unknown_team;	      /* was quarantined, may be alive, and its job is unknown */
 	bool awaiting_reconciliation; /* on record at the election, no result yet */
 
 	/* what was decided and sent */
@@ -204,6 +205,7 @@
 	struct ws_job *dirty; /* to be written, in the order in which they became so */
 	struct ws_team teams[WS_MAX_TEAMS];
 	struct ws_quarantined_job *quarantined;
+	uint32_t attempts_of_unknown_teams;
 	struct ws_tombstone *archived; /* by this leader: the job watch may still bring them */
 	struct ws_tombstone *orphaned_continuations; /* continuation records without a job */
 	uint64_t attempt_sequence; /* of the newest attempt number of this leader */
@@ -275,6 +277,9 @@
 void ws_quarantine_add(struct ws_core *core, struct ws_attempt *attempt);
 /* An attempt is not, or no longer, quarantined: adopted, to be stopped, or gone. */
 void ws_quarantine_drop(struct ws_core *core, struct ws_attempt *attempt);
+/* The team of an attempt is known, or the attempt is gone: it no longer counts for all teams. One
+ * whose quarantine has ended counts until then, since it may take long to save and stop. */
+void ws_unknown_team_settled(struct ws_core *core, struct ws_attempt *attempt);
 /* Forgets which jobs have quarantined attempts, at step-down. */
 void ws_quarantine_clear(struct ws_core *core);
 
--- a/src/core/jobs/quarantined_jobs.c
+++ b/src/core/jobs/quarantined_jobs.c
@@ -1,6 +1,7 @@
 /*
- * Which attempts are quarantined: their count by job and by machine. What happens to them is
- * decided in fleet/quarantine.c.
+ * Which attempts are quarantined: their count by job and by machine; and which of these, while
+ * their job and so their team is unknown, may still be alive. What happens to them is decided in
+ * fleet/quarantine.c.
  */
 #include "../core_state.h"
 
@@ -31,12 +32,30 @@
 	return ws_quarantined_job_find(core, job_id) != NULL;
 }
 
+/* An attempt begins (1) or ceases (-1) to count for all teams. */
+static void ws_unknown_team_count(struct ws_core *core, struct ws_attempt *attempt, int sign)
+{
+	attempt->of_unknown_team = sign > 0;
+	attempt->machine->quarantine.of_unknown_team += (uint32_t)sign;
+	core->jobs.attempts_of_unknown_teams += (uint32_t)sign;
+}
+
+void ws_unknown_team_settled(struct ws_core *core, struct ws_attempt *attempt)
+{
+	if (attempt->of_unknown_team)
+		ws_unknown_team_count(core, attempt, -1);
+}
+
 void ws_quarantine_add(struct ws_core *core, struct ws_attempt *attempt)
 {
 	ws_quarantined_job_find_or_add(core, attempt->job_id)->count++;
 	attempt->quarantined = true;
 	attempt->machine->quarantine.count++;
-	attempt->machine->quarantine.running += attempt->task_state != WS_TASK_EXITED;
+	if (attempt->task_state == WS_TASK_EXITED)
+		return;
+	attempt->machine->quarantine.running++;
+	if (!attempt->job)
+		ws_unknown_team_count(core, attempt, 1);
 }
 
 void ws_quarantine_drop(struct ws_core *core, struct ws_attempt *attempt)
@@ -59,6 +78,7 @@
 {
 	struct ws_quarantined_job *quarantined_job = core->jobs.quarantined, *next;
 
+	core->jobs.attempts_of_unknown_teams = 0;
 	HASH_CLEAR(hh, core->jobs.quarantined);
 	for (; quarantined_job; quarantined_job = next) {
 		next = quarantined_job->hh.next;
