Fleet: a start on its way in the answer to a heartbeat may still arrive

Cause: an attempt that is to stop, was told to run and is not reported is released if no command may still start it. Direct commands without an answer were counted as such, answers to heartbeats were not. A direct command can overtake them (a busy follower holds the answer up to 3 s): the machine answers that it has no such task, the task's room is given to others, and then the answer arrives and starts it. The team is over its limit, and a task that is placed anew runs twice. Class: a check in one path (direct commands) and not in another (answers to heartbeats). Change: an answer that starts tasks counts as one that may still arrive until the worker's next heartbeat, which it sends only when it waits no more, or until it echoes a higher token. Both checks, release and reap, now ask the same function.

--- a/src/core/fleet/commands.c
+++ b/src/core/fleet/commands.c
@@ -2,7 +2,8 @@
  * Commands to workers: in the answers to their heartbeats, and in direct calls to their addresses.
  *
  * A direct call without an answer may still arrive later. Until the worker echoes a higher fencing
- * token, which makes it refuse the call, no attempt on it is forgotten or placed anew.
+ * token, which makes it refuse the call, no attempt on it is forgotten or placed anew. So may the
+ * answer to a heartbeat, until the worker's next one: it sends none while it waits for an answer.
  */
 #include "../core_state.h"
 
@@ -38,12 +39,18 @@
 	       !job->tasks[status->task].recorded;
 }
 
+bool ws_machine_start_may_arrive(const struct ws_machine *machine)
+{
+	return machine->commands.late_token || machine->commands.in_flight ||
+	       machine->commands.answer_token;
+}
+
 /* Whether a worker may forget an attempt that has exited. */
 static bool ws_may_reap(struct ws_core *core, const struct ws_machine *machine,
 			const struct ws_task_status *status)
 {
 	/* a run command that may still arrive would start the attempt again */
-	if (machine->commands.late_token || machine->commands.in_flight)
+	if (ws_machine_start_may_arrive(machine))
 		return false;
 	/* its job's record still names it */
 	if (ws_machine_has_attempt(machine, status))
--- a/src/core/fleet/fleet.h
+++ b/src/core/fleet/fleet.h
@@ -39,11 +39,14 @@
 	double received_at;
 };
 
-/* Direct commands to a machine. */
+/* Commands to a machine, direct or in the answers to its heartbeats. */
 struct ws_machine_commands {
 	uint64_t late_token; /* one of this fencing token may still arrive; 0: none */
 	int in_flight;	     /* calls without a result yet */
-	bool pending;	     /* to be sent once the writes or stops under way are all taken in */
+	/* of the answer to its newest heartbeat, if that starts tasks and may still arrive; 0: no
+	 */
+	uint64_t answer_token;
+	bool pending; /* to be sent once the writes or stops under way are all taken in */
 	double next_probe_at;
 };
 
@@ -297,6 +300,8 @@
 struct ws_command *ws_commands_for_machine(struct ws_core *core, struct ws_machine *machine,
 					   const struct ws_heartbeat *heartbeat, size_t max,
 					   bool direct, size_t *count);
+/* Whether a command to run a task that was sent to a machine may still arrive there. */
+bool ws_machine_start_may_arrive(const struct ws_machine *machine);
 /* Sends a command call without commands to a machine that is to be heard. False: not due. */
 bool ws_machine_send_probe(struct ws_core *core, struct ws_machine *machine);
 /* Sends what is due straight to a machine that is known to listen; heartbeat answers repeat it. */
--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -85,10 +85,10 @@
 		if (ws_machine_echoes_token(machine))
 			ws_attempt_reconcile(core, attempt, WS_RECONCILED_NOT_REPORTED);
 		/* it was reported and no longer is; or it was told to run, is not reported, and no
-		 * command is in flight that could still start it */
-		if (attempt->reported ||
-		    (attempt->maybe_sent && attempt->stopping && !machine->commands.late_token &&
-		     !machine->commands.in_flight))
+		 * command is in flight that could still start it: the answer to a direct command
+		 * may overtake that to a heartbeat */
+		if (attempt->reported || (attempt->maybe_sent && attempt->stopping &&
+					  !ws_machine_start_may_arrive(machine)))
 			ws_attempt_release(core, attempt, WS_RELEASE_NOT_REPORTED);
 	}
 }
@@ -111,8 +111,11 @@
 	}
 	machine->sequence = heartbeat->sequence;
 	machine->echoed_token = heartbeat->fencing_token;
-	if (machine->commands.late_token && heartbeat->fencing_token > machine->commands.late_token)
+	/* the worker refuses, or drops, what has a lower token */
+	if (heartbeat->fencing_token > machine->commands.late_token)
 		machine->commands.late_token = 0;
+	if (heartbeat->fencing_token > machine->commands.answer_token)
+		machine->commands.answer_token = 0;
 	if (heartbeat->preemption_notice_s >= 0 && !machine->preemption_noticed)
 		ws_machine_preemption_notice(core, machine, heartbeat->preemption_notice_s);
 	core->fleet.mark++;
@@ -145,6 +148,7 @@
 	machine->heartbeat.received_at = core->now;
 	machine->heartbeat.incarnation = heartbeat->incarnation;
 	machine->heartbeat.sequence = heartbeat->sequence;
+	machine->commands.answer_token = 0; /* taken, or no longer waited for */
 	if (heartbeat->fencing_token > machine->fencing_token)
 		machine->fencing_token = heartbeat->fencing_token;
 	machine->unreachable = false;
@@ -155,6 +159,14 @@
 	return newest;
 }
 
+static bool ws_commands_start_any(const struct ws_command *commands, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		if (commands[i].kind == WS_COMMAND_RUN)
+			return true;
+	return false;
+}
+
 /* Answers a heartbeat: renews the machine's lease and passes commands. */
 static void ws_heartbeat_grant(struct ws_core *core, struct ws_machine *machine,
 			       const struct ws_heartbeat *heartbeat, bool newest,
@@ -168,10 +180,13 @@
 	if (ws_machine_echoes_token(machine))
 		ws_subsystems_heartbeat(core, machine);
 	machine->lease.expires_at = ws_lease_expiry(core, core->now);
-	if (heartbeat->incarnation == machine->incarnation)
-		effect->heartbeat.commands = ws_commands_for_machine(
-		    core, machine, newest ? heartbeat : NULL, WS_ANSWER_COMMANDS_MAX, false,
-		    &effect->heartbeat.command_count);
+	if (heartbeat->incarnation != machine->incarnation)
+		return;
+	effect->heartbeat.commands = ws_commands_for_machine(
+	    core, machine, newest ? heartbeat : NULL, WS_ANSWER_COMMANDS_MAX, false,
+	    &effect->heartbeat.command_count);
+	if (ws_commands_start_any(effect->heartbeat.commands, effect->heartbeat.command_count))
+		machine->commands.answer_token = machine->fencing_token;
 }
 
 bool ws_fleet_heartbeat(struct ws_core *core, const struct ws_heartbeat *heartbeat,
