Log and counts that tell why a team got over its limit

Cause: the records of the incident could not tell whether the limit was broken by a release, by a reserve or by what the new leader had read. Change: at info: elected with revision and entitlement, leading with token, jobs' revision and load time, each team's use, reserve and limit at the first pass, what is reserved for unknown teams when that changes, a quarantine with attempt, whether it has exited, sequence and tokens (an echoed token below the leader's own tells an old copy), and once a lease a line of counts: releases by evidence, held-back releases, quarantines, refused heartbeats by cause, elections, jobs at their team's limit. At debug: listings and watches with revision and age, renewals, job records written, commands and answers with their tokens, refused heartbeats, starts near a limit. Lines whose level is off are no longer formatted. Limits of teams have a module of their own (scheduler/team_limits.c).

--- a/src/core/api/heartbeat_requests.c
+++ b/src/core/api/heartbeat_requests.c
@@ -118,6 +118,9 @@
 		return;
 	}
 	if (!ws_leads_sender(core, heartbeat) || ws_machine_is_returned(core, heartbeat->machine)) {
+		ws_event_count(core, ws_leads_sender(core, heartbeat)
+					 ? WS_EVENT_STALE_MACHINE
+					 : WS_EVENT_UNENTITLED_HEARTBEAT);
 		ws_heartbeat_answer(core, request_id, WS_ANSWER_UNAVAILABLE, NULL);
 		return;
 	}
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -24,11 +24,17 @@
 	char text[512];
 	va_list arguments;
 
+	if (!core->log || level > core->log_level)
+		return;
 	va_start(arguments, format);
 	vsnprintf(text, sizeof(text), format, arguments);
 	va_end(arguments);
-	if (core->log)
-		core->log(level, text);
+	core->log(level, text);
+}
+
+void ws_core_set_log_level(struct ws_core *core, enum ws_log_level most_detailed)
+{
+	core->log_level = most_detailed;
 }
 
 struct ws_effect *ws_effect_new(struct ws_core *core, enum ws_effect_kind kind)
@@ -194,6 +200,7 @@
 	core->settings = settings;
 	core->policy = *policy;
 	core->log = log;
+	core->log_level = WS_LOG_DEBUG;
 	core->now = now;
 	core->nonce = nonce;
 	ws_writer_reset(core);
@@ -255,6 +262,7 @@
 	if (ws_leadership_tick(core))
 		ws_job_watch_tick(core);
 	if (core->leadership.role == WS_LEADER) {
+		ws_event_counts_log(core);
 		ws_fleet_tick(core);
 		ws_subsystems_tick(core);
 		if (core->now > core->scheduler.next_pass_at + core->settings->report_s / 4)
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -436,6 +436,8 @@
  */
 struct ws_core *ws_core_new(const struct ws_settings *settings, const struct ws_policy *policy,
 			    ws_log_fn log, double now, uint64_t nonce);
+/* The most detailed lines that its log takes; at first all. Others are not even made. */
+void ws_core_set_log_level(struct ws_core *core, enum ws_log_level most_detailed);
 /* Frees it with the effects that were not taken. Calls under way stay with who carries them out. */
 void ws_core_free(struct ws_core *core);
 /* Does what is due by the clock. */
--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -13,6 +13,7 @@
 #include "autoscaler/queue_model.h"
 #include "catalog/catalog.h"
 #include "core.h"
+#include "event_counts.h"
 #include "extension/subsystems.h"
 #include "fleet/fleet.h"
 #include "jobs/jobs.h"
@@ -39,9 +40,10 @@
 	const struct ws_settings *settings;
 	struct ws_policy policy;
 	ws_log_fn log;
-	double now;	     /* the time of the event being taken in */
-	double last_tick_at; /* by the same clock */
-	double resumed_at;   /* when the process last went on after standing still */
+	enum ws_log_level log_level; /* lines above it are not made */
+	double now;		     /* the time of the event being taken in */
+	double last_tick_at;	     /* by the same clock */
+	double resumed_at;	     /* when the process last went on after standing still */
 	uint64_t nonce;
 	uint64_t generation; /* rises whenever leadership ends: late results are told apart */
 	struct ws_effect *effects_head, *effects_tail;
@@ -59,6 +61,7 @@
 	struct ws_job_watch job_watch;
 	struct ws_writer writer;
 	struct ws_write_counts write_counts;
+	struct ws_event_counts event_counts;
 	struct ws_jobs jobs;
 	struct ws_fleet fleet;
 	struct ws_scheduler scheduler;
@@ -69,7 +72,7 @@
 
 /* ---- core.c ---- */
 
-/* A line for the log sink; cut at 511 bytes. */
+/* A line for the log sink, if its level is on; cut at 511 bytes. */
 void ws_log(struct ws_core *core, enum ws_log_level level, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 /* Adds an effect to those that leave the core, and returns it to be filled in. */
--- a/src/core/fleet/commands.c
+++ b/src/core/fleet/commands.c
@@ -302,6 +302,9 @@
 	call = ws_commands_call_new(core, machine);
 	call->commands.list =
 	    ws_commands_for_machine(core, machine, NULL, SIZE_MAX, true, &call->commands.count);
+	ws_log(core, WS_LOG_DEBUG, "commands sent machine=%s token=%llu commands=%zu",
+	       machine->name, (unsigned long long)call->commands.fencing_token,
+	       call->commands.count);
 }
 
 void ws_fleet_send_probes(struct ws_core *core)
--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -87,8 +87,11 @@
 		/* it was reported and no longer is; or it was told to run, is not reported, and no
 		 * command is in flight that could still start it: the answer to a direct command
 		 * may overtake that to a heartbeat */
-		if (attempt->reported || (attempt->maybe_sent && attempt->stopping &&
-					  !ws_machine_start_may_arrive(machine)))
+		if (!attempt->reported && (!attempt->maybe_sent || !attempt->stopping))
+			continue;
+		if (!attempt->reported && ws_machine_start_may_arrive(machine))
+			ws_event_count(core, WS_EVENT_RELEASE_HELD_BACK);
+		else
 			ws_attempt_release(core, attempt, WS_RELEASE_NOT_REPORTED);
 	}
 }
@@ -185,10 +188,31 @@
 	effect->heartbeat.commands = ws_commands_for_machine(
 	    core, machine, newest ? heartbeat : NULL, WS_ANSWER_COMMANDS_MAX, false,
 	    &effect->heartbeat.command_count);
+	ws_log(core, WS_LOG_DEBUG,
+	       "heartbeat answered machine=%s sequence=%llu token=%llu commands=%zu", machine->name,
+	       (unsigned long long)heartbeat->sequence, (unsigned long long)machine->fencing_token,
+	       effect->heartbeat.command_count);
 	if (ws_commands_start_any(effect->heartbeat.commands, effect->heartbeat.command_count))
 		machine->commands.answer_token = machine->fencing_token;
 }
 
+/* Counts and logs a stale heartbeat by its cause. */
+static void ws_heartbeat_refused(struct ws_core *core, const struct ws_machine *machine,
+				 const struct ws_heartbeat *heartbeat)
+{
+	bool old_sequence = heartbeat->incarnation == machine->heartbeat.incarnation;
+
+	ws_event_count(core, old_sequence ? WS_EVENT_STALE_SEQUENCE : WS_EVENT_STALE_INCARNATION);
+	ws_log(core, WS_LOG_DEBUG,
+	       "heartbeat refused machine=%s incarnation=%llu sequence=%llu token=%llu "
+	       "newest_incarnation=%llu newest_sequence=%llu",
+	       machine->name, (unsigned long long)heartbeat->incarnation,
+	       (unsigned long long)heartbeat->sequence,
+	       (unsigned long long)heartbeat->fencing_token,
+	       (unsigned long long)machine->heartbeat.incarnation,
+	       (unsigned long long)machine->heartbeat.sequence);
+}
+
 bool ws_fleet_heartbeat(struct ws_core *core, const struct ws_heartbeat *heartbeat,
 			uint64_t request_id)
 {
@@ -196,8 +220,10 @@
 	bool newest;
 
 	machine = ws_machine_find_or_add(core, heartbeat->machine);
-	if (ws_heartbeat_is_stale(machine, heartbeat))
+	if (ws_heartbeat_is_stale(machine, heartbeat)) {
+		ws_heartbeat_refused(core, machine, heartbeat);
 		return false;
+	}
 	newest = ws_machine_take_heartbeat(core, machine, heartbeat);
 	ws_heartbeat_grant(core, machine, heartbeat, newest, request_id);
 	if (!ws_machine_echoes_token(machine) && ws_is_entitled(core) &&
--- a/src/core/fleet/quarantine.c
+++ b/src/core/fleet/quarantine.c
@@ -88,8 +88,14 @@
 		return attempt;
 	}
 	ws_quarantine_add(core, attempt);
-	ws_log(core, WS_LOG_INFO, "unrecorded attempt quarantined machine=%s job=%s task=%u",
-	       machine->name, attempt->job_id, attempt->task);
+	ws_event_count(core, WS_EVENT_QUARANTINED);
+	ws_log(core, WS_LOG_INFO,
+	       "unrecorded attempt quarantined machine=%s job=%s task=%u attempt=%llu exited=%s "
+	       "sequence=%llu echoed_token=%llu fencing_token=%llu",
+	       machine->name, attempt->job_id, attempt->task, (unsigned long long)attempt->number,
+	       exited ? "yes" : "no", (unsigned long long)machine->sequence,
+	       (unsigned long long)machine->echoed_token,
+	       (unsigned long long)machine->fencing_token);
 	return attempt;
 }
 
--- a/src/core/jobs/attempts.c
+++ b/src/core/jobs/attempts.c
@@ -137,6 +137,7 @@
 
 	if (attempt->state == WS_ATTEMPT_GONE)
 		return;
+	ws_event_count_release(core, evidence);
 	ws_log(core, WS_LOG_DEBUG,
 	       "attempt released machine=%s job=%s task=%u attempt=%llu evidence=%s "
 	       "incarnation=%llu sequence=%llu echoed_token=%llu",
--- a/src/core/jobs/job_records.c
+++ b/src/core/jobs/job_records.c
@@ -202,6 +202,8 @@
 	}
 	if (revision > job->record.revision)
 		job->record.revision = revision;
+	ws_log(core, WS_LOG_DEBUG, "job record written job=%s revision=%llu attempts=%u",
+	       job->spec.id, (unsigned long long)revision, job->attempt_count);
 	ws_job_mark_written(job);
 }
 
--- a/src/core/leadership/election.c
+++ b/src/core/leadership/election.c
@@ -157,8 +157,11 @@
 	snprintf(core->leadership.leader_node, sizeof(core->leadership.leader_node), "%s",
 		 core->settings->node);
 	core->leadership.forwarded_only_since = 0;
-	ws_log(core, WS_LOG_INFO, "elected token=%llu",
-	       (unsigned long long)core->leadership.fencing_token);
+	ws_event_count(core, WS_EVENT_ELECTED);
+	ws_log(core, WS_LOG_INFO, "elected token=%llu revision=%llu entitled_s=%.3f",
+	       (unsigned long long)core->leadership.fencing_token,
+	       (unsigned long long)core->leadership.leader_revision,
+	       core->leadership.entitled_until - core->now);
 	ws_core_elected(core);
 }
 
--- a/src/core/leadership/entitlement.c
+++ b/src/core/leadership/entitlement.c
@@ -59,6 +59,10 @@
 
 		if (until > core->leadership.entitled_until)
 			core->leadership.entitled_until = until;
+		ws_log(core, WS_LOG_DEBUG,
+		       "session renewed token=%llu answered_s=%.3f entitled_s=%.3f",
+		       (unsigned long long)core->leadership.fencing_token,
+		       core->now - call->created_at, core->leadership.entitled_until - core->now);
 		if (core->leadership.in_outage) {
 			ws_log(core, WS_LOG_INFO, "store is available again");
 			core->leadership.store_served_at = core->now;
--- a/src/core/record_sources.c
+++ b/src/core/record_sources.c
@@ -69,9 +69,13 @@
 		if (load_order[i]->loaded)
 			load_order[i]->loaded(core);
 	ws_subsystems_loaded(core);
-	ws_log(core, WS_LOG_INFO, "leading jobs=%u machines=%u scale_outs=%u",
-	       HASH_COUNT(core->jobs.by_id), HASH_COUNT(core->fleet.machines),
-	       HASH_COUNT(core->autoscaler.requests));
+	ws_log(
+	    core, WS_LOG_INFO,
+	    "leading jobs=%u machines=%u scale_outs=%u token=%llu jobs_revision=%llu load_s=%.3f",
+	    HASH_COUNT(core->jobs.by_id), HASH_COUNT(core->fleet.machines),
+	    HASH_COUNT(core->autoscaler.requests),
+	    (unsigned long long)core->leadership.fencing_token,
+	    (unsigned long long)core->job_watch.revision, core->now - core->loader.started_at);
 }
 
 const char *ws_load_sequence_prefix(size_t position)
--- a/src/core/scheduler/array_placement.c
+++ b/src/core/scheduler/array_placement.c
@@ -180,7 +180,7 @@
 	uint32_t tasks = ws_tasks_within_team_limit(job);
 
 	if (tasks < job->waiting)
-		ws_log_wait_reason(core, job, "team limit reached");
+		ws_team_limit_reached(core, job);
 	if (job->placement_limit && tasks > job->placement_limit)
 		tasks = job->placement_limit;
 	return tasks;
@@ -199,6 +199,7 @@
 	ws_find_candidates(pass, &placement);
 	ws_place_on_candidates(pass, &placement);
 	if (job->waiting < job->waiting_before) {
+		ws_log_team_near_limit(core, job);
 		job->last_placed_at = core->now;
 		ws_job_mark_dirty(core, job, true);
 	}
--- a/src/core/scheduler/capacity.c
+++ b/src/core/scheduler/capacity.c
@@ -112,23 +112,6 @@
 	return ws_tasks_fit(&job->spec, cpus, gpus, mem_gb, limit);
 }
 
-uint32_t ws_tasks_within_team_limit(const struct ws_job *job)
-{
-	const struct ws_team *team = job->team;
-	const struct ws_job_spec *spec = &job->spec;
-	double tasks = job->waiting;
-
-	if (spec->cpus > 0)
-		tasks = fmin(tasks, floor((team->settings->cpus_max + WS_CAPACITY_TOLERANCE -
-					   team->used_cpus - team->reserved_cpus) /
-					  spec->cpus));
-	if (spec->gpus > 0)
-		tasks = fmin(tasks, floor((team->settings->gpus_max + WS_CAPACITY_TOLERANCE -
-					   team->used_gpus - team->reserved_gpus) /
-					  spec->gpus));
-	return tasks > 0 ? (uint32_t)tasks : 0;
-}
-
 bool ws_image_is_cached(const struct ws_machine *machine, int image)
 {
 	for (int i = 0; i < machine->image_cache_count; i++)
--- a/src/core/scheduler/gang_placement.c
+++ b/src/core/scheduler/gang_placement.c
@@ -347,7 +347,7 @@
 /* Its team is at its limit: what it lacks of that is reserved for it. */
 static void ws_gang_at_team_limit(struct ws_core *core, struct ws_job *job, bool keeps_reservation)
 {
-	ws_log_wait_reason(core, job, "team limit reached");
+	ws_team_limit_reached(core, job);
 	if (!keeps_reservation)
 		return;
 	job->team->reserved_cpus += job->waiting * job->spec.cpus;
--- a/src/core/scheduler/pass.h
+++ b/src/core/scheduler/pass.h
@@ -119,8 +119,6 @@
 /* How many tasks fit into what is both free and planned, up to a limit: they can start now. */
 uint32_t ws_tasks_fit_now(const struct ws_job *job, const struct ws_machine *machine,
 			  uint32_t limit);
-/* How many of a job's waiting tasks its team's limit allows, less what is reserved for gangs. */
-uint32_t ws_tasks_within_team_limit(const struct ws_job *job);
 /* Whether a machine has an image, by its number. */
 bool ws_image_is_cached(const struct ws_machine *machine, int image);
 
@@ -142,6 +140,19 @@
 /* Logs why a job waits, if that is due. */
 void ws_log_wait_reason(struct ws_core *core, struct ws_job *job, const char *reason);
 
+/* ---- team_limits.c ---- */
+
+/* How many of a job's waiting tasks its team's limit allows, less what is reserved for gangs. */
+uint32_t ws_tasks_within_team_limit(const struct ws_job *job);
+/* Counts, and logs now and then, that tasks of a job wait since its team is at its limit. */
+void ws_team_limit_reached(struct ws_core *core, struct ws_job *job);
+/* A job's tasks were placed: logs its team's use if that is near the limit. */
+void ws_log_team_near_limit(struct ws_core *core, const struct ws_job *job);
+/* Logs what is reserved for attempts of unknown teams, if that has changed of late. */
+void ws_log_unknown_teams(struct ws_core *core, double reserved_cpus);
+/* Logs the use of all teams that use or have reserved anything. */
+void ws_log_teams(struct ws_core *core);
+
 /* ---- preemption.c ---- */
 
 /* What is to be preempted for: tasks of a job, in some zones. */
--- a/src/core/scheduler/scheduler.c
+++ b/src/core/scheduler/scheduler.c
@@ -68,6 +68,10 @@
 		core->jobs.teams[i].reserved_cpus = reserved_cpus;
 		core->jobs.teams[i].reserved_gpus = reserved_gpus;
 	}
+	ws_log_unknown_teams(core, reserved_cpus);
+	if (!core->scheduler.teams_logged) /* the first pass goes by the records alone */
+		ws_log_teams(core);
+	core->scheduler.teams_logged = true;
 }
 
 /* Whether a subsystem holds first starts, and the job's are such. */
@@ -249,6 +253,8 @@
 	scheduler->scratch = NULL;
 	scheduler->scratch_size = 0;
 	scheduler->next_pass_at = scheduler->pass_began_at = 0;
+	scheduler->teams_logged = false;
+	scheduler->logged_reserve_cpus = scheduler->reserve_logged_at = 0;
 	ws_unmet_demand_free(scheduler);
 }
 
--- a/src/core/scheduler/scheduler.h
+++ b/src/core/scheduler/scheduler.h
@@ -30,6 +30,9 @@
 
 struct ws_scheduler {
 	bool pass_wanted;
+	bool teams_logged;	    /* in the first pass after the election */
+	double logged_reserve_cpus; /* for unknown teams, as last logged */
+	double reserve_logged_at;
 	double next_pass_at; /* no pass before then */
 	/* of a pass whose duration the I/O layer has yet to report; 0: none */
 	double pass_began_at;
--- /dev/null
+++ b/src/core/scheduler/team_limits.c
@@ -0,0 +1,72 @@
+/*
+ * Limits of teams: what a team may still use, and what the log tells of it.
+ *
+ * A team's use counts all its attempts that may be alive; besides, so much is reserved as attempts
+ * of unknown teams may use, and as gangs of the team wait for.
+ */
+#include "pass.h"
+
+/* From this share of its limit on, a team's starts are logged with its use. */
+#define NEAR_LIMIT_SHARE 0.9
+
+uint32_t ws_tasks_within_team_limit(const struct ws_job *job)
+{
+	const struct ws_team *team = job->team;
+	const struct ws_job_spec *spec = &job->spec;
+	double tasks = job->waiting;
+
+	if (spec->cpus > 0)
+		tasks = fmin(tasks, floor((team->settings->cpus_max + WS_CAPACITY_TOLERANCE -
+					   team->used_cpus - team->reserved_cpus) /
+					  spec->cpus));
+	if (spec->gpus > 0)
+		tasks = fmin(tasks, floor((team->settings->gpus_max + WS_CAPACITY_TOLERANCE -
+					   team->used_gpus - team->reserved_gpus) /
+					  spec->gpus));
+	return tasks > 0 ? (uint32_t)tasks : 0;
+}
+
+void ws_team_limit_reached(struct ws_core *core, struct ws_job *job)
+{
+	ws_event_count(core, WS_EVENT_AT_TEAM_LIMIT);
+	ws_log_wait_reason(core, job, "team limit reached");
+}
+
+void ws_log_team_near_limit(struct ws_core *core, const struct ws_job *job)
+{
+	const struct ws_team *team = job->team;
+
+	if (team->used_cpus + team->reserved_cpus > NEAR_LIMIT_SHARE * team->settings->cpus_max)
+		ws_log(core, WS_LOG_DEBUG,
+		       "team near limit team=%s job=%s used_cpus=%.2f reserved_cpus=%.2f "
+		       "limit_cpus=%.2f used_gpus=%.2f limit_gpus=%.2f",
+		       team->settings->name, job->spec.id, team->used_cpus, team->reserved_cpus,
+		       team->settings->cpus_max, team->used_gpus, team->settings->gpus_max);
+}
+
+void ws_log_unknown_teams(struct ws_core *core, double reserved_cpus)
+{
+	struct ws_scheduler *scheduler = &core->scheduler;
+
+	if (reserved_cpus == scheduler->logged_reserve_cpus ||
+	    core->now < scheduler->reserve_logged_at + core->settings->report_s)
+		return;
+	scheduler->logged_reserve_cpus = reserved_cpus;
+	scheduler->reserve_logged_at = core->now;
+	ws_log(core, WS_LOG_INFO, "reserved for unknown teams cpus=%.2f attempts=%u", reserved_cpus,
+	       core->jobs.attempts_of_unknown_teams);
+}
+
+void ws_log_teams(struct ws_core *core)
+{
+	for (size_t i = 0; i < core->settings->team_count; i++) {
+		const struct ws_team *team = &core->jobs.teams[i];
+
+		if (team->used_cpus > 0 || team->reserved_cpus > 0)
+			ws_log(
+			    core, WS_LOG_INFO,
+			    "team usage team=%s used_cpus=%.2f reserved_cpus=%.2f limit_cpus=%.2f",
+			    team->settings->name, team->used_cpus, team->reserved_cpus,
+			    team->settings->cpus_max);
+	}
+}
--- a/src/core/store/job_watch.c
+++ b/src/core/store/job_watch.c
@@ -49,6 +49,12 @@
 			ws_core_job_changed(core, change);
 	}
 	watch->revision = result->records.revision > held ? result->records.revision : held;
+	if (result->records.entry_count)
+		ws_log(core, WS_LOG_DEBUG,
+		       "job watch answered since=%llu revision=%llu changes=%zu age_s=%.3f",
+		       (unsigned long long)call->watch.since_revision,
+		       (unsigned long long)result->records.revision, result->records.entry_count,
+		       core->now - call->created_at);
 	ws_job_watch_confirm(core, call->created_at);
 }
 
--- a/src/core/store/loader.c
+++ b/src/core/store/loader.c
@@ -20,6 +20,7 @@
 	struct ws_loader *loader = &core->loader;
 	const char *prefix;
 
+	loader->started_at = core->now;
 	loader->position = 0;
 	loader->open_listings = 1;
 	ws_loader_list(core, ws_load_sequence_prefix(0), "");
@@ -79,6 +80,10 @@
 		ws_loader_retry(core, call);
 		return;
 	}
+	ws_log(core, WS_LOG_DEBUG,
+	       "records listed prefix=%s after=%s revision=%llu count=%zu age_s=%.3f",
+	       call->read.key, call->read.after, (unsigned long long)result->records.revision,
+	       result->records.entry_count, core->now - call->created_at);
 	source = ws_record_source_of(core, call->read.key);
 	if (source && source->listed && !call->read.after[0])
 		source->listed(core, result->records.revision, call->created_at);
--- a/src/core/store/loader.h
+++ b/src/core/store/loader.h
@@ -14,6 +14,7 @@
 struct ws_loader {
 	size_t position;      /* of the listing of the sequence that is under way */
 	size_t open_listings; /* under way: the sequence counts as one */
+	double started_at;    /* on the core's clock, in seconds */
 };
 
 /* After the election: begins to read. The node leads once the last record is read, and steps down
--- a/src/io/server.c
+++ b/src/io/server.c
@@ -129,6 +129,7 @@
 	service->core = ws_core_new(service->settings, policy, ws_log_write, ws_now(), nonce);
 	if (!service->core)
 		return false;
+	ws_core_set_log_level(service->core, ws_log_level());
 	if (!ws_outgoing_calls_init(service) || !listen_on_sockets(service, error) ||
 	    !ws_subsystem_attach(service->core, subsystems, service->settings, error))
 		return false;
--- a/src/log.c
+++ b/src/log.c
@@ -21,6 +21,11 @@
 		most_detailed = WS_LOG_INFO;
 }
 
+enum ws_log_level ws_log_level(void)
+{
+	return most_detailed;
+}
+
 void ws_log_write(enum ws_log_level level, const char *text)
 {
 	static const char *const names[] = {"error", "info", "debug"};
