Soak on loopback: real controllers, teams at their limits, seeded faults

The stand-ins hold messages back (loopback_faults), their checks stand in loopback_checks; a user asks one thing of a job at a time, so that an answer is compared only with what was told before it was asked.

--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -6,6 +6,8 @@
 #include <sys/wait.h>
 
 #define TICK_S 0.05
+/* Requests of users that wait for a connection to one node. */
+#define USER_REQUESTS 64
 
 const char *const loopback_zones[LOOPBACK_NODES] = {"a", "b", "c"};
 struct loopback_node loopback_nodes[LOOPBACK_NODES];
@@ -28,8 +30,10 @@
 	(void)loop;
 	(void)timer;
 	(void)events;
+	loopback_held_step();
 	loopback_store_step();
 	loopback_workers_step();
+	loopback_check_cancelled();
 	loopback_users_step();
 }
 
@@ -50,13 +54,16 @@
 	fprintf(file,
 		"[services]\ncloud='127.0.0.1:%d'\nstate='127.0.0.1:%d'\n"
 		"[settings]\nzones=['a','b','c']\n"
-		"[[settings.teams]]\nname='t'\ncpus=200.0\ncpus_max=400.0\n"
-		"[settings.workers]\nreport_s=%g\nlease_s=%g\ncancel_s=20.0\n"
+		"[settings.workers]\nreport_s=%g\nlease_s=%g\ncancel_s=%g\n"
 		"[settings.state]\nrps=400.0\nwrite_rps=100.0\nvalue_kb=4.0\ntxn_ops=12\n"
 		"[settings.cloud]\nrps=5.0\nlist_lag_s=1.0\n"
 		"[settings.machine_limits]\ncore_share=1.0\nram_mb=64.0\nmax_sockets=200\n",
 		ws_server_port(cloud), ws_server_port(store), LOOPBACK_HEARTBEAT_S,
-		LOOPBACK_LEASE_S);
+		LOOPBACK_LEASE_S, LOOPBACK_CANCEL_S);
+	for (int i = 0; i < LOOPBACK_TEAMS; i++)
+		fprintf(file, "[[settings.teams]]\nname='%s'\ncpus=%g\ncpus_max=%g\n",
+			loopback_teams[i].name, loopback_teams[i].cpus_max / 2,
+			loopback_teams[i].cpus_max);
 	fclose(file);
 }
 
@@ -65,7 +72,9 @@
 	loopback_nodes[index].pid = fork();
 	if (loopback_nodes[index].pid)
 		return;
-	if (!getenv("LOG_LEVEL"))
+	if (loopback_nodes[index].log[0])
+		(void)!freopen(loopback_nodes[index].log, "a", stderr);
+	else if (!getenv("LOG_LEVEL"))
 		(void)!freopen("/dev/null", "w", stderr);
 	if (subsystems)
 		execl(program, program, "--subsystems", subsystems, "--config",
@@ -84,6 +93,12 @@
 	loopback_nodes[index].pid = 0;
 }
 
+void loopback_freeze_node(int index, bool frozen)
+{
+	if (loopback_nodes[index].pid > 0)
+		kill(loopback_nodes[index].pid, frozen ? SIGSTOP : SIGCONT);
+}
+
 void loopback_kill_all(void)
 {
 	for (int i = 0; i < LOOPBACK_NODES; i++)
@@ -101,7 +116,7 @@
 	static const struct ws_http_server_options options = {
 	    .max = 200, .backlog = 64, .keep = {200, 200, 200}, .idle = {60, 60, 60}, .slow = 60};
 	struct ws_http_client_options users = {
-	    .max_conns = 4, .max_queue = LOOPBACK_JOBS, .max_reply = 65536};
+	    .max_conns = 4, .max_queue = USER_REQUESTS, .max_reply = 65536};
 
 	signal(SIGPIPE, SIG_IGN);
 	program = binary;
@@ -114,6 +129,8 @@
 		loopback_nodes[i].peer_port = free_port();
 		loopback_nodes[i].client =
 		    ws_client_new(loop, "127.0.0.1", loopback_nodes[i].port, &users);
+		loopback_nodes[i].copies =
+		    ws_client_new(loop, "127.0.0.1", loopback_nodes[i].port, &users);
 	}
 	for (int i = 0; i < LOOPBACK_WORKERS; i++)
 		loopback_worker_open(loop, i, &options);
@@ -146,13 +163,27 @@
 	ev_signal_start(loop, &terminate);
 }
 
+void loopback_keep_logs(void)
+{
+	for (int i = 0; i < LOOPBACK_NODES; i++) {
+		struct loopback_node *node = &loopback_nodes[i];
+
+		snprintf(node->log, sizeof(node->log), "/tmp/waystep-loopback-log-XXXXXX");
+		close(mkstemp(node->log));
+	}
+}
+
 void loopback_stop(void)
 {
 	ev_timer_stop(loop, &ticker);
+	loopback_held_drop();
 	for (int i = 0; i < LOOPBACK_NODES; i++) {
 		loopback_kill_node(i);
 		unlink(loopback_nodes[i].file);
+		if (loopback_nodes[i].log[0])
+			unlink(loopback_nodes[i].log);
 		ws_client_free(loopback_nodes[i].client);
+		ws_client_free(loopback_nodes[i].copies);
 	}
 	loopback_workers_close();
 	loopback_store_close();
@@ -172,6 +203,11 @@
 	return condition && condition();
 }
 
+double loopback_now(void)
+{
+	return ws_now();
+}
+
 void loopback_run(double seconds)
 {
 	loopback_until(NULL, seconds);
--- a/tests/loopback_parts.h
+++ b/tests/loopback_parts.h
@@ -30,6 +30,7 @@
 	struct ws_http_server *server;
 	struct ws_http_client *clients[LOOPBACK_NODES];
 	uint64_t incarnation, sequence, fencing_token;
+	uint64_t sent_incarnation; /* of the last heartbeat */
 	double answered_sent, sent_at, next_heartbeat_at;
 	bool heartbeat_pending, dark;
 	struct loopback_task tasks[LOOPBACK_TASKS];
@@ -39,8 +40,8 @@
 struct loopback_node {
 	pid_t pid;
 	int port, peer_port;
-	char file[64];
-	struct ws_http_client *client;
+	char file[64], log[64];
+	struct ws_http_client *client, *copies;
 };
 
 extern const char *const loopback_zones[LOOPBACK_NODES];
@@ -51,6 +52,28 @@
 /* Answers a request and drops the body. */
 void loopback_answer(struct ws_http_server *server, uint64_t request_id, int status, json_t *body);
 
+/* loopback_faults.c: messages that are held back */
+struct loopback_message {
+	void *context;
+	uint64_t id;
+	int status;
+	const char *method, *path, *body;
+	size_t length;
+};
+typedef void (*loopback_deliver_fn)(const struct loopback_message *message);
+/* Whether a fault that befalls such a share of messages befalls one now. */
+bool loopback_befalls(double share);
+/* Delivers a copy of a message after some seconds. */
+void loopback_hold(const struct loopback_message *message, double seconds,
+		   loopback_deliver_fn deliver);
+/* Delivers what is due. */
+void loopback_held_step(void);
+void loopback_held_drop(void);
+
+/* loopback_checks.c: the rules; each break is reported to loopback_broken() */
+void loopback_check_start(const struct loopback_worker *worker, const struct loopback_task *task);
+void loopback_check_cancelled(void);
+
 /* loopback_store.c: the store */
 struct ws_http_server *loopback_store_open(struct ev_loop *loop,
 					   const struct ws_http_server_options *options);
--- a/tests/loopback_store.c
+++ b/tests/loopback_store.c
@@ -3,7 +3,9 @@
 #include "../src/core/core.h"
 
 #define WATCHES 32
-#define SESSIONS 256
+#define SESSIONS 4096
+/* How late a request is carried out, see struct loopback_faults. */
+#define LATE_REQUEST_MAX_S 4.0
 
 static struct ws_http_server *store;
 static json_t *records, *removed;
@@ -178,13 +180,15 @@
 	loopback_answer(store, request_id, 200, json_pack("{s:I}", "permit", id));
 }
 
-static void on_store(void *context, uint64_t request_id, const char *method, const char *path,
-		     const char *body, size_t length)
+/* Carries a request out. */
+static void request_arrives(const struct loopback_message *message)
 {
-	json_t *request = length ? json_loadb(body, length, 0, NULL) : NULL;
+	const char *path = message->path, *method = message->method;
+	uint64_t request_id = message->id;
+	json_t *request =
+	    message->length ? json_loadb(message->body, message->length, 0, NULL) : NULL;
 	char prefix[64] = "";
 
-	(void)context;
 	if (strstr(path, "starts="))
 		sscanf(strstr(path, "starts=") + 7, "%63[^&]", prefix);
 	if (!strncmp(path, "/kv?", 4)) {
@@ -209,6 +213,21 @@
 	json_decref(request);
 }
 
+static void on_store(void *context, uint64_t request_id, const char *method, const char *path,
+		     const char *body, size_t length)
+{
+	const struct loopback_message message = {
+	    .id = request_id, .method = method, .path = path, .body = body, .length = length};
+
+	(void)context;
+	if (ws_now() < loopback_faults.store_refuses_until)
+		loopback_answer(store, request_id, 503, json_object());
+	else if (loopback_befalls(loopback_faults.late_store_requests))
+		loopback_hold(&message, LATE_REQUEST_MAX_S * loopback_random(), request_arrives);
+	else
+		request_arrives(&message);
+}
+
 struct ws_http_server *loopback_store_open(struct ev_loop *loop,
 					   const struct ws_http_server_options *options)
 {
--- a/tests/loopback_users.c
+++ b/tests/loopback_users.c
@@ -2,6 +2,13 @@
 #include "loopback_parts.h"
 
 #define POLL_S 0.5
+/* With more jobs than this, those that are over are asked for now and then only. */
+#define JOBS_POLLED_ALWAYS 64
+#define POLL_SHARE_WHEN_OVER 0.02
+
+#define TASK_CPUS 4
+
+struct loopback_team loopback_teams[LOOPBACK_TEAMS] = {{"t", 400}, {"u", 400}};
 
 static struct loopback_job jobs[LOOPBACK_JOBS];
 static unsigned job_count;
@@ -25,33 +32,61 @@
 	job->accepted |= status == 200 || status == 201;
 }
 
+/* What a user is told of a job that is known. */
+static void job_told(struct loopback_job *job, const char *phase)
+{
+	bool done = !strcmp(phase, "done"), cancelled = !strcmp(phase, "withdrawn");
+
+	job->went_back |= (job->done && !done) || (job->cancelled_at > 0 && !cancelled) ||
+			  (cancelled && !job->to_cancel);
+	job->done |= done;
+	job->answers_done += done;
+	if (cancelled && !job->cancelled_at)
+		job->cancelled_at = ws_now();
+}
+
 static void on_polled(void *context, int status, const char *body, size_t length)
 {
 	struct loopback_job *job = context;
 	json_t *message = status == 200 ? json_loadb(body, length, 0, NULL) : NULL;
 	const char *phase = json_string_value(json_object_get(message, "phase"));
 
-	if (phase && !strcmp(phase, "done")) {
-		job->done = true;
-		job->answers_done++;
-	} else if (phase || status == 404) {
-		job->went_back |= job->done;
-	}
+	job->asking = false;
+	if (phase)
+		job_told(job, phase);
+	job->forgotten |= status == 404;
+	job->went_back |= status == 404 && job->done;
 	json_decref(message);
 }
 
+static bool job_is_over(const struct loopback_job *job)
+{
+	return job->done || job->cancelled_at > 0;
+}
+
+/* One request at a time, so that an answer is compared with what was told before it was asked. */
+static void job_ask(struct loopback_job *job, struct ws_http_client *client)
+{
+	bool cancel = job->to_cancel && !job_is_over(job);
+	char path[sizeof(job->id) + 16];
+
+	snprintf(path, sizeof(path), "/v2/runs/%.31s%s", job->id, cancel ? "/abort" : "");
+	job->asking =
+	    ws_client_send(client, cancel ? "POST" : "GET", path, "", 0, 2, false, on_polled, job);
+}
+
 static void job_send(struct loopback_job *job, struct ws_http_client *client)
 {
 	char text[700];
 
 	snprintf(text, sizeof(text),
-		 "{\"nameId\":\"%s\",\"jobclass\":\"%s\",\"owner\":\"t\",\"shape\":\"%s\","
-		 "\"tier\":\"%s\",\"shards\":%u,\"vcpus\":4.0,\"accelerators\":0.0,\"memGb\":1.0,"
+		 "{\"nameId\":\"%s\",\"jobclass\":\"%s\",\"owner\":\"%s\",\"shape\":\"%s\","
+		 "\"tier\":\"%s\",\"shards\":%u,\"vcpus\":%.1f,\"accelerators\":0.0,\"memGb\":1.0,"
 		 "\"bundle\":\"i\",\"sizeGb\":0.1,\"flavours\":null,\"hall\":null,"
 		 "\"samePlace\":false,\"spread\":%s,\"reclaimable\":true,\"expectedS\":%g,"
 		 "\"snapshotEveryS\":0.0,\"snapshotS\":0.0,\"dueS\":null}",
-		 job->id, job->job_class, job->service ? "daemon" : "sweep",
-		 job->service ? "production" : "urgent", job->tasks,
+		 job->id, job->job_class, job->team->name, job->service ? "daemon" : "sweep",
+		 job->service ? "production" : "urgent", job->tasks, job->cpus,
 		 job->service ? "true" : "false", job->service ? 0 : job->run_s);
 	ws_client_send(client, "POST", "/v2/runs", text, strlen(text), 3, false, on_submitted, job);
 }
@@ -62,12 +97,16 @@
 		return;
 	next_poll = ws_now() + POLL_S;
 	for (unsigned i = 0; i < job_count; i++) {
-		struct ws_http_client *client = loopback_nodes[next_node++ % LOOPBACK_NODES].client;
-		char path[sizeof(jobs[i].id) + 16];
-
-		snprintf(path, sizeof(path), "/v2/runs/%.31s", jobs[i].id);
+		struct ws_http_client *client;
+
+		if (job_count > JOBS_POLLED_ALWAYS && job_is_over(&jobs[i]) &&
+		    loopback_random() > POLL_SHARE_WHEN_OVER)
+			continue;
+		client = loopback_nodes[next_node++ % LOOPBACK_NODES].client;
+		if (jobs[i].asking)
+			continue;
 		if (jobs[i].accepted)
-			ws_client_send(client, "GET", path, "", 0, 2, false, on_polled, &jobs[i]);
+			job_ask(&jobs[i], client);
 		else
 			job_send(&jobs[i], client);
 	}
@@ -78,13 +117,42 @@
 {
 	struct loopback_job *job = &jobs[job_count++];
 
-	*job = (struct loopback_job){
-	    .job_class = job_class, .tasks = tasks, .service = service, .run_s = run_s};
+	*job = (struct loopback_job){.job_class = job_class,
+				     .team = &loopback_teams[0],
+				     .cpus = TASK_CPUS,
+				     .tasks = tasks,
+				     .service = service,
+				     .run_s = run_s};
 	snprintf(job->id, sizeof(job->id), "job-%06u", job_count);
 	job_send(job, loopback_nodes[next_node++ % LOOPBACK_NODES].client);
 	return job;
 }
 
+struct loopback_job *loopback_submit_for(const struct loopback_team *team, unsigned tasks,
+					 double cpus, double run_s)
+{
+	struct loopback_job *job = &jobs[job_count++];
+
+	*job = (struct loopback_job){
+	    .job_class = "accrual", .team = team, .cpus = cpus, .tasks = tasks, .run_s = run_s};
+	snprintf(job->id, sizeof(job->id), "job-%06u", job_count);
+	return job; /* it is sent with the next polls */
+}
+
+void loopback_cancel(struct loopback_job *job)
+{
+	job->to_cancel = true;
+}
+
+unsigned loopback_unfinished(const struct loopback_team *team)
+{
+	unsigned count = 0;
+
+	for (unsigned i = 0; i < job_count; i++)
+		count += jobs[i].team == team && !job_is_over(&jobs[i]);
+	return count;
+}
+
 void loopback_resubmit(struct loopback_job *job)
 {
 	job->accepted = false; /* it is sent until it is accepted */
--- a/tests/loopback_workers.c
+++ b/tests/loopback_workers.c
@@ -1,22 +1,17 @@
 /* The loopback cluster's workers: heartbeats, commands and leases; counts of the commands. */
 #include "loopback_parts.h"
 
+/* A worker waits so long for the answer to its heartbeat. */
+#define ANSWER_TIMEOUT_S 4
+/* How late messages are, see struct loopback_faults. */
+#define SLOW_ANSWER_MAX_S 3.0
+#define COPY_MAX_S 20.0
+#define LATE_COMMAND_MIN_S 0.6
+#define LATE_COMMAND_SPAN_S 8.0
+
 struct loopback_worker loopback_workers[LOOPBACK_WORKERS];
 struct loopback_counts loopback_count;
 
-/* The rule: a task starts on one machine only. */
-static void check_alone(const struct loopback_task *started)
-{
-	for (int i = 0; i < LOOPBACK_WORKERS; i++)
-		for (unsigned k = 0; k < loopback_workers[i].count; k++) {
-			const struct loopback_task *other = &loopback_workers[i].tasks[k];
-
-			loopback_count.twice +=
-			    other != started && other->state == LOOPBACK_RUNNING &&
-			    other->number == started->number && !strcmp(other->job, started->job);
-		}
-}
-
 static json_t *heartbeat(struct loopback_worker *worker)
 {
 	static const char *const names[] = {"pulling", "running", "exited"};
@@ -97,40 +92,59 @@
 	return true;
 }
 
-static void on_command(void *context, uint64_t request_id, const char *method, const char *path,
-		       const char *body, size_t length)
+/* A direct command arrives; its answer is lost if nobody waits for it. */
+static void command_arrives(const struct loopback_message *message)
 {
-	struct loopback_worker *worker = context;
-	json_t *message = json_loadb(body, length, 0, NULL);
+	struct loopback_worker *worker = message->context;
+	json_t *body = json_loadb(message->body, message->length, 0, NULL);
 	bool accepted;
+	json_t *answer;
 
-	(void)method;
-	(void)path;
 	if (worker->dark) { /* nobody hears the answer */
-		json_decref(message);
+		json_decref(body);
 		return;
 	}
-	accepted = json_integer_value(json_object_get(message, "tenure")) ==
+	accepted = json_integer_value(json_object_get(body, "tenure")) ==
 		       (json_int_t)worker->incarnation &&
-		   take_commands(worker, message);
-	loopback_answer(worker->server, request_id, accepted ? 200 : 409, heartbeat(worker));
-	json_decref(message);
+		   take_commands(worker, body);
+	json_decref(body);
+	answer = heartbeat(worker);
+	if (loopback_befalls(loopback_faults.lost_answers))
+		json_decref(answer);
+	else
+		loopback_answer(worker->server, message->id, accepted ? 200 : 409, answer);
 }
 
-static void on_answer(void *context, int status, const char *body, size_t length)
+static void on_command(void *context, uint64_t request_id, const char *method, const char *path,
+		       const char *body, size_t length)
 {
-	struct loopback_worker *worker = context;
+	const struct loopback_message message = {
+	    .context = context, .id = request_id, .body = body, .length = length};
+
+	(void)method;
+	(void)path;
+	if (loopback_befalls(loopback_faults.late_commands))
+		loopback_hold(&message,
+			      LATE_COMMAND_MIN_S + LATE_COMMAND_SPAN_S * loopback_random(),
+			      command_arrives);
+	else
+		command_arrives(&message);
+}
+
+static void answer_arrives(const struct loopback_message *answer)
+{
+	struct loopback_worker *worker = answer->context;
 	json_t *message;
 	const char *leader;
 
 	worker->heartbeat_pending = false;
-	if (worker->dark)
+	if (worker->dark || worker->incarnation != worker->sent_incarnation)
 		return;
-	message = json_loadb(body, length, 0, NULL);
+	message = json_loadb(answer->body, answer->length, 0, NULL);
 	leader = json_string_value(json_object_get(message, "supervisor"));
-	if (status == 200 && take_commands(worker, message)) {
+	if (answer->status == 200 && take_commands(worker, message)) {
 		worker->answered_sent = worker->sent_at;
-	} else if (status == 421 && leader && atoi(leader + 5) != worker->node) {
+	} else if (answer->status == 421 && leader && atoi(leader + 5) != worker->node) {
 		worker->node = atoi(leader + 5);
 		worker->next_heartbeat_at = ws_now() + 0.1;
 	} else {
@@ -140,6 +154,38 @@
 	json_decref(message);
 }
 
+static void on_answer(void *context, int status, const char *body, size_t length)
+{
+	const struct loopback_message answer = {
+	    .context = context, .status = status, .body = body, .length = length};
+	const struct loopback_worker *worker = context;
+	double slow_s = SLOW_ANSWER_MAX_S * loopback_random();
+
+	if (status == 200 && ws_now() + slow_s < worker->sent_at + ANSWER_TIMEOUT_S &&
+	    loopback_befalls(loopback_faults.slow_answers))
+		loopback_hold(&answer, slow_s, answer_arrives);
+	else
+		answer_arrives(&answer);
+}
+
+/* Nobody waits for the answer to a copy. */
+static void on_copy_answered(void *context, int status, const char *body, size_t length)
+{
+	(void)context;
+	(void)status;
+	(void)body;
+	(void)length;
+}
+
+static void copy_arrives(const struct loopback_message *copy)
+{
+	struct loopback_node *node =
+	    &loopback_nodes[(int)(loopback_random() * LOOPBACK_NODES) % LOOPBACK_NODES];
+
+	ws_client_send(node->copies, "POST", "/checkin", copy->body, copy->length, ANSWER_TIMEOUT_S,
+		       false, on_copy_answered, NULL);
+}
+
 static void task_step(struct loopback_worker *worker, struct loopback_task *task)
 {
 	struct loopback_job *job = loopback_job_of(task->job);
@@ -150,7 +196,7 @@
 		task->state = LOOPBACK_RUNNING;
 		task->until = job->service ? 1e18 : ws_now() + job->run_s;
 		loopback_count.starts++;
-		check_alone(task);
+		loopback_check_start(worker, task);
 	} else {
 		task->state = LOOPBACK_EXITED;
 		task->cause = "done";
@@ -167,6 +213,7 @@
 	if (ws_now() - worker->answered_sent > LOOPBACK_LEASE_S) {
 		for (unsigned i = 0; i < worker->count; i++)
 			loopback_count.lost += worker->tasks[i].state != LOOPBACK_EXITED;
+		loopback_event("the lease of %s ends, with %u tasks", worker->name, worker->count);
 		worker->count = 0;
 		worker->incarnation++;
 		worker->answered_sent = ws_now();
@@ -179,10 +226,16 @@
 	text = json_dumps(body, 0);
 	json_decref(body);
 	worker->sent_at = ws_now();
+	worker->sent_incarnation = worker->incarnation;
 	worker->next_heartbeat_at = ws_now() + LOOPBACK_HEARTBEAT_S;
+	if (loopback_befalls(loopback_faults.heartbeat_copies)) {
+		const struct loopback_message copy = {.body = text, .length = strlen(text)};
+
+		loopback_hold(&copy, COPY_MAX_S * loopback_random(), copy_arrives);
+	}
 	worker->heartbeat_pending =
-	    ws_client_send(worker->clients[worker->node], "POST", "/checkin", text, strlen(text), 4,
-			   false, on_answer, worker);
+	    ws_client_send(worker->clients[worker->node], "POST", "/checkin", text, strlen(text),
+			   ANSWER_TIMEOUT_S, false, on_answer, worker);
 	free(text);
 }
 
--- a/tests/random_team_limits.c
+++ b/tests/random_team_limits.c
@@ -34,59 +34,59 @@
 	}
 }
 
-static void draw_slow_messages(double at)
+static void draw_slow_messages(double time)
 {
 	if (random_chance(70))
-		random_event(at, "slow-answers %u.%u for=%u share=0.%u", random_draw(4),
+		random_event(time, "slow-answers %u.%u for=%u share=0.%u", random_draw(4),
 			     random_draw(10), 5 + random_draw(30), 2 + random_draw(8));
 	if (random_chance(30))
-		random_event(at, "late orders times=%u by=%u", 1 + random_draw(6),
+		random_event(time, "late orders times=%u by=%u", 1 + random_draw(6),
 			     2 + random_draw(14));
 	if (random_chance(30))
-		random_event(at, "copies %u for=20 share=0.%u%s", 5 + random_draw(40),
+		random_event(time, "copies %u for=20 share=0.%u%s", 5 + random_draw(40),
 			     1 + random_draw(9), random_chance(50) ? " for-next" : "");
 	if (random_chance(30))
-		random_event(at, "late-writes 0.%u for=%u most=12", 1 + random_draw(5),
+		random_event(time, "late-writes 0.%u for=%u most=12", 1 + random_draw(5),
 			     2 + random_draw(10));
 	if (random_chance(20))
-		random_event(at, "slow-state 0.%u for=10", 1 + random_draw(9));
+		random_event(time, "slow-state 0.%u for=10", 1 + random_draw(9));
 	if (random_chance(20))
-		random_event(at, "lose-answer orders times=%u", 1 + random_draw(3));
+		random_event(time, "lose-answer orders times=%u", 1 + random_draw(3));
 	if (random_chance(10))
-		random_event(at, "slow-orders 0.%u", random_draw(10));
+		random_event(time, "slow-orders 0.%u", random_draw(10));
 }
 
-static void draw_machine_faults(double at)
+static void draw_machine_faults(double time)
 {
 	static const char *const faults[] = {"hang", "cut-machine", "deaf", "mute"};
 
 	for (unsigned i = random_draw(3); i; i--)
-		random_event(at + random_draw(10), "%s any for=%u", faults[random_draw(4)],
+		random_event(time + random_draw(10), "%s any for=%u", faults[random_draw(4)],
 			     3 + random_draw(40));
 	if (random_chance(15))
-		random_event(at + random_draw(10), "die any");
+		random_event(time + random_draw(10), "die any");
 }
 
-static void draw_controller_faults(double at)
+static void draw_controller_faults(double time)
 {
 	if (random_chance(30))
-		random_event(at, "crash all for=%u", 1 + random_draw(10));
+		random_event(time, "crash all for=%u", 1 + random_draw(10));
 	else if (random_chance(30))
 		random_event(
-		    at, "crash-on %s %sskip=%u for=%u", random_chance(50) ? "txn" : "orders",
+		    time, "crash-on %s %sskip=%u for=%u", random_chance(50) ? "txn" : "orders",
 		    random_chance(50) ? "after " : "", random_draw(6), 1 + random_draw(10));
 	else
-		random_event(at, "crash leader for=%u", 1 + random_draw(20));
+		random_event(time, "crash leader for=%u", 1 + random_draw(20));
 	if (random_chance(40)) /* the next leader ends a moment after its election */
-		random_event(at + 3 + random_draw(100) / 10.0, "crash leader for=%u",
+		random_event(time + 3 + random_draw(100) / 10.0, "crash leader for=%u",
 			     1 + random_draw(10));
 	if (random_chance(25))
-		random_event(at + random_draw(10), "refuse %u for=%u", random_draw(3),
+		random_event(time + random_draw(10), "refuse %u for=%u", random_draw(3),
 			     3 + random_draw(20));
 	if (random_chance(20))
-		random_event(at - 2, "freeze %u for=%u", random_draw(3), 1 + random_draw(8));
+		random_event(time - 2, "freeze %u for=%u", random_draw(3), 1 + random_draw(8));
 	if (random_chance(15))
-		random_event(at + random_draw(10), "state-outage for=%u", 1 + random_draw(20));
+		random_event(time + random_draw(10), "state-outage for=%u", 1 + random_draw(20));
 }
 
 void random_generate(void)
