Messages across the core's border are freed in one place; an attempt changes its job in one place

Cause: freeing a call's result stood twice (I/O layer and simulator); that an attempt leaves one job for another, with all counts, stood in jobs and in quarantine by hand. The simulator takes the core's lines as in operation (info) unless it is verbose.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -62,28 +62,6 @@
 	return call;
 }
 
-static void ws_transaction_free(struct ws_transaction_call *transaction)
-{
-	for (size_t i = 0; i < transaction->operation_count; i++)
-		json_decref(transaction->operations[i].value);
-	free(transaction->operations);
-	free(transaction->compares);
-}
-
-void ws_call_free(struct ws_call *call)
-{
-	if (!call)
-		return;
-	switch (call->kind) {
-	case WS_CALL_TRANSACTION: ws_transaction_free(&call->transaction); break;
-	case WS_CALL_SCALE_IN: free(call->scale_in.machine_names); break;
-	case WS_CALL_COMMANDS: free(call->commands.list); break;
-	default: break; /* the other kinds own nothing */
-	}
-	free(call->context);
-	free(call);
-}
-
 struct ws_effect *ws_core_next_effect(struct ws_core *core)
 {
 	struct ws_effect *effect = core->effects_head;
@@ -97,18 +75,6 @@
 	return effect;
 }
 
-void ws_effect_free(struct ws_effect *effect)
-{
-	if (!effect)
-		return;
-	switch (effect->kind) {
-	case WS_EFFECT_ANSWER_HEARTBEAT: free(effect->heartbeat.commands); break;
-	case WS_EFFECT_ANSWER_VOTE: free(effect->vote.cancellations); break;
-	default: break; /* the other kinds own nothing; a call goes to who carries it out */
-	}
-	free(effect);
-}
-
 void ws_core_complete(struct ws_core *core, double now, struct ws_call *call,
 		      const struct ws_result *result)
 {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -446,6 +446,10 @@
 struct ws_effect *ws_core_next_effect(struct ws_core *core);
 /* Frees an effect, but for its call. NULL is none. */
 void ws_effect_free(struct ws_effect *effect);
+/* Frees what a heartbeat holds. */
+void ws_heartbeat_free(struct ws_heartbeat *heartbeat);
+/* Frees what a result holds; it is one without an answer then, to a call of the same kind. */
+void ws_result_free(struct ws_result *result);
 /* Each call ends here once: hands in its result and frees the call. The result is borrowed. */
 void ws_core_complete(struct ws_core *core, double now, struct ws_call *call,
 		      const struct ws_result *result);
--- a/src/core/fleet/quarantine.c
+++ b/src/core/fleet/quarantine.c
@@ -138,17 +138,6 @@
 	return members == job->spec.tasks;
 }
 
-/* An attempt that is quarantined counts for its job from now on. */
-static void ws_quarantine_join_job(struct ws_core *core, struct ws_job *job,
-				   struct ws_attempt *attempt)
-{
-	ws_unknown_team_settled(core, attempt);
-	ws_attempt_count(core, attempt, -1);
-	attempt->job = job;
-	DL_APPEND2(job->attempts, attempt, job_prev, job_next);
-	ws_attempt_count(core, attempt, 1);
-}
-
 /* Decides on all quarantined attempts of a job that has become known: completed ones count, others
  * are adopted or stopped. A gang is adopted whole or not at all. */
 static void ws_quarantine_settle_job(struct ws_core *core, struct ws_job *job)
@@ -184,7 +173,7 @@
 		for (attempt = machine->attempts; attempt; attempt = attempt->machine_next)
 			if (attempt->quarantined && !attempt->job &&
 			    !strcmp(attempt->job_id, job->spec.id))
-				ws_quarantine_join_job(core, job, attempt);
+				ws_attempt_set_job(core, attempt, job);
 	}
 	ws_quarantine_settle_job(core, job);
 }
--- a/src/core/jobs/attempts.c
+++ b/src/core/jobs/attempts.c
@@ -102,6 +102,23 @@
 	return attempt;
 }
 
+void ws_attempt_set_job(struct ws_core *core, struct ws_attempt *attempt, struct ws_job *job)
+{
+	bool counts = attempt->state != WS_ATTEMPT_GONE;
+
+	if (counts)
+		ws_attempt_count(core, attempt, -1);
+	if (attempt->job)
+		DL_DELETE2(attempt->job->attempts, attempt, job_prev, job_next);
+	attempt->job = job;
+	if (job) {
+		DL_APPEND2(job->attempts, attempt, job_prev, job_next);
+		ws_unknown_team_settled(core, attempt);
+	}
+	if (counts)
+		ws_attempt_count(core, attempt, 1);
+}
+
 void ws_attempt_free(struct ws_attempt *attempt)
 {
 	struct ws_attempt **attempt_link = &attempt->machine->attempts;
--- a/src/core/jobs/jobs.c
+++ b/src/core/jobs/jobs.c
@@ -54,19 +54,17 @@
 {
 	while (job->attempts) {
 		struct ws_attempt *attempt = job->attempts;
-		bool alive = attempt->state == WS_ATTEMPT_RECORDED;
 
-		if (attempt->state != WS_ATTEMPT_GONE)
-			ws_attempt_count(core, attempt, -1);
-		DL_DELETE2(job->attempts, attempt, job_prev, job_next);
-		attempt->job = NULL;
+		ws_attempt_set_job(core, attempt, NULL);
 		ws_quarantine_drop(core, attempt);
-		if (alive) { /* its record is deleted, but it may live on: it is to be stopped */
+		if (attempt->state == WS_ATTEMPT_RECORDED) {
+			/* its record is deleted, but it may live on: it is to be stopped */
 			attempt->stopping = attempt->unrecorded = true;
-			ws_attempt_count(core, attempt, 1);
-		} else {
-			ws_attempt_free(attempt);
+			continue;
 		}
+		if (attempt->state == WS_ATTEMPT_PLANNED)
+			ws_attempt_count(core, attempt, -1);
+		ws_attempt_free(attempt);
 	}
 	if (job->record.dirty)
 		DL_DELETE2(core->jobs.dirty, job, dirty_prev, dirty_next);
--- a/src/core/jobs/jobs.h
+++ b/src/core/jobs/jobs.h
@@ -243,6 +243,8 @@
 				  const char *job_id, uint32_t task, uint64_t number);
 /* An attempt begins (1) or ceases (-1) to count against machine, team, job and task. */
 void ws_attempt_count(struct ws_core *core, struct ws_attempt *attempt, int sign);
+/* An attempt is of another job from now on, and counts there; NULL: its job is unknown. */
+void ws_attempt_set_job(struct ws_core *core, struct ws_attempt *attempt, struct ws_job *job);
 /* Whether an attempt is that of a job's task with a number; asked of each pair of an attempt on a
  * machine and a task in its heartbeat. */
 static inline bool ws_attempt_matches(const struct ws_attempt *attempt, const char *job_id,
--- a/src/io/codec.h
+++ b/src/io/codec.h
@@ -46,7 +46,6 @@
 bool ws_job_id_ok(const char *id);
 /* A worker's heartbeat; false: malformed. What it allocates is freed by ws_heartbeat_free(). */
 bool ws_decode_heartbeat(const char *body, size_t length, struct ws_heartbeat *report);
-void ws_heartbeat_free(struct ws_heartbeat *report);
 
 /* Bodies to send; freed by the caller, NULL without memory. */
 char *ws_encode_user(const struct ws_effect *answer);
@@ -62,6 +61,4 @@
  * no sense: no answer. */
 void ws_decode_reply(const struct ws_call *call, int status, const char *body, size_t length,
 		     struct ws_result *result);
-/* Frees what a result holds; it is one without an answer then, to a call of the same kind. */
-void ws_result_free(struct ws_result *result);
 #endif
--- a/src/io/decode_reply.c
+++ b/src/io/decode_reply.c
@@ -77,34 +77,3 @@
 		result->instances.no_capacity = ws_decode_no_capacity(object);
 	}
 }
-
-static void records_free(struct ws_records_result *records)
-{
-	for (size_t i = 0; i < records->entry_count; i++)
-		json_decref(records->entries[i].value);
-	free(records->entries);
-}
-
-void ws_result_free(struct ws_result *result)
-{
-	switch (result->kind) {
-	case WS_CALL_GET:
-	case WS_CALL_LIST:
-	case WS_CALL_WATCH: records_free(&result->records); break;
-	case WS_CALL_TRANSACTION: free(result->transaction.failed_keys); break;
-	case WS_CALL_MACHINE_TYPES: free(result->types.list); break;
-	case WS_CALL_INSTANCES:
-	case WS_CALL_SCALE_OUT: free(result->instances.list); break;
-	case WS_CALL_COMMANDS:
-		if (result->heartbeat)
-			ws_heartbeat_free(result->heartbeat);
-		free(result->heartbeat);
-		break;
-	case WS_CALL_OUTAGE_VOTE: free(result->vote.cancellations); break;
-	case WS_CALL_SESSION_OPEN:
-	case WS_CALL_SESSION_RENEW:
-	case WS_CALL_SESSION_CLOSE:
-	case WS_CALL_SCALE_IN: break;
-	}
-	*result = (struct ws_result){.kind = result->kind};
-}
--- a/src/io/decode_worker.c
+++ b/src/io/decode_worker.c
@@ -139,10 +139,3 @@
 
 	return ws_json_read(body, length, &object) && ws_decode_report_object(object, report);
 }
-
-void ws_heartbeat_free(struct ws_heartbeat *report)
-{
-	free(report->tasks);
-	report->tasks = NULL;
-	report->task_count = 0;
-}
--- a/tests/sim_calls.c
+++ b/tests/sim_calls.c
@@ -28,34 +28,6 @@
 	return kind >= WS_CALL_MACHINE_TYPES && kind <= WS_CALL_SCALE_IN;
 }
 
-static void records_clear(struct ws_records_result *records)
-{
-	for (size_t i = 0; i < records->entry_count; i++)
-		json_decref(records->entries[i].value);
-	free(records->entries);
-}
-
-static void result_clear(struct ws_result *result)
-{
-	switch (result->kind) {
-	case WS_CALL_GET:
-	case WS_CALL_LIST:
-	case WS_CALL_WATCH: records_clear(&result->records); break;
-	case WS_CALL_TRANSACTION: free(result->transaction.failed_keys); break;
-	case WS_CALL_MACHINE_TYPES: free(result->types.list); break;
-	case WS_CALL_INSTANCES:
-	case WS_CALL_SCALE_OUT: free(result->instances.list); break;
-	case WS_CALL_COMMANDS:
-		if (result->heartbeat)
-			free(result->heartbeat->tasks);
-		free(result->heartbeat);
-		break;
-	case WS_CALL_OUTAGE_VOTE: free(result->vote.cancellations); break;
-	default: break; /* the other kinds own nothing */
-	}
-	*result = (struct ws_result){.kind = result->kind};
-}
-
 /* Puts it behind all that are due at the same time. */
 static void schedule(struct sim *sim, struct sim_call_in_flight *flight)
 {
@@ -77,7 +49,7 @@
 /* It was executed, but its answer is lost: its sender gives up at this time. */
 static void lose_answer(struct sim *sim, struct sim_call_in_flight *flight, double time)
 {
-	result_clear(&flight->result);
+	ws_result_free(&flight->result);
 	schedule_answer(sim, flight, time);
 }
 
@@ -217,7 +189,7 @@
 	} else {
 		flight->call_version->free_call(flight->call);
 	}
-	result_clear(&flight->result);
+	ws_result_free(&flight->result);
 	free(flight);
 }
 
@@ -230,7 +202,7 @@
 	}
 	sim_store_execute(sim, flight->call, &flight->result);
 	flight->call_version->free_call(flight->call);
-	result_clear(&flight->result);
+	ws_result_free(&flight->result);
 	free(flight);
 }
 
@@ -257,13 +229,13 @@
 	if ((is_blind || !sim_store_watch(sim, call, &flight->result)) &&
 	    sim->now < call->created_at / (1 + node->skew) + call->watch.timeout_ms / 1000.0 &&
 	    node->restarts == flight->restarts) {
-		result_clear(&flight->result);
+		ws_result_free(&flight->result);
 		flight->due_at = sim->now + SIM_STEP_S / 2;
 		schedule(sim, flight);
 		return;
 	}
 	if (is_blind) {
-		result_clear(&flight->result);
+		ws_result_free(&flight->result);
 		flight->result.outcome = sim->now < node->cut_store_until ? WS_OUTCOME_NO_ANSWER
 									  : WS_OUTCOME_UNAVAILABLE;
 	}
@@ -491,7 +463,7 @@
 
 		sim->calls_in_flight = flight->next;
 		flight->call_version->free_call(flight->call);
-		result_clear(&flight->result);
+		ws_result_free(&flight->result);
 		free(flight);
 	}
 	while (sim->late_commands) {
--- a/tests/sim_nodes.c
+++ b/tests/sim_nodes.c
@@ -26,6 +26,8 @@
 	node->core =
 	    node->version->create(&node->settings, &sim->policy, sim_log, sim_node_time(sim, node),
 				  node->restarts * 977 + (uint64_t)index + 1);
+	if (node->version == &sim_this_version && !sim_verbose)
+		ws_core_set_log_level(node->core, WS_LOG_INFO); /* as in operation */
 	sim_domains_attach(sim, node);
 	sim_cold_start_attach(sim, node);
 }
