Soak: copies of heartbeats for the next leader, longer stops of all; limits are checked cheaply

Cause: the soak had not brought the fault of the incident about, since no copy came in a leader's first moments and all controllers were seldom away long enough for a cold start. Change: copies may be held for the next leader; all controllers stop more often and for up to 1.2 leases. The simulator counts all tasks at a start only if the team may be over, by its use when last counted and all starts since: as strict.

--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -44,6 +44,7 @@
 struct loopback_faults {
 	double slow_answers;	    /* answers to heartbeats reach their worker late */
 	double heartbeat_copies;    /* heartbeats come again, later, at any node */
+	double copies_for_next;	    /* or at all nodes, when the next leader begins */
 	double late_commands;	    /* direct commands arrive after their sender gave up */
 	double lost_answers;	    /* answers to direct commands are lost */
 	double late_store_requests; /* the store carries them out late */
--- a/tests/loopback_faults.c
+++ b/tests/loopback_faults.c
@@ -1,5 +1,9 @@
 /* Faults of the loopback cluster: messages that are held back and arrive late. */
 #include "loopback_parts.h"
+#include <math.h>
+
+/* Of a leader, from its election on. */
+#define FIRST_MOMENTS_S 0.3
 
 struct loopback_faults loopback_faults;
 
@@ -36,6 +40,18 @@
 	held = copy;
 }
 
+void loopback_hold_for_leader(const struct loopback_message *message, loopback_deliver_fn deliver)
+{
+	loopback_hold(message, INFINITY, deliver);
+}
+
+void loopback_leader_began(void)
+{
+	for (struct held_message *message = held; message; message = message->next)
+		if (isinf(message->due_at))
+			message->due_at = ws_now() + FIRST_MOMENTS_S * loopback_random();
+}
+
 static void held_free(struct held_message *message)
 {
 	free((char *)message->message.method);
--- a/tests/loopback_parts.h
+++ b/tests/loopback_parts.h
@@ -66,6 +66,10 @@
 /* Delivers a copy of a message after some seconds. */
 void loopback_hold(const struct loopback_message *message, double seconds,
 		   loopback_deliver_fn deliver);
+/* The same, but when the next leader begins. */
+void loopback_hold_for_leader(const struct loopback_message *message, loopback_deliver_fn deliver);
+/* A leader was elected: what was held for it is delivered in its first moments. */
+void loopback_leader_began(void);
 /* Delivers what is due. */
 void loopback_held_step(void);
 void loopback_held_drop(void);
--- a/tests/loopback_store.c
+++ b/tests/loopback_store.c
@@ -4,6 +4,7 @@
 
 #define WATCHES 32
 #define SESSIONS 4096
+#define LEADER_KEY "leader"
 /* How late a request is carried out, see struct loopback_faults. */
 #define LATE_REQUEST_MAX_S 4.0
 
@@ -33,6 +34,8 @@
 				    json_pack("{s:O,s:I,s:I}", "value", value, "stamp", revision,
 					      "session", session));
 		json_object_del(removed, name);
+		if (!strcmp(name, LEADER_KEY))
+			loopback_leader_began();
 	} else if (!json_object_del(records, name)) {
 		json_object_set_new(removed, name, json_integer(revision));
 	}
--- a/tests/loopback_workers.c
+++ b/tests/loopback_workers.c
@@ -177,13 +177,32 @@
 	(void)length;
 }
 
+static void send_copy(const struct loopback_message *copy, int node)
+{
+	ws_client_send(loopback_nodes[node].copies, "POST", "/checkin", copy->body, copy->length,
+		       ANSWER_TIMEOUT_S, false, on_copy_answered, NULL);
+}
+
 static void copy_arrives(const struct loopback_message *copy)
 {
-	struct loopback_node *node =
-	    &loopback_nodes[(int)(loopback_random() * LOOPBACK_NODES) % LOOPBACK_NODES];
+	send_copy(copy, (int)(loopback_random() * LOOPBACK_NODES) % LOOPBACK_NODES);
+}
+
+static void copy_arrives_everywhere(const struct loopback_message *copy)
+{
+	for (int i = 0; i < LOOPBACK_NODES; i++)
+		send_copy(copy, i);
+}
+
+/* Some heartbeats come again. */
+static void copy_heartbeat(const char *text)
+{
+	const struct loopback_message copy = {.body = text, .length = strlen(text)};
 
-	ws_client_send(node->copies, "POST", "/checkin", copy->body, copy->length, ANSWER_TIMEOUT_S,
-		       false, on_copy_answered, NULL);
+	if (loopback_befalls(loopback_faults.heartbeat_copies))
+		loopback_hold(&copy, COPY_MAX_S * loopback_random(), copy_arrives);
+	if (loopback_befalls(loopback_faults.copies_for_next))
+		loopback_hold_for_leader(&copy, copy_arrives_everywhere);
 }
 
 static void task_step(struct loopback_worker *worker, struct loopback_task *task)
@@ -228,11 +247,7 @@
 	worker->sent_at = ws_now();
 	worker->sent_incarnation = worker->incarnation;
 	worker->next_heartbeat_at = ws_now() + LOOPBACK_HEARTBEAT_S;
-	if (loopback_befalls(loopback_faults.heartbeat_copies)) {
-		const struct loopback_message copy = {.body = text, .length = strlen(text)};
-
-		loopback_hold(&copy, COPY_MAX_S * loopback_random(), copy_arrives);
-	}
+	copy_heartbeat(text);
 	worker->heartbeat_pending =
 	    ws_client_send(worker->clients[worker->node], "POST", "/checkin", text, strlen(text),
 			   ANSWER_TIMEOUT_S, false, on_answer, worker);
--- a/tests/sim_checks.c
+++ b/tests/sim_checks.c
@@ -90,25 +90,6 @@
 		sim_fail(sim, "wrong_place: %s/%u on type %s", task->job, task->task, type->name);
 }
 
-void sim_check_start(struct sim *sim, struct sim_worker *worker, struct sim_task *task)
-{
-	struct sim_job *job = sim_job_of(sim, task->job);
-	struct spread spread = check_others(sim, job, worker, task);
-
-	if (!job)
-		return;
-	check_place(sim, &job->spec, worker, task, &spread);
-	if (job->told_cancelled_at > 0 && sim->now > job->told_cancelled_at + sim->cancel_s)
-		sim_fail(sim, "ran_cancelled: %s/%u starts on %s", task->job, task->task,
-			 worker->name);
-	sim_check_quota(sim); /* now: what is over within a moment would be missed later */
-	sim->starts++;
-	sim_domains_started(sim, job, task->task);
-	sim_cold_start_started(sim, job, task->task);
-	if (!job->started_at)
-		job->started_at = sim->now;
-}
-
 /* Counts a running task to its team, and checks that it was not cancelled long ago. */
 static void check_running(struct sim *sim, const struct sim_worker *worker,
 			  const struct sim_job *job, double *used)
@@ -155,9 +136,45 @@
 				check_running(sim, worker, job, used);
 		}
 	}
-	for (int i = 0; i < sim->team_count; i++)
+	for (int i = 0; i < sim->team_count; i++) {
+		sim->team_use_bound[i] = used[i];
 		if (used[i] > sim->teams[i].cpus_max + CPU_TOLERANCE) {
 			log_running(sim, sim->teams[i].name);
 			sim_fail(sim, "quota: %s uses %.1f", sim->teams[i].name, used[i]);
 		}
+	}
+}
+
+/*
+ * At each start, since what is over a limit for a moment would be missed later. All tasks are
+ * counted only if the team may be over: its use when they were last counted, and all starts since.
+ */
+static void check_quota_at_start(struct sim *sim, const struct sim_job *job)
+{
+	for (int i = 0; i < sim->team_count; i++) {
+		if (strcmp(sim->teams[i].name, job->spec.team) != 0)
+			continue;
+		sim->team_use_bound[i] += job->spec.cpus;
+		if (sim->team_use_bound[i] > sim->teams[i].cpus_max + CPU_TOLERANCE)
+			sim_check_quota(sim);
+	}
+}
+
+void sim_check_start(struct sim *sim, struct sim_worker *worker, struct sim_task *task)
+{
+	struct sim_job *job = sim_job_of(sim, task->job);
+	struct spread spread = check_others(sim, job, worker, task);
+
+	if (!job)
+		return;
+	check_place(sim, &job->spec, worker, task, &spread);
+	if (job->told_cancelled_at > 0 && sim->now > job->told_cancelled_at + sim->cancel_s)
+		sim_fail(sim, "ran_cancelled: %s/%u starts on %s", task->job, task->task,
+			 worker->name);
+	check_quota_at_start(sim, job);
+	sim->starts++;
+	sim_domains_started(sim, job, task->task);
+	sim_cold_start_started(sim, job, task->task);
+	if (!job->started_at)
+		job->started_at = sim->now;
 }
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -263,6 +263,7 @@
 	struct ws_policy policy;
 	char zones[SIM_ZONES][32];
 	struct ws_team_setting teams[16];
+	double team_use_bound[16]; /* no team uses more, see sim_checks.c */
 	struct ws_objective objectives[8];
 	struct ws_machine_type types[8];
 	int zone_count, team_count, objective_count, type_count;
--- a/tests/soak_test.c
+++ b/tests/soak_test.c
@@ -14,9 +14,12 @@
 
 #define UNFINISHED_JOBS 8 /* of each team, kept so many */
 #define TASKS_MAX 5
-#define RUN_MAX_S 6.0
+#define RUN_MAX_S 4.0
 #define CANCELLED_SHARE 0.3
 #define STEP_MAX_S 2.0
+/* All controllers are down for so long at most: longer than leaders are proven to have lived, and
+ * than leases. */
+#define DOWN_MAX_S (1.2 * LOOPBACK_LEASE_S)
 #define SETTLE_S 90.0
 /* A limit that no number of tasks of 4 CPUs meets. */
 #define LIMIT_CPUS 22
@@ -50,6 +53,11 @@
 		}
 }
 
+static bool is_broken(void)
+{
+	return loopback_break() != NULL;
+}
+
 /* ---- faults of controllers ---- */
 
 static bool down[LOOPBACK_NODES], frozen[LOOPBACK_NODES];
@@ -94,10 +102,12 @@
 
 	switch (draw(12)) {
 	case 0:
+	case 1:
 		for (int i = 0; i < LOOPBACK_NODES; i++)
 			kill_node(i);
+		loopback_until(is_broken, DOWN_MAX_S * loopback_random());
+		bring_back_all();
 		break;
-	case 1:
 	case 2: kill_node(node); break;
 	case 3: freeze_node(node); break;
 	default: bring_back_all(); break;
@@ -115,25 +125,21 @@
 {
 	loopback_faults.slow_answers = draw_share(60, 0.8);
 	loopback_faults.heartbeat_copies = draw_share(50, 0.5);
-	loopback_faults.late_commands = draw_share(30, 0.3);
+	loopback_faults.copies_for_next = draw_share(70, 0.5);
+	loopback_faults.late_commands = draw_share(40, 0.5);
 	loopback_faults.lost_answers = draw_share(20, 0.3);
 	loopback_faults.late_store_requests = draw_share(30, 0.1);
-	loopback_event("faults: slow answers %.2f, copies %.2f, late commands %.2f, lost answers "
-		       "%.2f, late store requests %.2f",
+	loopback_event("faults: slow answers %.2f, copies %.2f and %.2f, late commands %.2f, lost "
+		       "answers %.2f, late store requests %.2f",
 		       loopback_faults.slow_answers, loopback_faults.heartbeat_copies,
-		       loopback_faults.late_commands, loopback_faults.lost_answers,
-		       loopback_faults.late_store_requests);
+		       loopback_faults.copies_for_next, loopback_faults.late_commands,
+		       loopback_faults.lost_answers, loopback_faults.late_store_requests);
 	if (draw(6))
 		return;
 	loopback_event("the store refuses");
 	loopback_faults.store_refuses_until = loopback_now() + 4 * loopback_random();
 }
 
-static bool is_broken(void)
-{
-	return loopback_break() != NULL;
-}
-
 static bool settled(void)
 {
 	return is_broken() ||
