Review, case 2: an array of small tasks takes a machine's report over 64 KiB

Cause: nothing limits the number of tasks on a machine, so its worker can't report them within the limit of a request body, loses its lease and all tasks, and gets them again.

--- a/review/standins/cluster.h
+++ b/review/standins/cluster.h
@@ -14,7 +14,7 @@
 
 #define NODES_MAX 3
 #define WORKERS_MAX 24
-#define TASKS_MAX 64
+#define TASKS_MAX 4096
 #define JOBS_MAX 4096
 #define TEAMS_MAX 4
 
@@ -73,7 +73,7 @@
 	bool pending;
 	unsigned polls, poll_answers;
 	/* what really happened */
-	unsigned starts, done_count;
+	unsigned starts, done_count, killed_count; /* killed: with the lease of the machine */
 	bool *task_done;
 	double first_start_at;
 };
@@ -98,6 +98,7 @@
 	bool reporting;
 	uint64_t report_tenure, report_serial;
 	bool hung;
+	size_t largest_report; /* bytes */
 	struct task tasks[TASKS_MAX];
 	unsigned task_count;
 };
--- a/review/standins/workers.c
+++ b/review/standins/workers.c
@@ -433,8 +433,18 @@
 	struct report_context *context;
 	json_t *body = build_report(worker);
 	char *text = json_dumps(body, JSON_COMPACT);
+	size_t length = strlen(text);
 
 	json_decref(body);
+	if (length > worker->largest_report)
+		worker->largest_report = length;
+	if (length > REPORT_MAX) { /* no request body may be that large: it can't be sent */
+		record("report of %s with %u tasks would take %zu bytes", worker->name,
+		       worker->task_count, length);
+		worker->next_report_at = ws_now() + settings.report_s;
+		free(text);
+		return;
+	}
 	worker->sent_at = worker->last_sent_at = ws_now();
 	worker->report_tenure = worker->tenure;
 	worker->next_report_at =
@@ -463,7 +473,10 @@
 	if (ws_now() - worker->renewed_at <= settings.lease_s)
 		return;
 	for (unsigned i = 0; i < worker->task_count; i++)
-		lost += worker->tasks[i].state != TASK_EXITED;
+		if (worker->tasks[i].state != TASK_EXITED) {
+			worker->tasks[i].job->killed_count++;
+			lost++;
+		}
 	record("lease of %s expired, tenure %llu ends, tasks killed: %u", worker->name,
 	       (unsigned long long)worker->tenure, lost);
 	worker->task_count = 0;
