Review: the stand-ins notice a controller that ends by itself

Cause: the default event loop waits for child processes itself, so the stand-ins never saw one end.

Change: an event loop of their own.

--- a/review/standins/cluster.c
+++ b/review/standins/cluster.c
@@ -351,7 +351,7 @@
 	snprintf(folder, sizeof(folder), "/tmp/waystep-review-XXXXXX");
 	if (!mkdtemp(folder))
 		cannot_run("can't make a temporary folder");
-	loop = ev_default_loop(0);
+	loop = ev_loop_new(0); /* the default loop would wait for the controllers itself */
 	for (int i = 0; i < settings.nodes; i++) {
 		nodes[i].port = free_port();
 		nodes[i].peer_port = free_port();
