--- a/review/standins/cluster.h
+++ b/review/standins/cluster.h
@@ -61,6 +61,7 @@
 	int team;
 	unsigned shards;
 	double cpus, mem_gb, image_gb, run_s, checkpoint_s, save_s;
+	double run_vary; /* each run takes up to this share of run_s longer */
 	const char *zone;   /* NULL: any */
 	bool one_zone, spread;
 	double fails_after_s; /* above 0: each task fails so long after its start */
@@ -128,6 +129,8 @@
 /* Index of the node named in the leader key, -1 if there is no key. */
 int leader_node(void);
 json_int_t leader_revision(void);
+/* Bytes of the changes of job records in answers to watches, since the start of the test. */
+extern size_t job_change_bytes;
 /* Ends or begins an outage; at its end all leases of the state service have their full time. */
 void outage_set(bool on);
 /* Cuts a node, or a worker, off from everything outside of its zone. */
--- a/review/standins/store.c
+++ b/review/standins/store.c
@@ -10,7 +10,8 @@
 struct change {
 	json_int_t revision;
 	char key[201];
-	json_t *value; /* NULL: deleted */
+	char *text; /* as it stands in the answer to a watch */
+	size_t length;
 };
 
 static json_t *records;
@@ -141,15 +142,31 @@
 	return -1;
 }
 
+size_t job_change_bytes;
+
 static void change_add(const char *key, json_t *value)
 {
+	struct change *change;
+	json_t *entry;
+
 	if (change_count == change_capacity) {
 		change_capacity = change_capacity ? 2 * change_capacity : 1024;
 		changes = realloc(changes, change_capacity * sizeof(*changes));
 	}
-	changes[change_count].revision = revision;
-	changes[change_count].value = json_incref(value);
-	snprintf(changes[change_count++].key, sizeof(changes->key), "%s", key);
+	if (change_count >= LOG_KEPT) {
+		free(changes[change_count - LOG_KEPT].text);
+		changes[change_count - LOG_KEPT].text = NULL;
+	}
+	change = &changes[change_count++];
+	entry = value ? json_pack("{s:s,s:O,s:I}", "write", key, "value", value, "stamp", revision)
+		      : json_pack("{s:s,s:I}", "delete", key, "stamp", revision);
+	change->revision = revision;
+	change->text = json_dumps(entry, JSON_COMPACT);
+	change->length = strlen(change->text);
+	snprintf(change->key, sizeof(change->key), "%s", key);
+	if (has_prefix(key, "job/"))
+		job_change_bytes += change->length;
+	json_decref(entry);
 }
 
 static void record_write(const char *key, json_t *value, json_int_t session)
@@ -212,26 +229,39 @@
 
 /* ---- watches ---- */
 
-static json_t *changes_since(const char *prefix, json_int_t since)
+static void add_text(char **text, size_t *length, size_t *capacity, const char *part, size_t count)
 {
-	json_t *list = json_array();
-	size_t first = change_count;
+	if (*length + count + 1 > *capacity) {
+		*capacity = 2 * (*length + count + 1);
+		*text = realloc(*text, *capacity);
+	}
+	memcpy(*text + *length, part, count);
+	*length += count;
+	(*text)[*length] = 0;
+}
+
+/* The body of the answer to a watch: all changes, whatever their size. Sets whether there are any. */
+static char *changes_since(const char *prefix, json_int_t since, size_t *length, bool *any)
+{
+	size_t first = change_count, capacity = 0;
+	char head[64], *text = NULL;
 
+	*any = false;
+	*length = 0;
+	snprintf(head, sizeof(head), "{\"ledgerRev\":%lld,\"news\":[", (long long)revision);
+	add_text(&text, length, &capacity, head, strlen(head));
 	while (first > 0 && changes[first - 1].revision > since)
 		first--;
 	for (size_t i = first; i < change_count; i++) {
-		const struct change *change = &changes[i];
-
-		if (!has_prefix(change->key, prefix))
+		if (!has_prefix(changes[i].key, prefix))
 			continue;
-		json_array_append_new(
-		    list, change->value
-			      ? json_pack("{s:s,s:O,s:I}", "write", change->key, "value",
-					  change->value, "stamp", change->revision)
-			      : json_pack("{s:s,s:I}", "delete", change->key, "stamp",
-					  change->revision));
+		if (*any)
+			add_text(&text, length, &capacity, ",", 1);
+		add_text(&text, length, &capacity, changes[i].text, changes[i].length);
+		*any = true;
 	}
-	return list;
+	add_text(&text, length, &capacity, "]}", 2);
+	return text;
 }
 
 static bool node_not_served(int node)
@@ -239,22 +269,33 @@
 	return faults.outage || faults.refused[node];
 }
 
+static bool is_too_old(json_int_t since)
+{
+	return change_count > LOG_KEPT && since < changes[change_count - LOG_KEPT].revision - 1;
+}
+
 static void watches_wake(void)
 {
 	for (int i = 0; i < WATCHES_MAX; i++) {
-		json_t *news;
+		size_t length;
+		char *news;
+		bool any;
 
 		if (!watches[i].request_id || node_not_served(watches[i].node) ||
 		    faults.store_cut[watches[i].node])
 			continue;
-		news = changes_since(watches[i].prefix, watches[i].since);
-		if (!json_array_size(news) && ws_now() < watches[i].until) {
-			json_decref(news);
+		if (is_too_old(watches[i].since)) {
+			answer(nodes[watches[i].node].store, watches[i].request_id, 410, json_object());
+			watches[i].request_id = 0;
 			continue;
 		}
-		answer(nodes[watches[i].node].store, watches[i].request_id, 200,
-		       json_pack("{s:I,s:o}", "ledgerRev", revision, "news", news));
-		watches[i].request_id = 0;
+		news = changes_since(watches[i].prefix, watches[i].since, &length, &any);
+		if (any || ws_now() >= watches[i].until) {
+			ws_server_respond(nodes[watches[i].node].store, watches[i].request_id, 200,
+					  news, length, 0);
+			watches[i].request_id = 0;
+		}
+		free(news);
 	}
 }
 
@@ -264,7 +305,7 @@
 	json_int_t from = since ? atoll(since + 6) : 0;
 	int oldest = -1;
 
-	if (change_count > LOG_KEPT && from < changes[change_count - LOG_KEPT].revision - 1) {
+	if (is_too_old(from)) {
 		answer(nodes[node].store, request_id, 410, json_object());
 		return;
 	}
--- a/review/standins/workers.c
+++ b/review/standins/workers.c
@@ -501,7 +501,9 @@
 			task->next_at = ws_now() + job->fails_after_s;
 		else
 			task->next_at =
-			    strcmp(job->kind, "daemon") ? ws_now() + job->run_s : 1e18;
+			    strcmp(job->kind, "daemon")
+				? ws_now() + job->run_s * (1 + job->run_vary * random_unit())
+				: 1e18;
 		report_soon(worker);
 	} else if (task->state == TASK_FLUSHING) {
 		task->saved = true;
