Review, case 3: a team above its limit after a leader change

Cause: a leader gives the capacity of a released attempt to another job at once, but writes the record that still names the attempt 2 s later or more. The next leader finds the attempt on record, unreported, and starts it.

Change: new case 3, with gangs in the stand-in workers.

--- a/review/standins/cluster.h
+++ b/review/standins/cluster.h
@@ -26,7 +26,7 @@
 	const char *team_names[TEAMS_MAX];
 	double team_cpus[TEAMS_MAX], team_cpus_max[TEAMS_MAX];
 	double worker_cpus, worker_mem_gb;
-	double report_s, lease_s, cancel_s;
+	double report_s, lease_s, cancel_s, gang_wait_s, gang_peer_s; /* 0: lease_s and 4 s */
 	double store_rps, store_write_rps, value_kb;
 	int txn_ops;
 	double cloud_rps, list_lag_s, core_share, ram_mb;
@@ -52,11 +52,11 @@
 };
 extern struct cluster_faults faults;
 
-enum task_state { TASK_PULLING, TASK_RUNNING, TASK_FLUSHING, TASK_EXITED };
+enum task_state { TASK_PULLING, TASK_RUNNING, TASK_FLUSHING, TASK_EXITED, TASK_WAITING };
 
 struct job {
 	char id[32];
-	const char *kind; /* "sweep" or "daemon" */
+	const char *kind; /* "sweep", "daemon" or "gang" */
 	const char *tier;
 	int team;
 	unsigned shards;
@@ -135,6 +135,8 @@
 void outage_set(bool on);
 /* Cuts a node, or a worker, off from everything outside of its zone. */
 void zone_cut(int zone, bool on);
+/* A machine loses the network, or has it again. */
+void worker_cut(int worker, bool on);
 void worker_hang(int worker, bool on);
 /* Heals everything. */
 void faults_clear(void);
@@ -152,6 +154,7 @@
 extern void (*on_step)(void);
 extern void (*on_leader_gone)(void); /* the leader key was removed with its lease */
 extern void (*on_report_answered)(struct worker *worker, int node, uint64_t epoch, bool accepted);
+extern void (*on_direct_command)(struct worker *worker, const char *body); /* as it arrives */
 
 bool run_until(bool (*condition)(void), double seconds);
 void run_for(double seconds);
