Log lines: outage votes, entitlement extended by them, and how a lease ran out

The log could not show why two controllers acted at once after an outage of the store: a vote left no line at the leader or at the voter, an extension of the entitlement none either, and "lease expired" did not say from when the lease was counted.

Debug lines for each vote (at the leader and at the voter, with the key that the voter last read) and for each extension; "resumed" names the token and the time left; "lease expired" names incarnation, attempts, how long ago the lease expired and this leader's election.

--- a/src/core/api/outage_votes.c
+++ b/src/core/api/outage_votes.c
@@ -70,6 +70,13 @@
 
 	effect->request_id = vote_request->request_id;
 	effect->answer = WS_ANSWER_OK;
+	ws_log(core, WS_LOG_DEBUG,
+	       "outage vote requested revision=%llu store_unavailable=%s leader=%s "
+	       "leader_revision=%llu",
+	       (unsigned long long)vote_request->leader_revision,
+	       result->outcome == WS_OUTCOME_UNAVAILABLE ? "yes" : "no",
+	       core->leadership.leader_node[0] ? core->leadership.leader_node : "none",
+	       (unsigned long long)core->leadership.leader_revision);
 	/* A timeout does not confirm an outage. A node that leads itself, or that has seen a later
 	 * leader than the requester, does not vote either. */
 	if (result->outcome != WS_OUTCOME_UNAVAILABLE || core->leadership.role == WS_LEADER ||
--- a/src/core/fleet/machine_leases.c
+++ b/src/core/fleet/machine_leases.c
@@ -83,7 +83,11 @@
 
 void ws_machine_expire_lease(struct ws_core *core, struct ws_machine *machine)
 {
-	ws_log(core, WS_LOG_INFO, "lease expired machine=%s", machine->name);
+	ws_log(
+	    core, WS_LOG_INFO,
+	    "lease expired machine=%s incarnation=%llu attempts=%u expired_s=%.3f elected_s=%.3f",
+	    machine->name, (unsigned long long)machine->incarnation, machine->attempt_count,
+	    core->now - machine->lease.expires_at, core->now - core->leadership.elected_at);
 	machine->lease.min_incarnation = machine->incarnation + 1;
 	ws_subsystems_machine_lost(core, machine, WS_LOSS_LEASE_EXPIRED);
 	ws_machine_release_attempts(core, machine, WS_RECONCILED_LEASE_EXPIRED,
--- a/src/core/leadership/outage.c
+++ b/src/core/leadership/outage.c
@@ -49,13 +49,24 @@
 	if (until <= leadership->entitled_until || until <= core->now)
 		return;
 	leadership->entitled_until = until;
+	ws_log(core, WS_LOG_DEBUG,
+	       "entitlement extended by outage votes token=%llu round=%llu entitled_s=%.3f",
+	       (unsigned long long)leadership->fencing_token,
+	       (unsigned long long)leadership->votes.round, until - core->now);
 	if (!leadership->paused)
 		return;
 	leadership->paused = false;
-	ws_log(core, WS_LOG_INFO, "resumed: outage confirmed by all peers");
+	ws_log(core, WS_LOG_INFO,
+	       "resumed: outage confirmed by all peers token=%llu entitled_s=%.3f",
+	       (unsigned long long)leadership->fencing_token, until - core->now);
 	ws_core_outage_resumed(core);
 }
 
+static bool ws_vote_is_granted(const struct ws_result *result)
+{
+	return result->outcome == WS_OUTCOME_UNAVAILABLE && result->vote.granted;
+}
+
 static void ws_outage_vote_answered(struct ws_core *core, struct ws_call *call,
 				    const struct ws_result *result)
 {
@@ -64,7 +75,12 @@
 		return;
 	core->leadership.votes.outstanding--;
 	core->leadership.votes.last_reply_at = core->now;
-	if (result->outcome != WS_OUTCOME_UNAVAILABLE || !result->vote.granted)
+	ws_log(core, WS_LOG_DEBUG,
+	       "outage vote answered peer=%s round=%llu granted=%s requested_s=%.3f",
+	       call->outage_vote.peer, (unsigned long long)call->outage_vote.round,
+	       ws_vote_is_granted(result) ? "yes" : "no",
+	       core->now - core->leadership.votes.requested_at);
+	if (!ws_vote_is_granted(result))
 		return;
 	ws_core_outage_cancellations(core, result->vote.cancellations,
 				     result->vote.cancellation_count, call->outage_vote.peer);
