Leases of earlier leaders count from the end of the entitlement by outage votes

Cause: a leader whose session in the store has ended may go on by outage votes, for up to one session TTL after the last round. A plain outage keeps its session alive, so the next leader is elected no earlier than a session TTL after the outage. With the session gone, the next leader is elected as the outage ends, and it counted the leases of machines that it had not heard of from its election, though the earlier leader still answered them.

Change: a node that grants a vote counts, if it is elected later, the leases of earlier leaders from one session TTL after the grant. A process counts from one TTL after its start, since an earlier process of its node may have voted. Every peer must vote, so every node that can be elected has voted or was restarted. The same time goes to the subsystems as leases_expire_at. Peers' probes, which entitle nobody, do not count. Elections come as early as before.

--- a/src/core/api/outage_votes.c
+++ b/src/core/api/outage_votes.c
@@ -62,6 +62,12 @@
 	return true;
 }
 
+/* A peer that does not lead asks only whether this node is reachable; see store_health.c. */
+static bool ws_vote_is_probe(const struct ws_outage_vote_context *vote_request)
+{
+	return vote_request->accepts_list && !vote_request->leader_revision;
+}
+
 static void ws_outage_vote_checked(struct ws_core *core, struct ws_call *call,
 				   const struct ws_result *result)
 {
@@ -92,6 +98,9 @@
 	if (vote_request->accepts_list ||
 	    (effect->vote.granted && !effect->vote.cancellation_count))
 		effect->answer = WS_ANSWER_UNAVAILABLE;
+	if (effect->vote.granted && effect->answer == WS_ANSWER_UNAVAILABLE &&
+	    !ws_vote_is_probe(vote_request))
+		ws_outage_vote_granted(core);
 }
 
 static void ws_outage_vote_check(struct ws_core *core, double now, uint64_t request_id,
--- a/src/core/extension/subsystems.c
+++ b/src/core/extension/subsystems.c
@@ -57,7 +57,7 @@
 				      ? core->now - core->leadership.proof.active_at
 				      : INFINITY,
 	    .leader_proof_term = core->leadership.proof.term,
-	    .leases_expire_at = ws_lease_expiry(core, core->leadership.elected_at),
+	    .leases_expire_at = ws_earlier_leases_expiry(core),
 	};
 
 	WS_EACH_HOOK(core, elected, &info);
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -28,8 +28,8 @@
 	machine->first_seen_at = core->now;
 	machine->empty_since = core->now;
 	machine->last_contact_at = NEVER_CONTACTED;
-	/* until this leader's election, an earlier one may have answered it and sent commands */
-	machine->lease.expires_at = ws_lease_expiry(core, core->leadership.elected_at);
+	/* an earlier leader may have answered it and sent commands */
+	machine->lease.expires_at = ws_earlier_leases_expiry(core);
 	machine->commands.outstanding_token =
 	    core->leadership.fencing_token ? core->leadership.fencing_token - 1 : 0;
 	machine->fencing_token = core->leadership.fencing_token;
--- a/src/core/leadership/election.c
+++ b/src/core/leadership/election.c
@@ -21,6 +21,8 @@
 	leadership->session_ttl_s = core->settings->lease_s * core->policy.leader_ttl_ratio;
 	if (leadership->session_ttl_s < 0.2)
 		leadership->session_ttl_s = 0.2;
+	/* an earlier process of this node may have granted an outage vote until now */
+	leadership->votes_entitle_until = core->now + leadership->session_ttl_s;
 	leadership->replica_age_limit_s = ws_core_replica_age_limit(core->settings);
 	if (ws_core_replica_age_limit_is_short(core->settings, &core->policy))
 		ws_log(core, WS_LOG_ERROR,
@@ -151,16 +153,20 @@
 	core->leadership.elected_at =
 	    core->now +
 	    (call->transaction.compares[0].revision ? core->leadership.session_ttl_s : 0);
+	core->leadership.predecessors_entitled_until =
+	    fmax(core->leadership.elected_at, core->leadership.votes_entitle_until);
 	core->leadership.fencing_token = result->transaction.revision << WS_FENCING_TOKEN_SHIFT;
 	core->leadership.leader_revision = result->transaction.revision;
 	snprintf(core->leadership.leader_node, sizeof(core->leadership.leader_node), "%s",
 		 core->settings->node);
 	core->leadership.forwarded_only_since = 0;
 	ws_event_count(core, WS_EVENT_ELECTED);
-	ws_log(core, WS_LOG_INFO, "elected token=%llu revision=%llu entitled_s=%.3f",
+	ws_log(core, WS_LOG_INFO,
+	       "elected token=%llu revision=%llu entitled_s=%.3f predecessors_entitled_s=%.3f",
 	       (unsigned long long)core->leadership.fencing_token,
 	       (unsigned long long)core->leadership.leader_revision,
-	       core->leadership.entitled_until - core->now);
+	       core->leadership.entitled_until - core->now,
+	       core->leadership.predecessors_entitled_until - core->now);
 	ws_core_elected(core);
 }
 
--- a/src/core/leadership/leadership.h
+++ b/src/core/leadership/leadership.h
@@ -54,11 +54,15 @@
 	double next_attempt_at; /* earliest time to read the key or to campaign */
 	double campaign_after;	/* set after resigning, or if another node should lead */
 	struct ws_leader_proof proof;
+	/* until then, votes of this node or of its earlier process may entitle another node */
+	double votes_entitle_until;
 	/* state of this node as the leader */
 	uint64_t session; /* id of the store session; 0: none */
 	double session_ttl_s;
 	uint64_t fencing_token;
 	double elected_at;
+	/* no earlier leader answers a heartbeat after this time: its leases count from here */
+	double predecessors_entitled_until;
 	double entitled_until; /* from the session less clock drift, or from outage votes */
 	int renewals_in_flight;
 	double next_renewal_at;
@@ -98,5 +102,7 @@
 
 /* In a store outage, requests the peers' votes when the next round is due. */
 void ws_outage_tick(struct ws_core *core);
+/* Records that this node grants an outage vote now, which may entitle the requester to lead. */
+void ws_outage_vote_granted(struct ws_core *core);
 
 #endif
--- a/src/core/leadership/outage.c
+++ b/src/core/leadership/outage.c
@@ -14,10 +14,13 @@
  * replica.
  *
  * A leader that not all peers confirmed in time pauses: it answers no requests but keeps its state.
- * If all peers confirm within a lease of the end of its session, it resumes. This is safe: if
- * another leader was elected in between, the lease has not yet allowed it to move the tasks of
- * machines that do not answer, and workers that it has contacted reject this leader's lower fencing
- * token. If it has stepped down since, its node denies the vote or does not answer.
+ * If all peers confirm within a lease of the end of its session, it resumes, although its session
+ * may have ended before the outage began. If another leader was elected in between, the lease has
+ * not yet allowed it to move the tasks of machines that do not answer, and workers that it has
+ * contacted reject this leader's lower fencing token. If it has stepped down since, its node denies
+ * the vote or does not answer. A leader that is elected after the outage need not wait for a
+ * session to end. It has voted, like every peer, and counts the leases of machines from the end of
+ * the entitlement that its vote may have given; see ws_outage_vote_granted().
  */
 static void ws_outage_vote_answered(struct ws_core *core, struct ws_call *call,
 				    const struct ws_result *result);
@@ -97,6 +100,16 @@
 		ws_extend_entitlement(core);
 }
 
+/*
+ * The requester counts its entitlement from before this time and for at most one session TTL. Its
+ * session may have ended, so this node may be elected within that time. It then counts the leases
+ * of machines from the end of it.
+ */
+void ws_outage_vote_granted(struct ws_core *core)
+{
+	core->leadership.votes_entitle_until = core->now + core->leadership.session_ttl_s;
+}
+
 void ws_outage_tick(struct ws_core *core)
 {
 	/* a new round discards the open one, so with slow peers no round would ever complete */
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -17,6 +17,11 @@
 	return from + ws_lease_length(core->settings);
 }
 
+double ws_earlier_leases_expiry(const struct ws_core *core)
+{
+	return ws_lease_expiry(core, core->leadership.predecessors_entitled_until);
+}
+
 double ws_sweep_interval(const struct ws_core *core)
 {
 	return fmin(core->settings->heartbeat_s / SWEEPS_PER_HEARTBEAT,
--- a/src/core/lease.h
+++ b/src/core/lease.h
@@ -14,6 +14,8 @@
 double ws_lease_length(const struct ws_settings *settings);
 /* The time at which a lease renewed at `from` has expired on every machine's clock. */
 double ws_lease_expiry(const struct ws_core *core, double from);
+/* The time at which all leases that leaders before this one renewed have expired. */
+double ws_earlier_leases_expiry(const struct ws_core *core);
 /* Time in seconds between two sweeps over all machines. */
 double ws_sweep_interval(const struct ws_core *core);
 #endif
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -107,17 +107,26 @@
 		sim_run_action(sim, &sim->timed_lines[sim->next_timed_line++]);
 }
 
-/* Runs the action that the scenario has deferred until after the first scale-in. */
-static void run_deferred_action(struct sim *sim)
+/* Returns when an event first happened, or 0 if it has not happened yet. */
+static double event_time(const struct sim *sim, enum sim_event event)
 {
-	struct sim_timed_line deferred = {.time = sim->now};
+	return event == SIM_EVENT_SCALE_IN ? sim->scaled_in_at : sim->leader_key_expired_at;
+}
 
-	if (!sim->deferred_action[0] || sim->scaled_in_at <= 0 ||
-	    sim->now < sim->scaled_in_at + sim->deferred_action_delay_s)
-		return;
-	snprintf(deferred.text, sizeof(deferred.text), "%s", sim->deferred_action);
-	sim->deferred_action[0] = 0;
-	sim_run_action(sim, &deferred);
+/* Runs the actions that the scenario has deferred until after an event. */
+static void run_deferred_actions(struct sim *sim)
+{
+	for (int i = 0; i < sim->deferred_action_count; i++) {
+		struct sim_deferred_action *action = &sim->deferred_actions[i];
+		double event_at = event_time(sim, action->event);
+		struct sim_timed_line line = {.time = sim->now};
+
+		if (!action->text[0] || event_at <= 0 || sim->now < event_at + action->delay_s)
+			continue;
+		snprintf(line.text, sizeof(line.text), "%s", action->text);
+		action->text[0] = 0;
+		sim_run_action(sim, &line);
+	}
 }
 
 /* Advances all calls that are due within this step, in the order of their due times. */
@@ -142,8 +151,8 @@
 
 	run_due_actions(sim);
 	sim_sessions_extend_after_outage(sim);
-	run_deferred_action(sim);
 	sim_sessions_expire(sim);
+	run_deferred_actions(sim);
 	sim->store_was_down = sim->now < sim->store_down_until;
 	sim_workers_deliver_delayed_heartbeats(sim);
 	sim_calls_deliver_delayed_commands(sim);
--- a/tests/sim_actions.c
+++ b/tests/sim_actions.c
@@ -404,17 +404,40 @@
 
 /* ---- execution of actions ---- */
 
+static void defer_action(struct sim *sim, const struct sim_action *action, enum sim_event event)
+{
+	struct sim_deferred_action *deferred = &sim->deferred_actions[sim->deferred_action_count];
+
+	if (sim->deferred_action_count == SIM_DEFERRED_ACTIONS) {
+		sim_fail(sim, "more than %d deferred actions", SIM_DEFERRED_ACTIONS);
+		return;
+	}
+	sim->deferred_action_count++;
+	deferred->event = event;
+	deferred->delay_s = atof(action->operand);
+	snprintf(deferred->text, sizeof(deferred->text), "%s", action->rest);
+}
+
 /* after-scale-in SECONDS ACTION ...: runs the action this long after the first scale-in */
 static void run_after_scale_in(struct sim *sim, const struct sim_action *action)
 {
-	sim->deferred_action_delay_s = atof(action->operand);
-	snprintf(sim->deferred_action, sizeof(sim->deferred_action), "%s", action->rest);
+	defer_action(sim, action, SIM_EVENT_SCALE_IN);
+}
+
+/*
+ * after-leader-key-expired SECONDS ACTION ...: runs the action this long after the leader key is
+ * first removed from the store because its session was not renewed
+ */
+static void run_after_leader_key_expired(struct sim *sim, const struct sim_action *action)
+{
+	defer_action(sim, action, SIM_EVENT_LEADER_KEY_EXPIRED);
 }
 
 static const struct sim_action_word cluster_actions[] = {
     {"abort", run_abort},
     {"abort-many", run_abort_many},
     {"abort-on-completion", run_abort_on_completion},
+    {"after-leader-key-expired", run_after_leader_key_expired},
     {"after-scale-in", run_after_scale_in},
     {"check-consistency", run_check_consistency},
     {"check-consistency-on-change", run_check_consistency_on_change},
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -15,6 +15,7 @@
 #define SIM_TIMED_LINES 256
 #define SIM_LINE_MAX 256
 #define SIM_CONSISTENCY_CHECKS 512
+#define SIM_DEFERRED_ACTIONS 8
 /* Length of a step. Cores tick and workers act once per step; calls may be due within it. */
 #define SIM_STEP_S 0.05
 
@@ -238,6 +239,15 @@
 	uint64_t run_commands, stop_commands, changes, scaled_out;
 };
 
+enum sim_event { SIM_EVENT_SCALE_IN, SIM_EVENT_LEADER_KEY_EXPIRED };
+
+/* An action to run this long after an event. */
+struct sim_deferred_action {
+	enum sim_event event;
+	double delay_s;
+	char text[SIM_LINE_MAX];
+};
+
 /* Whether a call crashes the node that sends it, before or after the call is executed. */
 enum sim_crash { SIM_CRASH_NONE, SIM_CRASH_BEFORE, SIM_CRASH_AFTER };
 
@@ -257,9 +267,8 @@
 	struct sim_timed_line timed_lines[SIM_TIMED_LINES];
 	int timed_line_count, next_timed_line;
 	int line_number; /* number of the line parsed last */
-	/* An action to run this long after the first scale-in. */
-	double deferred_action_delay_s;
-	char deferred_action[SIM_LINE_MAX];
+	struct sim_deferred_action deferred_actions[SIM_DEFERRED_ACTIONS];
+	int deferred_action_count;
 
 	/* settings */
 	double lease_s, heartbeat_s, cancel_s, list_lag_s;
@@ -359,7 +368,8 @@
 	uint64_t written_bytes;			 /* in transactions that the core paces itself */
 	int rejected_writes;
 	int scaled_out, scaled_in, task_failures;
-	double scaled_in_at;			 /* time of the first scale-in */
+	double scaled_in_at;	      /* time of the first scale-in */
+	double leader_key_expired_at; /* when a session that held the leader key first expired */
 	int incomplete_exits, member_lost_exits; /* exits of gang tasks by reason */
 	/* Gang attempts that saved their state when stopped, and those that started to run. */
 	int checkpointed_attempts, gang_runs;
--- a/tests/sim_store.c
+++ b/tests/sim_store.c
@@ -134,6 +134,16 @@
 		}
 }
 
+static void session_expire(struct sim *sim, struct sim_session *session)
+{
+	struct sim_entry *leader_key;
+
+	HASH_FIND_STR(sim->entries, WS_KEY_LEADER, leader_key);
+	if (leader_key && leader_key->session == session->id && sim->leader_key_expired_at <= 0)
+		sim->leader_key_expired_at = sim->now;
+	session_end(sim, session);
+}
+
 static void session_open(struct sim *sim, const struct ws_call *call, struct ws_result *result)
 {
 	struct sim_session *session = &sim->sessions[sim->session_count];
@@ -183,7 +193,7 @@
 	for (int i = 0; i < sim->session_count; i++)
 		if (sim->sessions[i].live && sim->now >= sim->store_down_until &&
 		    sim->now > sim->sessions[i].expires_at + SESSION_GRACE_S)
-			session_end(sim, &sim->sessions[i]);
+			session_expire(sim, &sim->sessions[i]);
 }
 
 /* ---- transactions ---- */
