A machine's lease is never shortened by an answer to its heartbeat

Cause: the answer to a heartbeat set the end of the lease to now plus the lease, also where it was assumed later: within one session TTL of an election, after which an earlier leader may still renew it. A copy of an old heartbeat that reaches the new leader then is answered to nobody, the worker takes the earlier leader's answers, and its lease ended for the new leader one session TTL before it did for the worker. Where a new incarnation is heard of, the later time was kept already.

Evidence: expired-leader-outage-old-heartbeat, log: elected 33.224 with predecessors_entitled_s=1.267, copies answered 33.300, the worker's later heartbeat answered by the old leader 34.350, lease expired 49.850.

Change: one function extends a lease, for both.

--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -41,6 +41,13 @@
 		ws_subsystems_machine_updated(core, machine);
 }
 
+/* A lease never ends earlier than assumed before: an earlier leader may still renew it. */
+static void ws_machine_extend_lease(const struct ws_core *core, struct ws_machine *machine)
+{
+	machine->lease.expires_at =
+	    fmax(machine->lease.expires_at, ws_lease_expiry(core, core->now));
+}
+
 /* Handles a later incarnation of a machine: its lease expired, and its earlier tasks have ended. */
 static void ws_machine_begin_incarnation(struct ws_core *core, struct ws_machine *machine,
 					 const struct ws_heartbeat *heartbeat)
@@ -57,8 +64,7 @@
 	machine->incarnation = heartbeat->incarnation;
 	/* a worker's lease starts with its incarnation, even if no answer to a heartbeat has
 	 * renewed it: the reply to a direct command may be the first report of the incarnation */
-	machine->lease.expires_at =
-	    fmax(machine->lease.expires_at, ws_lease_expiry(core, core->now));
+	ws_machine_extend_lease(core, machine);
 	/* workers reject commands for earlier incarnations */
 	machine->commands.outstanding_token = 0;
 	ws_machine_mark_dirty(core, machine);
@@ -184,7 +190,7 @@
 	effect->heartbeat.fencing_token = machine->fencing_token;
 	if (ws_machine_echoes_token(machine))
 		ws_subsystems_heartbeat_seen(core, machine);
-	machine->lease.expires_at = ws_lease_expiry(core, core->now);
+	ws_machine_extend_lease(core, machine);
 	if (heartbeat->incarnation != machine->incarnation)
 		return;
 	effect->heartbeat.commands = ws_commands_for_machine(
