Without a session that surely lasts, a leader goes on only by votes that count leases

Cause: a leader of this version that resumed after its session may have ended relied on its peers to count the leases of earlier leaders from the end of the entitlement by their votes. A peer of the version before lists cancellations as well, and so its vote counted, but it counts leases from its election.

Change: a vote says whether its node counts leases so (counts_leases in the peers' frame). Once the entitlement has ended since the last successful renewal, a leader goes on only if all votes of a round say so; while it has not, the session lasts through the outage and every vote counts, as before. Peers of the version before ignore the new field.

Costs: with a voter of the version before, a leader whose entitlement has ended pauses until the outage is over, where it went on before.

--- a/src/core/api/outage_votes.c
+++ b/src/core/api/outage_votes.c
@@ -99,8 +99,10 @@
 	    (effect->vote.granted && !effect->vote.cancellation_count))
 		effect->answer = WS_ANSWER_UNAVAILABLE;
 	if (effect->vote.granted && effect->answer == WS_ANSWER_UNAVAILABLE &&
-	    !ws_vote_is_probe(vote_request))
+	    !ws_vote_is_probe(vote_request)) {
 		ws_outage_vote_granted(core);
+		effect->vote.counts_leases = true;
+	}
 }
 
 static void ws_outage_vote_check(struct ws_core *core, double now, uint64_t request_id,
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -228,7 +228,8 @@
  */
 struct ws_outage_vote_reply {
 	bool granted;
-	bool has_more;			       /* another page follows */
+	bool counts_leases; /* the peer, if elected, allows for the entitlement by its vote */
+	bool has_more;	    /* another page follows */
 	struct ws_cancellation *cancellations; /* owned */
 	size_t cancellation_count;
 };
--- a/src/core/leadership/election.c
+++ b/src/core/leadership/election.c
@@ -60,6 +60,7 @@
 	ws_core_clear_leader_state(core);
 	leadership->renewals_in_flight = 0;
 	leadership->in_outage = leadership->paused = false;
+	leadership->session_may_have_ended = false;
 	leadership->votes.outstanding = 0;
 	if (leadership->session && reason) {
 		struct ws_call *call = ws_call_new(core, WS_CALL_SESSION_CLOSE, ws_ignore_result);
--- a/src/core/leadership/entitlement.c
+++ b/src/core/leadership/entitlement.c
@@ -69,6 +69,7 @@
 			core->leadership.store_served_at = core->now;
 		}
 		core->leadership.in_outage = core->leadership.paused = false;
+		core->leadership.session_may_have_ended = false;
 		ws_core_request_pass(core);
 		core->leadership.next_renewal_at =
 		    fmax(core->leadership.next_renewal_at,
@@ -115,6 +116,7 @@
 {
 	if (core->leadership.role == WS_LEADER && !core->leadership.paused) {
 		core->leadership.paused = true;
+		core->leadership.session_may_have_ended = true;
 		core->leadership.pause_until = core->leadership.entitled_until +
 					       core->settings->lease_s * (1 - WS_CLOCK_DRIFT_MAX) -
 					       core->leadership.session_ttl_s;
--- a/src/core/leadership/leadership.h
+++ b/src/core/leadership/leadership.h
@@ -40,6 +40,7 @@
 struct ws_outage_votes {
 	uint64_t round;
 	int granted, outstanding;
+	int lease_counting; /* granted by peers that, if elected, allow for them in leases */
 	double requested_at, last_reply_at, next_round_at;
 };
 
@@ -69,6 +70,7 @@
 	double forwarded_only_since; /* all heartbeats since then were forwarded; 0: not so */
 	/* state in a store outage */
 	bool in_outage, paused;
+	bool session_may_have_ended; /* entitlement has ended since the last successful renewal */
 	double pause_until;
 	struct ws_outage_votes votes;
 	double store_served_at; /* when the store last became available again */
--- a/src/core/leadership/outage.c
+++ b/src/core/leadership/outage.c
@@ -20,7 +20,9 @@
  * contacted reject this leader's lower fencing token. If it has stepped down since, its node denies
  * the vote or does not answer. A leader that is elected after the outage need not wait for a
  * session to end. It has voted, like every peer, and counts the leases of machines from the end of
- * the entitlement that its vote may have given; see ws_outage_vote_granted().
+ * the entitlement that its vote may have given; see ws_outage_vote_granted(). The vote says
+ * so: by votes that do not, which are those of an earlier version, a leader goes on only while its
+ * session surely lasts.
  */
 static void ws_outage_vote_answered(struct ws_core *core, struct ws_call *call,
 				    const struct ws_result *result);
@@ -39,6 +41,16 @@
 	core->leadership.votes.outstanding++;
 }
 
+/*
+ * Whether this leader's session in the store surely lasts until the entitlement by this round ends:
+ * the outage was confirmed while it lasted, and a session lasts through an outage.
+ */
+static bool ws_session_surely_lasts(const struct ws_core *core)
+{
+	return !core->leadership.session_may_have_ended &&
+	       core->now < core->leadership.entitled_until;
+}
+
 /* Extends entitlement after all peers confirmed the outage and listed their cancellations. */
 static void ws_extend_entitlement(struct ws_core *core)
 {
@@ -47,6 +59,12 @@
 	double until =
 	    leadership->votes.requested_at + fmin(session_s, leadership->replica_age_limit_s);
 
+	/* without the session, another node may be elected at any time after the outage */
+	if (!ws_session_surely_lasts(core)) {
+		leadership->session_may_have_ended = true;
+		if (leadership->votes.lease_counting < (int)core->settings->peer_count)
+			return;
+	}
 	if (!ws_core_outage_confirm_replica(core, leadership->votes.requested_at))
 		return;
 	if (until <= leadership->entitled_until || until <= core->now)
@@ -95,6 +113,7 @@
 		return;
 	}
 	core->leadership.votes.granted++;
+	core->leadership.votes.lease_counting += result->vote.counts_leases;
 	if (core->leadership.votes.granted == (int)core->settings->peer_count &&
 	    core->now < core->leadership.pause_until)
 		ws_extend_entitlement(core);
@@ -120,6 +139,7 @@
 	core->leadership.votes.next_round_at = core->now + core->leadership.session_ttl_s / 8;
 	core->leadership.votes.round++;
 	core->leadership.votes.granted = core->leadership.votes.outstanding = 0;
+	core->leadership.votes.lease_counting = 0;
 	core->leadership.votes.requested_at = core->leadership.votes.last_reply_at = core->now;
 	for (size_t i = 0; i < core->settings->peer_count; i++)
 		ws_outage_vote_request(core, core->settings->peers[i].node,
--- a/src/io/outage_vote.c
+++ b/src/io/outage_vote.c
@@ -40,6 +40,7 @@
 	}
 	result->vote.cancellation_count = vote->n_cancelled;
 	result->vote.has_more = vote->has_more;
+	result->vote.counts_leases = vote->counts_leases;
 	result->vote.granted = true;
 	return true;
 }
@@ -54,6 +55,7 @@
 		return;
 	frame->vote = vote;
 	vote->has_more = answer->vote.has_more;
+	vote->counts_leases = answer->vote.counts_leases;
 	vote->n_cancelled = answer->vote.cancellation_count;
 	vote->cancelled = calloc(answer->vote.cancellation_count + 1, sizeof(*vote->cancelled));
 	list = calloc(answer->vote.cancellation_count + 1, sizeof(*list));
--- a/tests/records_test.c
+++ b/tests/records_test.c
@@ -291,7 +291,8 @@
 	struct ws_effect effect = {
 	    .kind = WS_EFFECT_ANSWER_VOTE,
 	    .answer = WS_ANSWER_UNAVAILABLE,
-	    .vote = {.granted = true, .has_more = true, .cancellation_count = 2}};
+	    .vote = {
+		.granted = true, .has_more = true, .counts_leases = true, .cancellation_count = 2}};
 	struct ws_call call = {.kind = WS_CALL_OUTAGE_VOTE,
 			       .outage_vote = {.after_job = "job-000002",
 					       .since_revision = 40,
@@ -321,12 +322,23 @@
 	check("the answer of an outage vote is decoded",
 	      decoded && ws_vote_decode_reply(decoded, &result) &&
 		  result.outcome == WS_OUTCOME_UNAVAILABLE && result.vote.granted &&
-		  result.vote.has_more && result.vote.cancellation_count == 2 &&
+		  result.vote.has_more && result.vote.counts_leases &&
+		  result.vote.cancellation_count == 2 &&
 		  result.vote.cancellations[1].revision == 43 &&
 		  !strcmp(result.vote.cancellations[0].job, "job-000007"));
 	ws_result_free(&result);
 	ws__peer_frame__free_unpacked(decoded, NULL);
 
+	effect.vote.counts_leases = false; /* encoded as by a version without the field */
+	ws__peer_frame__init(&frame);
+	ws__outage_vote__init(&vote);
+	ws_vote_encode_reply(&frame, &vote, &effect);
+	check("a vote of the version before does not count leases",
+	      ws_vote_decode_reply(&frame, &result) && result.vote.granted &&
+		  !result.vote.counts_leases);
+	ws_result_free(&result);
+	ws_vote_free(&vote);
+
 	snprintf(list[1].job, sizeof(list[1].job), "no/job");
 	ws__peer_frame__init(&frame);
 	ws__outage_vote__init(&vote);
--- a/tests/sim_actions.c
+++ b/tests/sim_actions.c
@@ -225,6 +225,18 @@
 		node->store_errors_until = sim->now + action->duration_s;
 }
 
+/*
+ * votes-without-lease-count NODE: the node's outage votes lack the field counts_leases, as those of
+ * the version before it
+ */
+static void run_votes_without_lease_count(struct sim *sim, const struct sim_action *action)
+{
+	struct sim_node *node = named_node(sim, action);
+
+	if (node)
+		node->votes_without_lease_count = true;
+}
+
 /*
  * stall-watches NODE|leader [for=S]: watches of the node receive nothing; other store calls are
  * served
@@ -466,6 +478,7 @@
     {"submit-many", run_submit_many},
     {"time-out-writes", run_time_out_writes},
     {"upgrade", run_upgrade},
+    {"votes-without-lease-count", run_votes_without_lease_count},
     {NULL, NULL},
 };
 
--- a/tests/sim_calls.c
+++ b/tests/sim_calls.c
@@ -414,6 +414,7 @@
 	    sim->nodes[flight->node].version != &sim_this_version)
 		return;
 	flight->result.vote = effect->vote;
+	flight->result.vote.counts_leases &= !node->votes_without_lease_count;
 	effect->vote.cancellations = NULL;
 }
 
