No outage vote for a leader whose key the voter knows to be gone

Cause: a node that had read that the leader key is gone still voted for its holder, since revision 0 is not later than the requester's; the version in production states no revision, so nothing was compared. A candidate voted as well, though its own election may have succeeded without an answer yet.

Evidence: old-expired-leader-outage, log: session expired 21.219, both peers see it and campaign, outage 21.350, the voter answers "leader=none" as a candidate at 21.862 and the leader resumes 21.864; the other peer, of the version in production, is elected 33.474 and releases by lease 50.000.

Change: a vote only as a follower, and not if the node has read the store at the requester's revision or later without finding that key; for a requester that states no revision, not if there is no leader key.

Costs: if the peers have seen the key go and the outage begins before one of them is elected, nobody leads until it is over.

--- a/src/core/api/outage_votes.c
+++ b/src/core/api/outage_votes.c
@@ -68,6 +68,17 @@
 	return vote_request->accepts_list && !vote_request->leader_revision;
 }
 
+/*
+ * Whether this node knows of nothing that ends the requester's leadership. It does if it leads, if
+ * its own election may have succeeded, or if it has read that the requester's key is gone.
+ */
+static bool ws_may_vote_for(const struct ws_core *core,
+			    const struct ws_outage_vote_context *vote_request)
+{
+	return core->leadership.role == WS_FOLLOWER &&
+	       !ws_leader_key_is_gone(core, vote_request->leader_revision);
+}
+
 static void ws_outage_vote_checked(struct ws_core *core, struct ws_call *call,
 				   const struct ws_result *result)
 {
@@ -83,12 +94,8 @@
 	       result->outcome == WS_OUTCOME_UNAVAILABLE ? "yes" : "no",
 	       core->leadership.leader_node[0] ? core->leadership.leader_node : "none",
 	       (unsigned long long)core->leadership.leader_revision);
-	/* A timeout does not confirm an outage. A node that leads itself, or that has seen a later
-	 * leader than the requester, does not vote either. */
-	if (result->outcome != WS_OUTCOME_UNAVAILABLE || core->leadership.role == WS_LEADER ||
-	    core->leadership.role == WS_LOADING ||
-	    (vote_request->accepts_list &&
-	     core->leadership.leader_revision > vote_request->leader_revision))
+	/* a timeout does not confirm an outage */
+	if (result->outcome != WS_OUTCOME_UNAVAILABLE || !ws_may_vote_for(core, vote_request))
 		return;
 	effect->vote.granted =
 	    ws_cancellations_since(core, vote_request->since_revision, vote_request->after_job,
--- a/src/core/leadership/election.c
+++ b/src/core/leadership/election.c
@@ -100,6 +100,16 @@
 		ws_step_down(core, "another node leads");
 }
 
+bool ws_leader_key_is_gone(const struct ws_core *core, uint64_t revision)
+{
+	const struct ws_leadership *leadership = &core->leadership;
+
+	if (!revision)
+		return leadership->watch_revision > 0 && !leadership->leader_node[0];
+	return leadership->leader_revision > revision ||
+	       (leadership->watch_revision >= revision && leadership->leader_revision != revision);
+}
+
 static void ws_election_answered(struct ws_core *core, struct ws_call *call,
 				 const struct ws_result *result);
 
--- a/src/core/leadership/leadership.h
+++ b/src/core/leadership/leadership.h
@@ -91,6 +91,9 @@
 /* Records a message from a worker, received directly or forwarded by a peer. If all are forwarded,
  * a peer should lead. */
 void ws_leadership_worker_contact(struct ws_core *core, bool forwarded);
+/* Whether this node has read that the leader key of this revision does not exist any more; for
+ * revision 0, whether it has read that there is no leader key. */
+bool ws_leader_key_is_gone(const struct ws_core *core, uint64_t revision);
 /* Whether this node may act as the leader now. */
 bool ws_is_entitled(const struct ws_core *core);
 /* Gives up leadership or the campaign and clears the leader's state. If `reason` is NULL, the core
