--- a/src/core/core.c
+++ b/src/core/core.c
@@ -111,6 +111,11 @@
 	core->autoscaler.records_stale = true;
 }
 
+bool ws_core_zone_can_scale_out(struct ws_core *core, const struct ws_job *job, int zone_index)
+{
+	return ws_zone_can_scale_out(core, job, zone_index);
+}
+
 void ws_core_elected(struct ws_core *core)
 {
 	core->jobs.attempt_sequence = 0;
--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -93,6 +93,9 @@
 void ws_core_request_pass(struct ws_core *core);
 /* Called by the fleet when a machine is gone: records of scale-out requests may be stale. */
 void ws_core_instance_gone(struct ws_core *core);
+/* Called by the scheduler: whether some kind of machine that fits a job can be requested in a
+ * zone. */
+bool ws_core_zone_can_scale_out(struct ws_core *core, const struct ws_job *job, int zone_index);
 /* Called by leadership when this node is elected: starts to load the stored records. */
 void ws_core_elected(struct ws_core *core);
 /* Called by the job watch to apply a changed job record to the leader's replica. */
--- a/src/core/scheduler/gang_placement.c
+++ b/src/core/scheduler/gang_placement.c
@@ -171,7 +171,7 @@
 	uint32_t score = 1;
 
 	score += WS_ZONE_SCORE_CAPACITY * (with_capacity < tasks ? with_capacity : tasks);
-	if (ws_zone_can_scale_out(pass->core, job, zone))
+	if (ws_core_zone_can_scale_out(pass->core, job, zone))
 		score += WS_ZONE_SCORE_CAN_SCALE_OUT * tasks;
 	if (job->gang.reservation_zone == zone + 1)
 		score += WS_ZONE_SCORE_RESERVED * tasks;
