Store client: allocation failure checked; unused function of the pool removed

Cause: ws_store_client_open() did not check ws_client_new(), which returns NULL if memory is exhausted; ws_pool_sufficed() had no caller.

Change: the process ends, as for the two allocations before it; the function and its counter are gone.

--- a/src/io/pool.c
+++ b/src/io/pool.c
@@ -1,6 +1,7 @@
 #include "pool.h"
 #include "http_common.h"
 #include <jansson.h>
+#include <stdbool.h>
 #include <stdint.h>
 #include <stdlib.h>
 
@@ -9,9 +10,8 @@
 #define ALIGNMENT ((size_t)16)
 
 static _Alignas(16) unsigned char block[POOL_SIZE];
-static size_t used_bytes;    /* bytes allocated from the block */
-static size_t misses;	     /* allocations passed to malloc() since the process started */
-static size_t recent_misses; /* allocations passed to malloc() since the last ws_pool_begin() */
+static size_t used_bytes; /* bytes allocated from the block */
+static size_t misses;	  /* allocations passed to malloc() since the process started */
 static bool active;
 
 static void *allocate(size_t size)
@@ -24,10 +24,8 @@
 		used_bytes += aligned;
 		return memory;
 	}
-	if (active) {
+	if (active)
 		misses++;
-		recent_misses++;
-	}
 	return malloc(size);
 }
 
@@ -45,15 +43,10 @@
 
 void ws_pool_begin(void)
 {
-	used_bytes = recent_misses = 0;
+	used_bytes = 0;
 	active = true;
 }
 
-bool ws_pool_sufficed(void)
-{
-	return recent_misses == 0 && used_bytes > 0;
-}
-
 void ws_pool_end(void)
 {
 	active = false;
--- a/src/io/pool.h
+++ b/src/io/pool.h
@@ -4,7 +4,6 @@
  */
 #ifndef WS_POOL_H
 #define WS_POOL_H
-#include <stdbool.h>
 #include <stddef.h>
 
 /* Installs the allocator in jansson; called before any other use of jansson. Without it jansson
@@ -14,8 +13,6 @@
  * full. For one thread, not nested. Values created in between must not be used afterwards, and are
  * released with json_decref(), which frees the memory that came from malloc(). */
 void ws_pool_begin(void);
-/* Whether all allocations since ws_pool_begin() came from the block: then none has to be freed. */
-bool ws_pool_sufficed(void);
 void ws_pool_end(void);
 /* For tests: the number of allocations passed to malloc() between begin and end since the process
  * started. */
--- a/src/store_client.c
+++ b/src/store_client.c
@@ -28,6 +28,8 @@
 		abort();
 	store->client =
 	    ws_client_new(store->loop, settings->store.host, settings->store.port, &options);
+	if (!store->client)
+		abort();
 	return store;
 }
 
