Outage votes: clearer comments; a test function split for the linter

Cause: the linter found check_outage_votes() too long and a line of sim_parts.h not formatted; two comments could be misread.

Change: answers that are invalid or of an earlier version have a test function of their own, with the same checks; comments.

--- a/src/core/api/outage_votes.c
+++ b/src/core/api/outage_votes.c
@@ -69,8 +69,8 @@
 }
 
 /*
- * Whether this node knows of nothing that ends the requester's leadership. It does if it leads, if
- * its own election may have succeeded, or if it has read that the requester's key is gone.
+ * A node grants no vote if it leads, if it is a candidate, whose election may have succeeded, or if
+ * it has read that the requester's leader key is gone.
  */
 static bool ws_may_vote_for(const struct ws_core *core,
 			    const struct ws_outage_vote_context *vote_request)
--- a/src/core/leadership/outage.c
+++ b/src/core/leadership/outage.c
@@ -18,11 +18,13 @@
  * may have ended before the outage began. If another leader was elected in between, the lease has
  * not yet allowed it to move the tasks of machines that do not answer, and workers that it has
  * contacted reject this leader's lower fencing token. If it has stepped down since, its node denies
- * the vote or does not answer. A leader that is elected after the outage need not wait for a
- * session to end. It has voted, like every peer, and counts the leases of machines from the end of
- * the entitlement that its vote may have given; see ws_outage_vote_granted(). The vote says
- * so: by votes that do not, which are those of an earlier version, a leader goes on only while its
- * session surely lasts.
+ * the vote or does not answer.
+ *
+ * Without that session, another leader may be elected as the outage ends, while this one is still
+ * entitled. Its node has voted, like every peer, and so counts the leases of machines from the end
+ * of the entitlement that its vote may have given; see ws_outage_vote_granted(). A vote states
+ * this. The previous version does neither: by its votes, a leader goes on only while its session
+ * surely lasts.
  */
 static void ws_outage_vote_answered(struct ws_core *core, struct ws_call *call,
 				    const struct ws_result *result);
@@ -59,7 +61,6 @@
 	double until =
 	    leadership->votes.requested_at + fmin(session_s, leadership->replica_age_limit_s);
 
-	/* without the session, another node may be elected at any time after the outage */
 	if (!ws_session_surely_lasts(core)) {
 		leadership->session_may_have_ended = true;
 		if (leadership->votes.lease_counting < (int)core->settings->peer_count)
--- a/tests/records_test.c
+++ b/tests/records_test.c
@@ -328,10 +328,21 @@
 		  !strcmp(result.vote.cancellations[0].job, "job-000007"));
 	ws_result_free(&result);
 	ws__peer_frame__free_unpacked(decoded, NULL);
+}
+
+/* Answers that are invalid, lack the vote or come from an earlier version. */
+static void check_other_vote_answers(void)
+{
+	struct ws_cancellation list[] = {{"job-000007", 41}, {"job-000003", 43}};
+	struct ws_effect effect = {
+	    .kind = WS_EFFECT_ANSWER_VOTE,
+	    .answer = WS_ANSWER_UNAVAILABLE,
+	    .vote = {
+		.granted = true, .has_more = true, .cancellations = list, .cancellation_count = 2}};
+	Ws__PeerFrame frame = WS__PEER_FRAME__INIT;
+	Ws__OutageVote vote = WS__OUTAGE_VOTE__INIT;
+	struct ws_result result;
 
-	effect.vote.counts_leases = false; /* encoded as by a version without the field */
-	ws__peer_frame__init(&frame);
-	ws__outage_vote__init(&vote);
 	ws_vote_encode_reply(&frame, &vote, &effect);
 	check("a vote of the version before does not count leases",
 	      ws_vote_decode_reply(&frame, &result) && result.vote.granted &&
@@ -397,6 +408,7 @@
 	check_refused();
 	check_frames();
 	check_outage_votes();
+	check_other_vote_answers();
 	printf("%d passed, %d failed\n", passed_checks, failed_checks);
 	return failed_checks != 0;
 }
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -141,7 +141,7 @@
 	double store_errors_until;    /* the store rejects its calls with errors */
 	double watches_stalled_until; /* its open watches receive nothing */
 	double frozen_until;
-	bool votes_without_lease_count; /* its outage votes are those of the version before */
+	bool votes_without_lease_count;	    /* its outage votes are those of the version before */
 	double clock_skew;		    /* clock rate error, as a fraction */
 	struct ws_failure_domains *domains; /* owned by the core; NULL: disabled */
 	struct ws_cold_start *cold_start;   /* owned by the core; NULL: disabled */
