Loopback store: requests about sessions are read within their paths

Opening a session, and renewing or closing one, are now two functions; an id is read only behind "/holds/". The same look at the other stand-ins' parsers found two more reads that assumed a field of a watch to be there, and a table of sessions that wrapped to index -1 when it was full: it now reports that.

--- a/tests/loopback_store.c
+++ b/tests/loopback_store.c
@@ -5,6 +5,8 @@
 #define WATCHES 32
 #define SESSIONS 4096
 #define LEADER_KEY "leader"
+#define SESSIONS_PATH "/holds"
+#define SESSION_PATH "/holds/"
 /* Longest delay of a request, see struct loopback_faults. */
 #define DELAYED_REQUEST_MAX_S 4.0
 
@@ -94,14 +96,22 @@
 		most_watches = count;
 }
 
+/* Returns the number behind `name` in a path, 0 if the path does not have it. */
+static double path_number(const char *path, const char *name)
+{
+	const char *found = strstr(path, name);
+
+	return found ? atof(found + strlen(name)) : 0;
+}
+
 static void on_watch(uint64_t request_id, const char *path, const char *prefix)
 {
 	for (int i = 0; i < WATCHES; i++) {
 		if (watches[i].request_id)
 			continue;
 		watches[i].request_id = request_id;
-		watches[i].since = atoll(strstr(path, "since=") + 6);
-		watches[i].until = ws_now() + atof(strstr(path, "holdMs=") + 7) / 1000;
+		watches[i].since = (json_int_t)path_number(path, "since=");
+		watches[i].until = ws_now() + path_number(path, "holdMs=") / 1000;
 		snprintf(watches[i].prefix, sizeof(watches[i].prefix), "%s", prefix);
 		count_watches();
 		loopback_store_wake_watches();
@@ -166,23 +176,38 @@
 	loopback_store_wake_watches();
 }
 
-static void on_session(uint64_t request_id, const char *method, const char *path, json_t *body)
+static void answer_session(uint64_t request_id, json_int_t id)
+{
+	sessions[id - 1].until = ws_now() + sessions[id - 1].ttl_s;
+	loopback_answer_request(store, request_id, 200, json_pack("{s:I}", "permit", id));
+}
+
+static void on_session_open(uint64_t request_id, json_t *body)
+{
+	if (session_count == SESSIONS) {
+		loopback_violation("the store is out of session slots (%u)", session_count);
+		loopback_answer_request(store, request_id, 503, json_object());
+		return;
+	}
+	sessions[session_count].ttl_s = json_number_value(json_object_get(body, "ttlMs")) / 1000;
+	sessions[session_count].open = true;
+	answer_session(request_id, ++session_count);
+}
+
+/* Renews or closes the session whose id follows the prefix SESSION_PATH in the path. */
+static void on_session(uint64_t request_id, const char *method, const char *path)
 {
-	json_int_t id = atoll(path + strcspn(path + 1, "/") + 2);
-
-	if (!strcmp(path, "/holds")) {
-		sessions[session_count].ttl_s =
-		    json_number_value(json_object_get(body, "ttlMs")) / 1000;
-		id = ++session_count % SESSIONS;
-		sessions[id - 1].open = true;
-	} else if (!session_is_open(id)) {
+	json_int_t id = strncmp(path, SESSION_PATH, strlen(SESSION_PATH))
+			    ? 0
+			    : atoll(path + strlen(SESSION_PATH));
+
+	if (!session_is_open(id)) {
 		loopback_answer_request(store, request_id, 404, json_object());
 		return;
-	} else if (!strcmp(method, "DELETE")) {
-		session_end(id);
 	}
-	sessions[id - 1].until = ws_now() + sessions[id - 1].ttl_s;
-	loopback_answer_request(store, request_id, 200, json_pack("{s:I}", "permit", id));
+	if (!strcmp(method, "DELETE"))
+		session_end(id);
+	answer_session(request_id, id);
 }
 
 /* Executes a request and answers it. */
@@ -214,8 +239,10 @@
 		on_watch(request_id, path, prefix);
 	} else if (!strcmp(path, "/multi")) {
 		on_transaction(request_id, request);
+	} else if (!strcmp(path, SESSIONS_PATH)) {
+		on_session_open(request_id, request);
 	} else {
-		on_session(request_id, method, path, request);
+		on_session(request_id, method, path);
 	}
 	json_decref(request);
 }
