Log lines and a count for starts that a leader did not expect

What an operator could not tell from the logs of the incident: which commands went out, under which fencing token and incarnation, why an attempt was reaped, and that the "unrecorded attempt" which was then stopped was one that this leader itself had started and released.

Change: at debug, a line for each command with its attempt, token, incarnation and way (direct call or answer to a heartbeat), with the reason of a reap. An attempt that this leader assigned and released, and that is reported again as not exited, is logged as an error and counted as released_attempts_reported, apart from unrecorded attempts. No behaviour changes. Attempt numbers are now assigned and told apart in one place, jobs/attempts.c.

--- a/src/core/event_counts.c
+++ b/src/core/event_counts.c
@@ -27,6 +27,7 @@
 	static const char *const names[WS_EVENT_KINDS] = {
 	    [WS_EVENT_ELECTED] = "elections",
 	    [WS_EVENT_QUARANTINED] = "quarantines",
+	    [WS_EVENT_RELEASED_REPORTED] = "released_attempts_reported",
 	    [WS_EVENT_RELEASE_HELD_BACK] = "releases_held_back",
 	    [WS_EVENT_AT_TEAM_LIMIT] = "at_team_limit",
 	    [WS_EVENT_STALE_INCARNATION] = "heartbeats_of_old_incarnation",
--- a/src/core/event_counts.h
+++ b/src/core/event_counts.h
@@ -12,6 +12,8 @@
 enum ws_event {
 	WS_EVENT_ELECTED,
 	WS_EVENT_QUARANTINED,	    /* an attempt was reported that is in no record */
+	WS_EVENT_RELEASED_REPORTED, /* an attempt that this leader had released was reported again
+				       and had not exited */
 	WS_EVENT_RELEASE_HELD_BACK, /* an attempt was not reported, but its start command may be in
 				       flight */
 	WS_EVENT_AT_TEAM_LIMIT,	    /* tasks of a job wait because its team is at its limit */
--- a/src/core/fleet/commands.c
+++ b/src/core/fleet/commands.c
@@ -131,6 +131,30 @@
 	}
 }
 
+static const char *ws_command_text(enum ws_command_kind kind)
+{
+	switch (kind) {
+	case WS_COMMAND_RUN: return "run";
+	case WS_COMMAND_STOP: return "stop";
+	case WS_COMMAND_REAP: return "reap";
+	}
+	return "";
+}
+
+/* Logs a command that is about to be sent. A reap is due once the attempt has exited, no record of
+ * its job names it and its result is recorded. */
+static void ws_command_log(struct ws_core *core, const struct ws_machine *machine,
+			   const struct ws_command *command, bool direct)
+{
+	ws_log(core, WS_LOG_DEBUG,
+	       "command sent machine=%s command=%s job=%s task=%u attempt=%llu token=%llu "
+	       "incarnation=%llu by=%s%s",
+	       machine->name, ws_command_text(command->kind), command->job, command->task,
+	       (unsigned long long)command->attempt, (unsigned long long)machine->fencing_token,
+	       (unsigned long long)machine->incarnation, direct ? "direct_call" : "answer",
+	       command->kind == WS_COMMAND_REAP ? " reason=\"exited, released and recorded\"" : "");
+}
+
 struct ws_command *ws_commands_for_machine(struct ws_core *core, struct ws_machine *machine,
 					   const struct ws_heartbeat *heartbeat, size_t max,
 					   bool direct, size_t *count)
@@ -141,6 +165,8 @@
 	*count = core->fleet.command_count;
 	if (!core->fleet.command_count)
 		return NULL;
+	for (size_t i = 0; i < *count; i++)
+		ws_command_log(core, machine, &core->fleet.commands[i], direct);
 	list = malloc(core->fleet.command_count * sizeof(*list));
 	if (!list)
 		abort();
--- a/src/core/fleet/quarantine.c
+++ b/src/core/fleet/quarantine.c
@@ -70,6 +70,23 @@
 	return requested && result == WS_RECONCILED_UNKNOWN_JOB;
 }
 
+/* Counts and logs an attempt that this leader started and released, and that a worker reports as
+ * not exited: the worker has started it again, or it was released too early. */
+static void ws_attempt_check_released(struct ws_core *core, const struct ws_machine *machine,
+				      const struct ws_task_status *status)
+{
+	if (!ws_attempt_number_is_own(core, status->attempt))
+		return;
+	ws_event_count(core, WS_EVENT_RELEASED_REPORTED);
+	ws_log(core, WS_LOG_ERROR,
+	       "released attempt reported again machine=%s job=%s task=%u attempt=%llu state=%d "
+	       "incarnation=%llu sequence=%llu echoed_token=%llu fencing_token=%llu",
+	       machine->name, status->job, status->task, (unsigned long long)status->attempt,
+	       (int)status->state, (unsigned long long)machine->incarnation,
+	       (unsigned long long)machine->sequence, (unsigned long long)machine->echoed_token,
+	       (unsigned long long)machine->fencing_token);
+}
+
 struct ws_attempt *ws_attempt_add_unrecorded(struct ws_core *core, struct ws_machine *machine,
 					     const struct ws_task_status *status)
 {
@@ -78,6 +95,8 @@
 
 	if (exited && !ws_completion_needs_quarantine(core, machine, status))
 		return NULL;
+	if (!exited)
+		ws_attempt_check_released(core, machine, status);
 	attempt = ws_attempt_add(core, machine, status->job, status->task, status->attempt);
 	attempt->unrecorded = attempt->reported = attempt->maybe_sent = true;
 	attempt->state = WS_ATTEMPT_RECORDED;
--- a/src/core/jobs/attempts.c
+++ b/src/core/jobs/attempts.c
@@ -10,6 +10,24 @@
  */
 #include "../core_state.h"
 
+/* Returns the number that precedes all attempt numbers of this leader's term. */
+static uint64_t ws_attempt_number_base(const struct ws_core *core)
+{
+	return core->leadership.fencing_token >> WS_FENCING_TOKEN_SHIFT << WS_ATTEMPT_SHIFT;
+}
+
+uint64_t ws_attempt_number_new(struct ws_core *core)
+{
+	return ws_attempt_number_base(core) + ++core->jobs.attempt_sequence;
+}
+
+bool ws_attempt_number_is_own(const struct ws_core *core, uint64_t number)
+{
+	uint64_t base = ws_attempt_number_base(core);
+
+	return number > base && number <= base + core->jobs.attempt_sequence;
+}
+
 /*
  * Updates the demand units of array jobs that have attempts, from which the queue model derives its
  * service rate. An attempt counts from planning to release, so image fetches and lost work are
--- a/src/core/jobs/jobs.h
+++ b/src/core/jobs/jobs.h
@@ -245,6 +245,10 @@
 
 /* ---- attempts.c ---- */
 
+/* Returns a unique number for a job's next attempts. */
+uint64_t ws_attempt_number_new(struct ws_core *core);
+/* Whether this leader has assigned an attempt number in its term. */
+bool ws_attempt_number_is_own(const struct ws_core *core, uint64_t number);
 /* Adds a planned attempt and counts it. Its job may be unknown. */
 struct ws_attempt *ws_attempt_add(struct ws_core *core, struct ws_machine *machine,
 				  const char *job_id, uint32_t task, uint64_t number);
--- a/src/core/scheduler/pass.h
+++ b/src/core/scheduler/pass.h
@@ -128,8 +128,6 @@
 
 /* ---- task_placement.c ---- */
 
-/* Returns a unique number for a job's next attempts. */
-uint64_t ws_attempt_number_new(struct ws_core *core);
 /* Returns the bytes left for further attempts in a job's record. */
 size_t ws_record_bytes_left(const struct ws_core *core, const struct ws_job *job);
 
--- a/src/core/scheduler/task_placement.c
+++ b/src/core/scheduler/task_placement.c
@@ -10,13 +10,6 @@
  * single range lists them. */
 #define WS_RECORD_GANG_TASKS_BYTES 64
 
-uint64_t ws_attempt_number_new(struct ws_core *core)
-{
-	uint64_t term = core->leadership.fencing_token >> WS_FENCING_TOKEN_SHIFT;
-
-	return (term << WS_ATTEMPT_SHIFT) + ++core->jobs.attempt_sequence;
-}
-
 /* In the record of an array, attempts may use three quarters of the space that the description
  * leaves; the rest is for the list of completed tasks. */
 size_t ws_record_bytes_left(const struct ws_core *core, const struct ws_job *job)
