Scenario: a copy of an executed start command starts a task that has moved

A direct call that was carried out and answered arrives once more, under the same fencing token and incarnation, after the worker was told to reap the attempt. The worker no longer knows the attempt and starts it again, while the task runs elsewhere.

Change: the scenario language has repeat-calls: a share of the executed calls to workers, store or cloud arrives again, once or several times, from tenths of a second to minutes later; "expect starts-by-copies" counts the tasks that a copy started.

--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1,4 +1,5 @@
 /* The clock, the main loop, and functions that all modules of the simulator use. */
+#include "sim_call_copies.h"
 #include "sim_calls.h"
 #include "sim_checks.h"
 #include "sim_digest.h"
@@ -156,6 +157,7 @@
 	sim->store_was_down = sim->now < sim->store_down_until;
 	sim_workers_deliver_delayed_heartbeats(sim);
 	sim_calls_deliver_delayed_commands(sim);
+	sim_call_copies_deliver(sim);
 	sim_slow_answers_deliver(sim);
 	sim_nodes_step(sim);
 	for (int i = 0; i < sim->worker_count; i++)
--- a/tests/sim_actions.c
+++ b/tests/sim_actions.c
@@ -7,6 +7,7 @@
 
 #define DEFAULT_DURATION_S 5
 #define DEFAULT_DELAY_S 5
+#define REPETITION_MIN_S 0.1
 #define NEVER_SUBMITTED (-1)
 
 /* ---- users ---- */
@@ -378,6 +379,25 @@
 	}
 }
 
+/*
+ * repeat-calls commands|store|cloud|all MAX_S [min=S] [for=S] [share=X] [copies=N]: this fraction
+ * of executed calls arrives again N times, each time between min and MAX_S seconds later
+ */
+static void run_repeat_calls(struct sim *sim, const struct sim_action *action)
+{
+	struct sim_call_repetition *repetition = &sim->call_repetition;
+	bool all = !strcmp(action->operand, "all");
+
+	repetition->commands = all || !strcmp(action->operand, "commands");
+	repetition->store = all || !strcmp(action->operand, "store");
+	repetition->cloud = all || !strcmp(action->operand, "cloud");
+	repetition->max_s = atof(action->rest);
+	repetition->min_s = sim_option(action->text, "min", REPETITION_MIN_S);
+	repetition->until = sim->now + action->duration_s;
+	repetition->share = sim_option(action->text, "share", 1);
+	repetition->copies = (int)sim_option(action->text, "copies", 1);
+}
+
 /* slow-command-answers SECONDS: delays answers to commands, which are executed at once */
 static void run_slow_command_answers(struct sim *sim, const struct sim_action *action)
 {
@@ -467,6 +487,7 @@
     {"partition", run_partition},
     {"partition-zones", run_partition_zones},
     {"poll-unsubmitted", run_poll_unsubmitted},
+    {"repeat-calls", run_repeat_calls},
     {"resign", run_resign},
     {"slow-command-answers", run_slow_command_answers},
     {"slow-heartbeat-answers", run_slow_heartbeat_answers},
--- /dev/null
+++ b/tests/sim_call_copies.c
@@ -0,0 +1,172 @@
+/*
+ * Copies of calls: a call that was executed and answered arrives once more, tenths of a second to
+ * minutes later, also after its sender has ended and after what it speaks of was changed or
+ * deleted.
+ */
+#include "sim_call_copies.h"
+#include "sim_cloud.h"
+#include "sim_store.h"
+#include "sim_workers.h"
+
+/* A copy that finds its receiver unavailable is delivered this long after the receiver is back. */
+#define REDELIVERY_S 0.1
+
+struct sim_call_copy {
+	double due_at;
+	struct ws_call *call;
+	struct sim_call_copy *next;
+};
+
+/* Returns a copy of a list in memory of its own. */
+static void *list_copy(const void *list, size_t count, size_t size)
+{
+	void *copy = calloc(count + 1, size);
+
+	if (count)
+		memcpy(copy, list, count * size);
+	return copy;
+}
+
+static void copy_transaction(struct ws_transaction_call *transaction)
+{
+	transaction->operations = list_copy(transaction->operations, transaction->operation_count,
+					    sizeof(*transaction->operations));
+	transaction->compares = list_copy(transaction->compares, transaction->compare_count,
+					  sizeof(*transaction->compares));
+	for (size_t i = 0; i < transaction->operation_count; i++)
+		json_incref(transaction->operations[i].value);
+}
+
+struct ws_call *sim_call_copy(const struct ws_call *call)
+{
+	struct ws_call *copy = calloc(1, sizeof(*copy));
+
+	*copy = *call;
+	copy->context = NULL;
+	switch (copy->kind) {
+	case WS_CALL_TRANSACTION: copy_transaction(&copy->transaction); break;
+	case WS_CALL_COMMANDS:
+		copy->commands.list = list_copy(call->commands.list, call->commands.count,
+						sizeof(*call->commands.list));
+		break;
+	case WS_CALL_SCALE_IN:
+		copy->scale_in.machine_names =
+		    list_copy(call->scale_in.machine_names, call->scale_in.count,
+			      sizeof(*call->scale_in.machine_names));
+		break;
+	default: break; /* the other kinds own nothing */
+	}
+	return copy;
+}
+
+static bool is_repeated(const struct sim_call_repetition *repetition, enum ws_call_kind kind)
+{
+	switch (kind) {
+	case WS_CALL_COMMANDS: return repetition->commands;
+	case WS_CALL_TRANSACTION:
+	case WS_CALL_SESSION_OPEN:
+	case WS_CALL_SESSION_RENEW:
+	case WS_CALL_SESSION_CLOSE: return repetition->store;
+	case WS_CALL_SCALE_OUT:
+	case WS_CALL_SCALE_IN: return repetition->cloud;
+	default: return false;
+	}
+}
+
+void sim_call_copies_schedule(struct sim *sim, const struct ws_call *call)
+{
+	const struct sim_call_repetition *repetition = &sim->call_repetition;
+
+	if (sim->now >= repetition->until || !is_repeated(repetition, call->kind) ||
+	    sim_random(sim) >= repetition->share)
+		return;
+	for (int i = 0; i < repetition->copies; i++) {
+		struct sim_call_copy *copy = calloc(1, sizeof(*copy));
+
+		/* uniform in the logarithm, so that short and long delays are both frequent */
+		copy->due_at =
+		    sim->now +
+		    repetition->min_s * pow(repetition->max_s / repetition->min_s, sim_random(sim));
+		copy->call = sim_call_copy(call);
+		copy->next = sim->call_copies;
+		sim->call_copies = copy;
+	}
+}
+
+/* Counts the tasks that a copy of commands starts. */
+static void execute_commands(struct sim *sim, const struct ws_commands_call *commands,
+			     struct sim_worker *worker)
+{
+	int tasks = worker->task_count;
+
+	sim_worker_deliver_commands(sim, worker, commands->fencing_token, commands->incarnation,
+				    commands->list, commands->count, NULL);
+	if (worker->task_count <= tasks)
+		return;
+	sim->starts_by_copies += worker->task_count - tasks;
+	sim_log(WS_LOG_INFO, "a copy of a call started tasks");
+}
+
+/* Returns when the receiver of a call is available again, or 0 if it is now. */
+static double unavailable_until(const struct sim *sim, const struct ws_call *call)
+{
+	const struct sim_worker *worker;
+
+	if (call->kind != WS_CALL_COMMANDS)
+		return sim->now < sim->store_down_until ? sim->store_down_until : 0;
+	worker = &sim->workers[sim_worker_by_address(call->commands.address)];
+	return sim->now < worker->hang_until ? worker->hang_until : 0;
+}
+
+static void execute(struct sim *sim, const struct ws_call *call)
+{
+	struct ws_result result = {.kind = call->kind};
+	struct sim_worker *worker;
+
+	switch (call->kind) {
+	case WS_CALL_COMMANDS:
+		worker = &sim->workers[sim_worker_by_address(call->commands.address)];
+		if (sim_worker_is_live(sim, worker))
+			execute_commands(sim, &call->commands, worker);
+		break;
+	case WS_CALL_SCALE_OUT:
+	case WS_CALL_SCALE_IN: sim_cloud_execute(sim, call, &result); break;
+	default: sim_store_execute(sim, call, &result); break;
+	}
+	ws_result_free(&result);
+}
+
+static void copy_free(struct sim_call_copy *copy)
+{
+	ws_call_free(copy->call);
+	free(copy);
+}
+
+void sim_call_copies_deliver(struct sim *sim)
+{
+	struct sim_call_copy **link = &sim->call_copies, *copy;
+
+	while ((copy = *link)) {
+		double until = unavailable_until(sim, copy->call);
+
+		if (copy->due_at <= sim->now && until > 0)
+			copy->due_at = until + REDELIVERY_S;
+		if (copy->due_at > sim->now) {
+			link = &copy->next;
+			continue;
+		}
+		*link = copy->next;
+		execute(sim, copy->call);
+		copy_free(copy);
+	}
+}
+
+void sim_call_copies_free(struct sim *sim)
+{
+	while (sim->call_copies) {
+		struct sim_call_copy *next = sim->call_copies->next;
+
+		copy_free(sim->call_copies);
+		sim->call_copies = next;
+	}
+}
--- a/tests/sim_calls.c
+++ b/tests/sim_calls.c
@@ -5,6 +5,7 @@
  */
 #include "sim_calls.h"
 #include "../src/io/http_status.h"
+#include "sim_call_copies.h"
 #include "sim_cloud.h"
 #include "sim_nodes.h"
 #include "sim_store.h"
@@ -89,28 +90,6 @@
 	return flight;
 }
 
-/* Copies a transaction for execution after its sender's timeout; the values are shared. */
-static struct ws_call *transaction_copy(const struct ws_call *call)
-{
-	struct ws_call *copy = calloc(1, sizeof(*copy));
-
-	*copy = *call;
-	copy->context = NULL;
-	copy->transaction.operations =
-	    calloc(call->transaction.operation_count + 1, sizeof(*call->transaction.operations));
-	copy->transaction.compares =
-	    calloc(call->transaction.compare_count + 1, sizeof(*call->transaction.compares));
-	if (call->transaction.operation_count)
-		memcpy(copy->transaction.operations, call->transaction.operations,
-		       call->transaction.operation_count * sizeof(*call->transaction.operations));
-	if (call->transaction.compare_count)
-		memcpy(copy->transaction.compares, call->transaction.compares,
-		       call->transaction.compare_count * sizeof(*call->transaction.compares));
-	for (size_t i = 0; i < call->transaction.operation_count; i++)
-		json_incref(call->transaction.operations[i].value);
-	return copy;
-}
-
 /* Lets the sender time out on a transaction that is still executed some time later. */
 static void abandon_transaction(struct sim *sim, struct sim_call_in_flight *flight,
 				bool write_times_out)
@@ -118,7 +97,7 @@
 	struct sim_call_in_flight *unanswered = flight_new(sim, flight->node, flight->call);
 
 	schedule_answer(sim, unanswered, sim->now + STORE_TIMEOUT_S);
-	flight->call = transaction_copy(flight->call);
+	flight->call = sim_call_copy(flight->call);
 	flight->call_version = &sim_this_version;
 	flight->stage = SIM_CALL_ABANDONED;
 	if (!write_times_out) {
@@ -262,6 +241,7 @@
 static void execute_store_call(struct sim *sim, struct sim_call_in_flight *flight)
 {
 	sim_store_execute(sim, flight->call, &flight->result);
+	sim_call_copies_schedule(sim, flight->call);
 	if (flight->call->kind == WS_CALL_TRANSACTION && sim->lost_txns > 0 &&
 	    sim_leader(sim) == flight->node) {
 		sim->lost_txns--;
@@ -274,6 +254,7 @@
 static void execute_cloud_call(struct sim *sim, struct sim_call_in_flight *flight)
 {
 	sim_cloud_execute(sim, flight->call, &flight->result);
+	sim_call_copies_schedule(sim, flight->call);
 	if (flight->call->kind == WS_CALL_SCALE_OUT && sim->lost_scale_outs > 0) {
 		sim->lost_scale_outs--;
 		drop_answer(sim, flight, sim->now + CLOUD_TIMEOUT_S);
@@ -345,6 +326,7 @@
 	    sim, worker, call->commands.fencing_token, call->commands.incarnation,
 	    call->commands.list, call->commands.count, flight->result.heartbeat);
 	flight->result.http_status = ws_http_status_of_outcome(flight->result.outcome);
+	sim_call_copies_schedule(sim, call);
 	if (sim->command_answer_delay_s > 0) {
 		schedule_answer(sim, flight, sim->now + sim->command_answer_delay_s);
 	} else if (sim->lost_commands > 0) {
@@ -471,6 +453,7 @@
 
 void sim_calls_free(struct sim *sim)
 {
+	sim_call_copies_free(sim);
 	while (sim->calls_in_flight) {
 		struct sim_call_in_flight *flight = sim->calls_in_flight;
 
--- a/tests/sim_expect.c
+++ b/tests/sim_expect.c
@@ -109,6 +109,12 @@
 
 /* ---- machines ---- */
 
+/* starts-by-copies: tasks that a copy of an executed direct command started */
+static double count_starts_by_copies(struct sim *sim)
+{
+	return sim->starts_by_copies;
+}
+
 /* deleted MACHINE */
 static void check_deleted(struct sim *sim, const struct sim_expectation *expectation)
 {
@@ -358,6 +364,7 @@
     {"scaled-in", 2, .count = count_scaled_in},
     {"scaled-out", 2, .count = count_scaled_out},
     {"started-within", 2, .check = check_started_within},
+    {"starts-by-copies", 2, .count = count_starts_by_copies},
     {"status", 2, .check = check_status},
     {"task-failures", 2, .count = count_failures},
     {"unhealthy", 1, .check = check_node_health},
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -197,6 +197,14 @@
 	struct sim_delayed_command *next;
 };
 
+/* A fraction of the executed calls of these kinds arrives again, up to a maximum time later. */
+struct sim_call_repetition {
+	bool commands, store, cloud;
+	double until, share;
+	double min_s, max_s;
+	int copies; /* of each repeated call */
+};
+
 /* A heartbeat that a partition delays, or a duplicate that arrives later. */
 struct sim_delayed_heartbeat {
 	double due_at;
@@ -313,6 +321,7 @@
 	struct sim_call_in_flight *calls_in_flight; /* sorted by due time */
 	struct sim_delayed_command *delayed_commands;
 	struct sim_delayed_heartbeat *delayed_heartbeats;
+	struct sim_call_copy *call_copies;
 	struct sim_slow_answer *slow_answers;
 	uint64_t last_request_id;
 
@@ -345,6 +354,8 @@
 	double duplicates_until, duplicates_max_s;
 	double duplicates_share;
 	bool duplicates_for_next_leader; /* the copies arrive after the next election instead */
+	struct sim_call_repetition call_repetition;
+	int starts_by_copies; /* tasks that a copy of a direct command started */
 
 	/* faults of nodes and workers */
 	enum sim_crash crash;
