A reap command fences the direct calls that started the attempt

What callers saw: a task ran on two machines at once, and a cancelled task ran again. A direct call with a run command was carried out and answered; the task ended, the answer to a heartbeat told the machine to reap it, and the task was placed elsewhere (or was done, or cancelled). Then a copy of that call arrived. Fencing token and incarnation still matched, the machine no longer knew the attempt, and started it again.

Cause: a call without a reply was fenced before an attempt was reaped, an answered one was held to be over. What makes a repeated run harmless is the worker's memory of the attempt, and reaping ends that memory, so the right to reap has to depend on the token of every direct call with a run, answered or not. A check in one path and not in the other.

Change: each machine remembers the highest token under which a direct call with a run was sent. The answer with a reap command carries a higher one, so that the worker rejects all copies from the moment it forgets, however late they are. Nothing waits: the raised token travels with the reap, and a machine remains usable while its echo is outstanding, since the token to be echoed (expected_echo) is now apart from the token that is sent.

Tokens and attempt numbers can no longer run into the next leader's: their range ends below the revision after the last transaction that the leader committed, grows with each commit, and a leader without numbers steps down, outside an outage. A heartbeat counts as a later leader's by the same bound.

Why it works: a later leader's key has a higher revision than anything this leader committed; a copy carries the token of its original.

--- a/src/core/api/heartbeat_requests.c
+++ b/src/core/api/heartbeat_requests.c
@@ -110,8 +110,7 @@
 				     const struct ws_heartbeat *heartbeat)
 {
 	return core->leadership.role == WS_LEADER && ws_is_entitled(core) &&
-	       heartbeat->fencing_token >> WS_FENCING_TOKEN_SHIFT <=
-		   core->leadership.fencing_token >> WS_FENCING_TOKEN_SHIFT;
+	       heartbeat->fencing_token <= ws_term_number_max(core, WS_FENCING_TOKEN_SHIFT);
 }
 
 void ws_core_heartbeat(struct ws_core *core, double now, uint64_t request_id,
--- a/src/core/autoscaler/scale_in.c
+++ b/src/core/autoscaler/scale_in.c
@@ -164,7 +164,7 @@
 		return WS_SCALE_IN_NO_HEARTBEATS;
 	if (machine->reported && !ws_machine_echoes_token(machine) && up_count &&
 	    core->now -
-		    fmax(fmax(machine->fencing_token_since, machine->first_report_at), elected_at) >
+		    fmax(fmax(machine->expected_echo_since, machine->first_report_at), elected_at) >
 		heartbeat_timeout_s + core->settings->heartbeat_s)
 		return WS_SCALE_IN_TOKEN_NOT_ECHOED;
 	return WS_SCALE_IN_NONE;
--- a/src/core/autoscaler/scale_out_plan.c
+++ b/src/core/autoscaler/scale_out_plan.c
@@ -32,7 +32,7 @@
 	return !machine->attempt_count && !machine->unreachable && !machine->preemption_noticed &&
 	       !ws_machine_echoes_token(machine) &&
 	       !ws_heartbeat_overdue(core,
-				     fmax(machine->first_report_at, machine->fencing_token_since));
+				     fmax(machine->first_report_at, machine->expected_echo_since));
 }
 
 /* Adds the machines that are booting and those of pending requests to the packing. */
--- a/src/core/fleet/commands.c
+++ b/src/core/fleet/commands.c
@@ -2,7 +2,9 @@
  * Commands to workers: in the answers to their heartbeats, and in direct calls to their addresses.
  *
  * A direct call without a reply may still arrive later. Until the worker echoes a higher fencing
- * token, which makes it reject the call, no attempt on it is reaped or placed again. The answer to
+ * token, which makes it reject the call, no attempt on it is reaped or placed again. A copy of an
+ * answered call may arrive later as well: it has no effect while the worker knows the attempt, so
+ * the answer with the reap command carries a higher fencing token than the call. The answer to
  * a heartbeat may also arrive late, but not after the worker's next heartbeat: a worker sends none
  * while it waits for an answer.
  */
@@ -109,6 +111,14 @@
 		attempt->maybe_sent = true;
 }
 
+bool ws_commands_include_run(const struct ws_command *commands, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		if (commands[i].kind == WS_COMMAND_RUN)
+			return true;
+	return false;
+}
+
 /* Collects the run, stop and reap commands for a machine in the scratch list. */
 static void ws_commands_collect(struct ws_core *core, struct ws_machine *machine,
 				const struct ws_heartbeat *heartbeat, size_t max, bool direct)
@@ -125,7 +135,8 @@
 	for (size_t i = 0; i < heartbeat->task_count && fleet->command_count < max; i++) {
 		const struct ws_task_status *status = &heartbeat->tasks[i];
 
-		if (status->state == WS_TASK_EXITED && ws_may_reap(core, machine, status))
+		if (status->state == WS_TASK_EXITED && ws_may_reap(core, machine, status) &&
+		    ws_machine_fence_direct_runs(core, machine))
 			ws_command_add(core, WS_COMMAND_REAP, status->job, status->task,
 				       status->attempt);
 	}
@@ -335,6 +346,8 @@
 	call = ws_commands_call_new(core, machine);
 	call->commands.list =
 	    ws_commands_for_machine(core, machine, NULL, SIZE_MAX, true, &call->commands.count);
+	if (ws_commands_include_run(call->commands.list, call->commands.count))
+		machine->commands.direct_run_token = call->commands.fencing_token;
 	ws_log(core, WS_LOG_DEBUG, "commands sent machine=%s token=%llu commands=%zu",
 	       machine->name, (unsigned long long)call->commands.fencing_token,
 	       call->commands.count);
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -32,8 +32,8 @@
 	machine->lease.expires_at = ws_earlier_leases_expiry(core);
 	machine->commands.outstanding_token =
 	    core->leadership.fencing_token ? core->leadership.fencing_token - 1 : 0;
-	machine->fencing_token = core->leadership.fencing_token;
-	machine->fencing_token_since = core->now;
+	machine->fencing_token = machine->expected_echo = core->leadership.fencing_token;
+	machine->expected_echo_since = core->now;
 	machine->owned =
 	    core->fleet.owned_determined && strcmp(name, core->fleet.last_owned_name) <= 0;
 	machine->zone_index = machine->shard = -1;
--- a/src/core/fleet/fleet.h
+++ b/src/core/fleet/fleet.h
@@ -46,6 +46,9 @@
 	/* direct commands up to this fencing token may still arrive; 0: none */
 	uint64_t outstanding_token;
 	int in_flight; /* direct calls without a result yet */
+	/* direct calls up to this fencing token held run commands: a copy of one may arrive at any
+	 * time, also of an answered one; 0: none */
+	uint64_t direct_run_token;
 	/* fencing token of the answer to its newest heartbeat, if the answer holds run commands and
 	 * may still arrive; 0: there is no such answer */
 	uint64_t answer_token;
@@ -117,10 +120,10 @@
 	struct ws_machine_heartbeat heartbeat;
 	struct ws_machine_lease lease;
 
-	/* fencing: the token sent to it. An echo of it proves that the machine receives our answers
-	 * or commands. */
-	uint64_t fencing_token;
-	double fencing_token_since;
+	/* fencing: the token sent to it, and the one whose echo proves that the machine receives
+	 * our answers or commands. The first is higher after a reap command. */
+	uint64_t fencing_token, expected_echo;
+	double expected_echo_since;
 
 	struct ws_machine_commands commands;
 	int consecutive_failures; /* see struct ws_machine_failures */
@@ -208,9 +211,16 @@
 /* Whether a machine has echoed its fencing token, which proves that it receives this leader's
  * messages. */
 bool ws_machine_echoes_token(const struct ws_machine *machine);
-/* Raises the fencing token of a machine above a token that it or a delayed command may have. */
+/* Raises the fencing token of a machine above a token that it or a delayed command may have. The
+ * machine is not usable until it has echoed a higher one. */
 void ws_machine_raise_fencing_token(struct ws_core *core, struct ws_machine *machine,
 				    uint64_t known);
+/*
+ * Makes the next message to a machine carry a higher fencing token than all direct calls with run
+ * commands so far, so that it rejects their copies from then on. Returns false if the term has no
+ * higher token. The machine stays usable.
+ */
+bool ws_machine_fence_direct_runs(struct ws_core *core, struct ws_machine *machine);
 /* Whether more time has passed since a heartbeat than a healthy machine takes to send the next. */
 bool ws_heartbeat_overdue(const struct ws_core *core, double since);
 /* Whether a machine may be assigned tasks. */
@@ -317,6 +327,8 @@
 struct ws_command *ws_commands_for_machine(struct ws_core *core, struct ws_machine *machine,
 					   const struct ws_heartbeat *heartbeat, size_t max,
 					   bool direct, size_t *count);
+/* Whether a list of commands has a run command. */
+bool ws_commands_include_run(const struct ws_command *commands, size_t count);
 /* Whether a run command that was sent to a machine may still arrive there. */
 bool ws_machine_has_outstanding_run(const struct ws_machine *machine);
 /* Probes a machine: sends a command call without commands. Returns false if no probe is due. */
--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -170,14 +170,6 @@
 	return newest;
 }
 
-static bool ws_commands_include_run(const struct ws_command *commands, size_t count)
-{
-	for (size_t i = 0; i < count; i++)
-		if (commands[i].kind == WS_COMMAND_RUN)
-			return true;
-	return false;
-}
-
 /* Answers a heartbeat: renews the machine's lease and adds the commands that are due. */
 static void ws_machine_answer_heartbeat(struct ws_core *core, struct ws_machine *machine,
 					const struct ws_heartbeat *heartbeat, bool newest,
@@ -187,15 +179,14 @@
 
 	effect->request_id = request_id;
 	effect->answer = WS_ANSWER_OK;
-	effect->heartbeat.fencing_token = machine->fencing_token;
 	if (ws_machine_echoes_token(machine))
 		ws_subsystems_heartbeat_seen(core, machine);
 	ws_machine_extend_lease(core, machine);
-	if (heartbeat->incarnation != machine->incarnation)
-		return;
-	effect->heartbeat.commands = ws_commands_for_machine(
-	    core, machine, newest ? heartbeat : NULL, WS_ANSWER_COMMANDS_MAX, false,
-	    &effect->heartbeat.command_count);
+	if (heartbeat->incarnation == machine->incarnation)
+		effect->heartbeat.commands = ws_commands_for_machine(
+		    core, machine, newest ? heartbeat : NULL, WS_ANSWER_COMMANDS_MAX, false,
+		    &effect->heartbeat.command_count);
+	effect->heartbeat.fencing_token = machine->fencing_token; /* raised by reap commands */
 	ws_log(core, WS_LOG_DEBUG,
 	       "heartbeat answered machine=%s sequence=%llu token=%llu commands=%zu", machine->name,
 	       (unsigned long long)heartbeat->sequence, (unsigned long long)machine->fencing_token,
--- a/src/core/fleet/machine_leases.c
+++ b/src/core/fleet/machine_leases.c
@@ -23,17 +23,38 @@
  */
 bool ws_machine_echoes_token(const struct ws_machine *machine)
 {
-	return machine->reported && machine->echoed_token >= machine->fencing_token;
+	return machine->reported && machine->echoed_token >= machine->expected_echo;
+}
+
+/* Sets the fencing token to the one after `known` unless it is higher. Returns false if the term
+ * has no such token. */
+static bool ws_machine_set_token_above(struct ws_core *core, struct ws_machine *machine,
+				       uint64_t known)
+{
+	if (machine->fencing_token > known)
+		return true;
+	if (known >= ws_term_number_max(core, WS_FENCING_TOKEN_SHIFT)) {
+		ws_term_numbers_exhausted(core);
+		return false;
+	}
+	machine->fencing_token = known + 1;
+	return true;
 }
 
 void ws_machine_raise_fencing_token(struct ws_core *core, struct ws_machine *machine,
 				    uint64_t known)
 {
-	if (machine->fencing_token <= known) {
-		machine->fencing_token = known + 1;
-		machine->fencing_token_since = core->now;
-		machine->commands.next_probe_at = 0;
-	}
+	if (machine->expected_echo > known)
+		return;
+	machine->expected_echo =
+	    ws_machine_set_token_above(core, machine, known) ? known + 1 : UINT64_MAX;
+	machine->expected_echo_since = core->now;
+	machine->commands.next_probe_at = 0;
+}
+
+bool ws_machine_fence_direct_runs(struct ws_core *core, struct ws_machine *machine)
+{
+	return ws_machine_set_token_above(core, machine, machine->commands.direct_run_token);
 }
 
 bool ws_heartbeat_overdue(const struct ws_core *core, double since)
--- a/src/core/jobs/attempts.c
+++ b/src/core/jobs/attempts.c
@@ -18,7 +18,12 @@
 
 uint64_t ws_attempt_number_new(struct ws_core *core)
 {
-	return ws_attempt_number_base(core) + ++core->jobs.attempt_sequence;
+	uint64_t number = ws_attempt_number_base(core) + ++core->jobs.attempt_sequence;
+
+	/* the number is unique all the same: the transaction that records it extends the range */
+	if (number >= ws_term_number_max(core, WS_ATTEMPT_SHIFT))
+		ws_term_numbers_exhausted(core);
+	return number;
 }
 
 bool ws_attempt_number_is_own(const struct ws_core *core, uint64_t number)
--- a/src/core/leadership/election.c
+++ b/src/core/leadership/election.c
@@ -70,6 +70,8 @@
 	}
 	leadership->session = 0;
 	leadership->fencing_token = 0;
+	leadership->committed_revision = 0;
+	leadership->numbers_exhausted = false;
 	leadership->entitled_until = 0;
 	ws_become_follower(core, 0);
 }
@@ -167,6 +169,7 @@
 	core->leadership.predecessors_entitled_until =
 	    fmax(core->leadership.elected_at, core->leadership.votes_entitle_until);
 	core->leadership.fencing_token = result->transaction.revision << WS_FENCING_TOKEN_SHIFT;
+	core->leadership.committed_revision = result->transaction.revision;
 	core->leadership.leader_revision = result->transaction.revision;
 	snprintf(core->leadership.leader_node, sizeof(core->leadership.leader_node), "%s",
 		 core->settings->node);
@@ -278,6 +281,22 @@
 	       !core->leadership.in_outage;
 }
 
+void ws_leadership_committed(struct ws_core *core, uint64_t revision)
+{
+	if (revision > core->leadership.committed_revision)
+		core->leadership.committed_revision = revision;
+}
+
+uint64_t ws_term_number_max(const struct ws_core *core, unsigned shift)
+{
+	return ((core->leadership.committed_revision + 1) << shift) - 1;
+}
+
+void ws_term_numbers_exhausted(struct ws_core *core)
+{
+	core->leadership.numbers_exhausted = true;
+}
+
 void ws_leadership_assume(struct ws_core *core)
 {
 	core->leadership.role = WS_LEADER;
--- a/src/core/leadership/entitlement.c
+++ b/src/core/leadership/entitlement.c
@@ -137,5 +137,7 @@
 		fmax(core->job_watch.replica_current_at, core->leadership.store_served_at) +
 		    ws_replica_age_max(core))
 		return "job watch is stalled";
+	if (core->leadership.numbers_exhausted && !core->leadership.in_outage)
+		return "fencing tokens or attempt numbers of this term are used up";
 	return NULL;
 }
--- a/src/core/leadership/leadership.h
+++ b/src/core/leadership/leadership.h
@@ -61,6 +61,9 @@
 	uint64_t session; /* id of the store session; 0: none */
 	double session_ttl_s;
 	uint64_t fencing_token;
+	/* of the last transaction that this leader committed: later leader keys have higher ones */
+	uint64_t committed_revision;
+	bool numbers_exhausted; /* its term has no more fencing tokens or attempt numbers */
 	double elected_at;
 	/* no earlier leader answers a heartbeat after this time: its leases count from here */
 	double predecessors_entitled_until;
@@ -96,6 +99,16 @@
 bool ws_leader_key_is_gone(const struct ws_core *core, uint64_t revision);
 /* Whether this node may act as the leader now. */
 bool ws_is_entitled(const struct ws_core *core);
+/* Records the revision of a transaction that the leader has committed. */
+void ws_leadership_committed(struct ws_core *core, uint64_t revision);
+/*
+ * Returns the highest number of this leader's term: numbers are the revision of the leader key,
+ * shifted left by `shift`, plus a sequence number. The range grows with each transaction that the
+ * leader commits, and stays below the numbers of every later leader.
+ */
+uint64_t ws_term_number_max(const struct ws_core *core, unsigned shift);
+/* Makes the leader step down, since only a new term has more numbers. */
+void ws_term_numbers_exhausted(struct ws_core *core);
 /* Gives up leadership or the campaign and clears the leader's state. If `reason` is NULL, the core
  * is being freed: nothing is logged and the store session is not closed. */
 void ws_step_down(struct ws_core *core, const char *reason);
--- a/src/core/store/writer.c
+++ b/src/core/store/writer.c
@@ -80,6 +80,7 @@
 	const struct ws_record_source *source;
 
 	core->writer.failures = 0;
+	ws_leadership_committed(core, revision);
 	for (size_t i = 0; i < call->transaction.operation_count; i++) {
 		source = ws_record_source_of(core, call->transaction.operations[i].key);
 		if (source && source->written)
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -47,6 +47,7 @@
 	double duplicated_heartbeats;	  /* heartbeats are sent again later, to any node */
 	double duplicated_after_election; /* the same to all nodes after the next election */
 	double delayed_commands; /* direct commands arrive after the timeout of their sender */
+	double copied_commands;	 /* executed direct commands arrive again, once or several times */
 	double lost_answers;	 /* answers to direct commands are lost */
 	double delayed_store_requests;	/* the store executes requests late */
 	double store_unavailable_until; /* the store answers 503 until this time */
@@ -58,6 +59,7 @@
 	/* the last one: tasks started while they ran on another machine */
 	unsigned starts, finishes, lost_tasks, duplicate_starts;
 	unsigned run_commands, stop_commands, reap_commands;
+	unsigned command_copies; /* copies of direct calls that arrived */
 };
 
 /* Starts the simulated services and the controllers. `subsystem_settings` is the settings file
--- a/tests/loopback_workers.c
+++ b/tests/loopback_workers.c
@@ -1,5 +1,6 @@
 /* The workers of the loopback cluster: heartbeats, commands and leases. Commands are counted. */
 #include "loopback_parts.h"
+#include <math.h>
 
 #define HEARTBEAT_TIMEOUT_S 4
 /* Delays of messages, see struct loopback_faults. */
@@ -7,6 +8,9 @@
 #define DUPLICATE_DELAY_MAX_S 20.0
 #define COMMAND_DELAY_MIN_S 0.6
 #define COMMAND_DELAY_SPAN_S 8.0
+#define COMMAND_COPY_DELAY_MIN_S 0.1
+#define COMMAND_COPY_DELAY_MAX_S 120.0
+#define COMMAND_COPIES_MAX 4
 
 struct loopback_worker loopback_workers[LOOPBACK_WORKERS];
 struct loopback_counts loopback_total_counts;
@@ -91,23 +95,58 @@
 	return true;
 }
 
+static bool execute_direct_call(struct loopback_worker *worker, const struct loopback_message *call)
+{
+	json_t *body = json_loadb(call->body, call->length, 0, NULL);
+	bool accepted = json_integer_value(json_object_get(body, "tenure")) ==
+			    (json_int_t)worker->incarnation &&
+			execute_commands(worker, body);
+
+	json_decref(body);
+	return accepted;
+}
+
+/* Executes a copy of a direct call that was answered before. It must not start a task. */
+static void receive_copy(const struct loopback_message *copy)
+{
+	struct loopback_worker *worker = copy->context;
+	unsigned started = loopback_total_counts.run_commands;
+
+	if (worker->partitioned)
+		return;
+	execute_direct_call(worker, copy);
+	loopback_total_counts.command_copies++;
+	if (loopback_total_counts.run_commands > started)
+		loopback_violation("a copy of an executed direct call started a task on %s",
+				   worker->name);
+}
+
+/* Lets some executed direct calls arrive again, from tenths of a second to minutes later. */
+static void copy_direct_call(const struct loopback_message *call)
+{
+	if (!loopback_fault_occurs(loopback_faults.copied_commands))
+		return;
+	for (double copies = COMMAND_COPIES_MAX * loopback_random(); copies > 0; copies--)
+		/* uniform in the logarithm: short and long delays are both frequent */
+		loopback_delay_message(
+		    call,
+		    COMMAND_COPY_DELAY_MIN_S *
+			pow(COMMAND_COPY_DELAY_MAX_S / COMMAND_COPY_DELAY_MIN_S, loopback_random()),
+		    receive_copy);
+}
+
 /* Executes a direct command and answers it. A partitioned worker ignores it, and a fault may lose
  * the answer. */
 static void receive_command(const struct loopback_message *message)
 {
 	struct loopback_worker *worker = message->context;
-	json_t *body = json_loadb(message->body, message->length, 0, NULL);
 	bool accepted;
 	json_t *answer;
 
-	if (worker->partitioned) { /* neither executed nor answered */
-		json_decref(body);
+	if (worker->partitioned) /* neither executed nor answered */
 		return;
-	}
-	accepted = json_integer_value(json_object_get(body, "tenure")) ==
-		       (json_int_t)worker->incarnation &&
-		   execute_commands(worker, body);
-	json_decref(body);
+	accepted = execute_direct_call(worker, message);
+	copy_direct_call(message);
 	answer = build_heartbeat(worker);
 	if (loopback_fault_occurs(loopback_faults.lost_answers))
 		json_decref(answer);
--- a/tests/sim_actions.c
+++ b/tests/sim_actions.c
@@ -506,7 +506,8 @@
 static const struct sim_action_word *find_action_word(const char *word)
 {
 	static const struct sim_action_word *const tables[] = {
-	    cluster_actions, sim_machine_actions, sim_cold_start_actions, sim_domains_actions};
+	    cluster_actions, sim_machine_actions, sim_leader_actions, sim_cold_start_actions,
+	    sim_domains_actions};
 
 	for (size_t i = 0; i < sizeof(tables) / sizeof(tables[0]); i++)
 		for (const struct sim_action_word *entry = tables[i]; entry->word; entry++)
--- a/tests/sim_expect.c
+++ b/tests/sim_expect.c
@@ -109,6 +109,12 @@
 
 /* ---- machines ---- */
 
+/* exited-in-report: the largest number of exited tasks in a heartbeat */
+static double count_exited_in_report(struct sim *sim)
+{
+	return (double)sim->most_exited_in_report;
+}
+
 /* starts-by-copies: tasks that a copy of an executed direct command started */
 static double count_starts_by_copies(struct sim *sim)
 {
@@ -298,6 +304,7 @@
 	} counters[] = {{"store-requests", sim->store_requests},
 			{"changes", sim->changes},
 			{"commands", sim->commands},
+			{"heartbeats", sim->heartbeats},
 			{"watched-records", sim->watched_records},
 			{"watched-bytes", sim->watched_bytes},
 			{"written-bytes", sim->written_bytes}};
@@ -344,6 +351,7 @@
     {"deleted", 1, .check = check_deleted},
     {"done", 1, .check = check_done},
     {"elections", 1, .check = check_elections},
+    {"exited-in-report", 2, .count = count_exited_in_report},
     {"finished-runs", 3, .count_of = count_finished_runs},
     {"gang-runs", 2, .count = count_gang_runs},
     {"healthy", 1, .check = check_node_health},
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -355,6 +355,7 @@
 	double duplicates_share;
 	bool duplicates_for_next_leader; /* the copies arrive after the next election instead */
 	struct sim_call_repetition call_repetition;
+	size_t most_exited_in_report;
 	int starts_by_copies; /* tasks that a copy of a direct command started */
 
 	/* faults of nodes and workers */
--- a/tests/sim_workers.c
+++ b/tests/sim_workers.c
@@ -81,6 +81,16 @@
 	add_task_statuses(sim, worker, heartbeat);
 }
 
+static void count_exited(struct sim *sim, const struct ws_heartbeat *heartbeat)
+{
+	size_t exited = 0;
+
+	for (size_t i = 0; i < heartbeat->task_count; i++)
+		exited += heartbeat->tasks[i].state == WS_TASK_EXITED;
+	if (exited > sim->most_exited_in_report)
+		sim->most_exited_in_report = exited;
+}
+
 /* Gives up on the pending heartbeat; the next one is sent to the next node. */
 static void try_next_node(const struct sim *sim, struct sim_worker *worker)
 {
@@ -144,6 +154,7 @@
 	sim->heartbeats++;
 	worker->heartbeat_pending = true;
 	sim_worker_build_heartbeat(sim, worker, &heartbeat);
+	count_exited(sim, &heartbeat);
 	worker->next_heartbeat_at = sim->now + sim->heartbeat_s * (0.75 + 0.5 * sim_random(sim));
 	worker->heartbeat_id = (++sim->last_request_id << SIM_REQUEST_ID_SHIFT) |
 			       (uint64_t)(worker - sim->workers) | SIM_ID_HEARTBEAT;
--- a/tests/soak_test.c
+++ b/tests/soak_test.c
@@ -1,11 +1,11 @@
 /*
  * Soak test of three controller processes: the demand keeps two teams at their limits, jobs are
  * cancelled, controllers are killed and paused, the store is unavailable or slow, and heartbeats,
- * their answers and direct commands are delayed or duplicated. Each start of a task and each tick
- * checks the invariants: no team exceeds its limit, no task runs twice, no cancelled task runs for
- * too long. In the end every job must be done or cancelled. The first violation ends the run; it is
- * printed with the seed, the last events and the last lines of the controllers' logs.
- * Usage: soak_test WAYSTEP SUBSYSTEMS SECONDS SEED.
+ * their answers and direct commands are delayed or duplicated, answered direct commands too. Each
+ * start of a task and each tick checks the invariants: no team exceeds its limit, no task runs
+ * twice, no cancelled task runs for too long. In the end every job must be done or cancelled. The
+ * first violation ends the run; it is printed with the seed, the last events and the last lines of
+ * the controllers' logs. Usage: soak_test WAYSTEP SUBSYSTEMS SECONDS SEED.
  */
 #include "check.h"
 #include "loopback.h"
@@ -127,13 +127,16 @@
 	loopback_faults.duplicated_heartbeats = draw_share(50, 0.5);
 	loopback_faults.duplicated_after_election = draw_share(70, 0.5);
 	loopback_faults.delayed_commands = draw_share(40, 0.5);
+	loopback_faults.copied_commands = draw_share(80, 1);
 	loopback_faults.lost_answers = draw_share(20, 0.3);
 	loopback_faults.delayed_store_requests = draw_share(30, 0.1);
 	loopback_event("faults: delayed answers %.2f, duplicates %.2f, after elections %.2f, "
-		       "delayed commands %.2f, lost answers %.2f, delayed store requests %.2f",
+		       "delayed commands %.2f, copied commands %.2f, lost answers %.2f, "
+		       "delayed store requests %.2f",
 		       loopback_faults.delayed_answers, loopback_faults.duplicated_heartbeats,
 		       loopback_faults.duplicated_after_election, loopback_faults.delayed_commands,
-		       loopback_faults.lost_answers, loopback_faults.delayed_store_requests);
+		       loopback_faults.copied_commands, loopback_faults.lost_answers,
+		       loopback_faults.delayed_store_requests);
 	if (random_below(6))
 		return;
 	loopback_event("store unavailable");
@@ -179,8 +182,9 @@
 	check("no accepted job is reported as unknown", unknown == 0);
 	check("no answer contradicts an earlier one", contradictions == 0);
 	check("every job is done or cancelled", unfinished == 0);
-	printf("%u jobs, %u starts, %u tasks lost\n", count, loopback_counts()->starts,
-	       loopback_counts()->lost_tasks);
+	printf("%u jobs, %u starts, %u tasks lost, %u copies of direct calls\n", count,
+	       loopback_counts()->starts, loopback_counts()->lost_tasks,
+	       loopback_counts()->command_copies);
 }
 
 int main(int argc, char **argv)
