A worker that restarted under its old name is told from old copies of its reports

What callers saw (in tests): a task ran on two machines at once after a machine was back within a second under its name, with an empty worker that counts its tenure and its reports from the start. Found while looking for other ways in which a worker forgets an attempt whose start may come again.

Cause: knowledge that a restart makes stale. The new worker's reports look like old copies and were refused; meanwhile - direct calls went on to reach it: it ran their tasks under a lease that began at its restart, while the leader moved them a lease after the last report before it; - it had forgotten the fencing token, so copies of direct calls were good again; - once its count had passed the old one, or with a new leader, an attempt that it no longer reported was released, although a copy could start it.

Change: a reply to a call that is not newer than a report from before the call proves the restart. The lease is then counted from now, and the token raised. A stale report with a token below the echoed one asks for a probe, and probes carry a token above all direct calls with runs. An attempt that was reported and is missing from a report is released only if that report echoes such a token; a new leader counts all earlier tokens among them.

Why it works: replies can't be older than their calls.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -319,6 +319,7 @@
 	int port;
 	uint64_t fencing_token; /* the worker rejects a token below the highest it has seen */
 	uint64_t incarnation;	/* the commands are valid for this incarnation of the worker only */
+	uint64_t known_sequence; /* of the worker's newest report; not part of the message */
 	struct ws_command *list; /* owned */
 	size_t count;
 };
--- a/src/core/fleet/commands.c
+++ b/src/core/fleet/commands.c
@@ -199,6 +199,7 @@
 	call->commands.port = machine->port;
 	call->commands.fencing_token = machine->fencing_token;
 	call->commands.incarnation = machine->incarnation;
+	call->commands.known_sequence = machine->sequence;
 	snprintf(call->commands.machine, sizeof(call->commands.machine), "%s", machine->name);
 	machine->commands.in_flight++;
 	return call;
@@ -207,7 +208,7 @@
 /* Whether a machine is to be probed now. Called for every machine in each sweep. */
 static inline bool ws_probe_is_due(const struct ws_core *core, const struct ws_machine *machine)
 {
-	if (ws_machine_echoes_token(machine) &&
+	if (ws_machine_echoes_token(machine) && !machine->restart_suspected &&
 	    !ws_heartbeat_overdue(core, machine->last_contact_at))
 		return false;
 	return machine->port && machine->address[0] && !machine->gone &&
@@ -216,16 +217,19 @@
 }
 
 /*
- * Probes go to machines that have not echoed this leader's fencing token yet, and to those whose
- * heartbeat is overdue. The reply holds the machine's state and the echoed token, and a worker
- * that replies rejects commands that the previous leader may still have in flight. Waiting for a
- * heartbeat instead would cost an interval, and the time in which the worker finds the leader.
+ * Probes go to machines that have not echoed this leader's fencing token yet, to those whose
+ * heartbeat is overdue, and to those that may have restarted. The reply holds the machine's state
+ * and the echoed token, and a worker that replies rejects commands that the previous leader may
+ * still have in flight. Waiting for a heartbeat instead would cost an interval, and the time in
+ * which the worker finds the leader.
  */
 bool ws_machine_send_probe(struct ws_core *core, struct ws_machine *machine)
 {
 	if (!ws_probe_is_due(core, machine))
 		return false;
 	machine->commands.next_probe_at = core->now + core->settings->heartbeat_s;
+	machine->restart_suspected = false;
+	ws_machine_fence_direct_runs(core, machine); /* the worker may have forgotten its token */
 	ws_commands_call_new(core, machine);
 	return true;
 }
@@ -239,6 +243,43 @@
 	       attempt->incarnation == attempt->machine->incarnation;
 }
 
+/*
+ * Whether the reply to a call shows that the worker has restarted: it was written after the call
+ * was sent, and yet its number is not above that of a report that came before.
+ */
+static bool ws_reply_shows_restart(const struct ws_call *call, const struct ws_heartbeat *reply)
+{
+	return reply->incarnation < call->commands.incarnation ||
+	       (reply->incarnation == call->commands.incarnation &&
+		reply->sequence <= call->commands.known_sequence);
+}
+
+/*
+ * Handles the reply of a worker that has restarted under its old name. Its lease began at the
+ * restart, so tasks that it has started since may run for longer than the lease known here. Its
+ * token is raised, because it accepts copies of all direct calls until it has seen a higher one.
+ * Its heartbeats are stale until its next incarnation, which releases the attempts.
+ */
+static void ws_machine_handle_restart(struct ws_core *core, struct ws_machine *machine,
+				      const struct ws_heartbeat *reply)
+{
+	bool is_new = !machine->restart_sequence || reply->sequence <= machine->restart_sequence;
+
+	machine->restart_sequence = reply->sequence;
+	if (!is_new)
+		return;
+	ws_log(
+	    core, WS_LOG_INFO,
+	    "worker restarted machine=%s incarnation=%llu sequence=%llu previous_incarnation=%llu "
+	    "previous_sequence=%llu attempts=%u",
+	    machine->name, (unsigned long long)reply->incarnation,
+	    (unsigned long long)reply->sequence, (unsigned long long)machine->incarnation,
+	    (unsigned long long)machine->sequence, machine->attempt_count);
+	if (reply->incarnation == machine->incarnation)
+		ws_machine_extend_lease(core, machine);
+	ws_machine_raise_fencing_token(core, machine, machine->fencing_token);
+}
+
 /* Applies the state in a worker's reply, unless a newer heartbeat has arrived before it. */
 static void ws_commands_apply_reply(struct ws_core *core, struct ws_machine *machine,
 				    const struct ws_heartbeat *heartbeat)
@@ -304,6 +345,8 @@
 		return; /* the next answer to a heartbeat will hold the commands */
 	ws_subsystems_command_answered(core, machine, result->heartbeat != NULL);
 	if (result->heartbeat && !strcmp(result->heartbeat->machine, machine->name)) {
+		if (ws_reply_shows_restart(call, result->heartbeat))
+			ws_machine_handle_restart(core, machine, result->heartbeat);
 		ws_commands_apply_reply(core, machine, result->heartbeat);
 		ws_machine_send_unsent_commands(core, machine);
 	} else if (call->commands.count) {
--- a/src/core/fleet/fleet.h
+++ b/src/core/fleet/fleet.h
@@ -117,6 +117,10 @@
 	uint64_t incarnation, sequence;
 	uint64_t echoed_token;
 	double last_contact_at;
+	/* a worker that restarted under the same name counts its reports from the start again, so
+	 * that they look like old copies */
+	bool restart_suspected;	   /* is to be probed: only a reply is proof */
+	uint64_t restart_sequence; /* newest reply since the restart; 0: it has not restarted */
 	struct ws_machine_heartbeat heartbeat;
 	struct ws_machine_lease lease;
 
@@ -221,6 +225,9 @@
  * higher token. The machine stays usable.
  */
 bool ws_machine_fence_direct_runs(struct ws_core *core, struct ws_machine *machine);
+/* Makes a machine's lease last one lease from now. It never ends earlier than assumed before: an
+ * earlier leader may still renew it. */
+void ws_machine_extend_lease(const struct ws_core *core, struct ws_machine *machine);
 /* Whether more time has passed since a heartbeat than a healthy machine takes to send the next. */
 bool ws_heartbeat_overdue(const struct ws_core *core, double since);
 /* Whether a machine may be assigned tasks. */
--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -41,13 +41,6 @@
 		ws_subsystems_machine_updated(core, machine);
 }
 
-/* A lease never ends earlier than assumed before: an earlier leader may still renew it. */
-static void ws_machine_extend_lease(const struct ws_core *core, struct ws_machine *machine)
-{
-	machine->lease.expires_at =
-	    fmax(machine->lease.expires_at, ws_lease_expiry(core, core->now));
-}
-
 /* Handles a later incarnation of a machine: its lease expired, and its earlier tasks have ended. */
 static void ws_machine_begin_incarnation(struct ws_core *core, struct ws_machine *machine,
 					 const struct ws_heartbeat *heartbeat)
@@ -67,6 +60,7 @@
 	ws_machine_extend_lease(core, machine);
 	/* workers reject commands for earlier incarnations */
 	machine->commands.outstanding_token = 0;
+	machine->restart_sequence = 0;
 	ws_machine_mark_dirty(core, machine);
 }
 
@@ -80,6 +74,23 @@
 	ws_core_request_pass(core);
 }
 
+/*
+ * Whether an attempt that a report does not name may still start. One that was never reported can
+ * do so while a run command is on its way, because the reply to a direct command may overtake the
+ * answer to a heartbeat. One that was reported before was lost when the worker restarted: it starts
+ * again if the worker accepts a copy of the direct call that started it.
+ */
+static bool ws_attempt_may_start(struct ws_core *core, struct ws_machine *machine,
+				 const struct ws_attempt *attempt)
+{
+	if (!attempt->reported)
+		return ws_machine_has_outstanding_run(machine);
+	if (machine->echoed_token > machine->commands.direct_run_token)
+		return false;
+	ws_machine_fence_direct_runs(core, machine);
+	return true;
+}
+
 /* Releases attempts that the newest report of a machine does not name. */
 static void ws_machine_release_unreported(struct ws_core *core, struct ws_machine *machine)
 {
@@ -92,11 +103,10 @@
 		if (ws_machine_echoes_token(machine))
 			ws_attempt_reconcile(core, attempt, WS_RECONCILED_NOT_REPORTED);
 		/* releases an attempt that was reported and no longer is, and a stopping one that
-		 * was sent but never reported, unless its run command may still arrive: the reply
-		 * to a direct command may overtake the answer to a heartbeat */
+		 * was sent but never reported, unless it may still start */
 		if (!attempt->reported && (!attempt->maybe_sent || !attempt->stopping))
 			continue;
-		if (!attempt->reported && ws_machine_has_outstanding_run(machine))
+		if (ws_attempt_may_start(core, machine, attempt))
 			ws_event_count(core, WS_EVENT_RELEASE_HELD_BACK);
 		else
 			ws_attempt_release(core, attempt, WS_RELEASE_NOT_REPORTED);
@@ -212,6 +222,18 @@
 	       (unsigned long long)machine->heartbeat.sequence);
 }
 
+/* Probes a machine whose stale heartbeat has a token below the one it echoed: it is an old copy, or
+ * the worker has restarted and forgotten the token. */
+static void ws_heartbeat_check_restart(struct ws_core *core, struct ws_machine *machine,
+				       const struct ws_heartbeat *heartbeat)
+{
+	if (heartbeat->fencing_token >= machine->echoed_token || !ws_is_entitled(core) ||
+	    core->leadership.in_outage)
+		return;
+	machine->restart_suspected = true;
+	ws_machine_send_probe(core, machine);
+}
+
 bool ws_fleet_heartbeat(struct ws_core *core, const struct ws_heartbeat *heartbeat,
 			uint64_t request_id)
 {
@@ -221,6 +243,7 @@
 	machine = ws_machine_find_or_add(core, heartbeat->machine);
 	if (ws_heartbeat_is_stale(machine, heartbeat)) {
 		ws_heartbeat_count_stale(core, machine, heartbeat);
+		ws_heartbeat_check_restart(core, machine, heartbeat);
 		return false;
 	}
 	newest = ws_machine_accept_heartbeat(core, machine, heartbeat);
--- a/src/core/fleet/machine_leases.c
+++ b/src/core/fleet/machine_leases.c
@@ -57,6 +57,12 @@
 	return ws_machine_set_token_above(core, machine, machine->commands.direct_run_token);
 }
 
+void ws_machine_extend_lease(const struct ws_core *core, struct ws_machine *machine)
+{
+	machine->lease.expires_at =
+	    fmax(machine->lease.expires_at, ws_lease_expiry(core, core->now));
+}
+
 bool ws_heartbeat_overdue(const struct ws_core *core, double since)
 {
 	return core->now - since > OVERDUE_INTERVALS * core->settings->heartbeat_s;
--- a/tests/sim_actions.c
+++ b/tests/sim_actions.c
@@ -380,8 +380,10 @@
 }
 
 /*
- * repeat-calls commands|store|cloud|all MAX_S [min=S] [for=S] [share=X] [copies=N]: this fraction
- * of executed calls arrives again N times, each time between min and MAX_S seconds later
+ * repeat-calls commands|store|cloud|all MAX_S [min=S] [for=S] [share=X] [copies=N]
+ * [wait-for-token]: this fraction of executed calls arrives again N times, each time between min
+ * and MAX_S seconds later. wait-for-token: not at workers that have accepted no fencing token since
+ * they started
  */
 static void run_repeat_calls(struct sim *sim, const struct sim_action *action)
 {
@@ -396,6 +398,7 @@
 	repetition->until = sim->now + action->duration_s;
 	repetition->share = sim_option(action->text, "share", 1);
 	repetition->copies = (int)sim_option(action->text, "copies", 1);
+	repetition->waits_for_token = sim_flag(action->text, "wait-for-token");
 }
 
 /* slow-command-answers SECONDS: delays answers to commands, which are executed at once */
--- a/tests/sim_call_copies.c
+++ b/tests/sim_call_copies.c
@@ -115,6 +115,8 @@
 	if (call->kind != WS_CALL_COMMANDS)
 		return sim->now < sim->store_down_until ? sim->store_down_until : 0;
 	worker = &sim->workers[sim_worker_by_address(call->commands.address)];
+	if (sim->call_repetition.waits_for_token && !worker->fencing_token)
+		return sim->now;
 	return sim->now < worker->hang_until ? worker->hang_until : 0;
 }
 
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -203,6 +203,8 @@
 	double until, share;
 	double min_s, max_s;
 	int copies; /* of each repeated call */
+	/* no copy reaches a worker that has not accepted a fencing token since it started */
+	bool waits_for_token;
 };
 
 /* A heartbeat that a partition delays, or a duplicate that arrives later. */
