Direct calls to workers: a module of their own

It now tells which commands are due for a machine; direct_calls.c makes the calls and probes and handles their replies. No behaviour changes: the code was moved as it stood.

--- a/src/core/fleet/fleet.h
+++ b/src/core/fleet/fleet.h
@@ -338,6 +338,9 @@
 bool ws_commands_include_run(const struct ws_command *commands, size_t count);
 /* Whether a run command that was sent to a machine may still arrive there. */
 bool ws_machine_has_outstanding_run(const struct ws_machine *machine);
+
+/* ---- direct_calls.c ---- */
+
 /* Probes a machine: sends a command call without commands. Returns false if no probe is due. */
 bool ws_machine_send_probe(struct ws_core *core, struct ws_machine *machine);
 /* Sends due commands directly to a machine with recent contact. Heartbeat answers repeat them. */
