Only a heartbeat without a token asks whether its worker has restarted

Cause: any stale heartbeat with a token below the echoed one was answered by a probe. Tokens rise with each reap now, so that most copies of old heartbeats would have cost a direct call.

Change: only stale heartbeats without a token ask for a probe.

--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -222,13 +222,12 @@
 	       (unsigned long long)machine->heartbeat.sequence);
 }
 
-/* Probes a machine whose stale heartbeat has a token below the one it echoed: it is an old copy, or
- * the worker has restarted and forgotten the token. */
+/* Probes a machine whose stale heartbeat has no token yet: it is a copy of one of its first, or the
+ * worker has restarted and forgotten the token. */
 static void ws_heartbeat_check_restart(struct ws_core *core, struct ws_machine *machine,
 				       const struct ws_heartbeat *heartbeat)
 {
-	if (heartbeat->fencing_token >= machine->echoed_token || !ws_is_entitled(core) ||
-	    core->leadership.in_outage)
+	if (heartbeat->fencing_token || !ws_is_entitled(core) || core->leadership.in_outage)
 		return;
 	machine->restart_suspected = true;
 	ws_machine_send_probe(core, machine);
