--- a/tests/random_call_copies.c
+++ b/tests/random_call_copies.c
@@ -13,31 +13,31 @@
 /* Draws of one line are assigned to variables first: the order in which the arguments of a function
  * are evaluated depends on the compiler. */
 
-static void draw_array(unsigned number, double at)
+static void draw_array(unsigned number, double submitted_at)
 {
 	unsigned tasks = 1 + random_draw(6), cpus = 1 + random_draw(TASK_CPUS);
 	unsigned run_s = 1 + random_draw(25), image = random_draw(6);
 	const char *failing = random_chance(10) ? " failing" : "";
 	const char *priority = random_chance(20) ? " priority=production" : "";
 
-	random_event(at, "submit job-%06u tasks=%u cpus=%u run=%u image-gb=0.%u%s%s", number, tasks,
-		     cpus, run_s, image, failing, priority);
+	random_event(submitted_at, "submit job-%06u tasks=%u cpus=%u run=%u image-gb=0.%u%s%s",
+		     number, tasks, cpus, run_s, image, failing, priority);
 }
 
-static void draw_service(unsigned number, double at)
+static void draw_service(unsigned number, double submitted_at)
 {
 	unsigned tasks = 1 + random_draw(4);
 	const char *spread = random_chance(50) ? " spread" : "";
 
-	random_event(at, "submit job-%06u service tasks=%u cpus=2 priority=production%s", number,
-		     tasks, spread);
+	random_event(submitted_at, "submit job-%06u service tasks=%u cpus=2 priority=production%s",
+		     number, tasks, spread);
 }
 
-static void draw_gang(unsigned number, double at)
+static void draw_gang(unsigned number, double submitted_at)
 {
 	unsigned tasks = 2 + random_draw(3), run_s = 5 + random_draw(20);
 
-	random_event(at,
+	random_event(submitted_at,
 		     "submit job-%06u gang tasks=%u cpus=4 run=%u checkpoint-interval=5 "
 		     "checkpoint-duration=1",
 		     number, tasks, run_s);
