A restarted worker is probed at its first report; copies of votes and of users' requests

A stale report without a token had asked for a probe, but the machine had been probed before and was not due again for a heartbeat interval.

Cause: the interval between probes is meant for machines that do not answer, and held back the first message to one that has just come up.

Change: such a report is answered by a probe at once. A call that arrives before the first report of a restarted worker can't be told from a new one.

--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -230,6 +230,7 @@
 	if (heartbeat->fencing_token || !ws_is_entitled(core) || core->leadership.in_outage)
 		return;
 	machine->restart_suspected = true;
+	machine->commands.next_probe_at = 0;
 	ws_machine_send_probe(core, machine);
 }
 
--- a/tests/sim_actions.c
+++ b/tests/sim_actions.c
@@ -380,7 +380,7 @@
 }
 
 /*
- * repeat-calls commands|store|cloud|all MAX_S [min=S] [for=S] [share=X] [copies=N]
+ * repeat-calls commands|store|cloud|peers|all MAX_S [min=S] [for=S] [share=X] [copies=N]
  * [wait-for-token]: this fraction of executed calls arrives again N times, each time between min
  * and MAX_S seconds later. wait-for-token: not at workers that have accepted no fencing token since
  * they started
@@ -393,6 +393,7 @@
 	repetition->commands = all || !strcmp(action->operand, "commands");
 	repetition->store = all || !strcmp(action->operand, "store");
 	repetition->cloud = all || !strcmp(action->operand, "cloud");
+	repetition->peers = all || !strcmp(action->operand, "peers");
 	repetition->max_s = atof(action->rest);
 	repetition->min_s = sim_option(action->text, "min", REPETITION_MIN_S);
 	repetition->until = sim->now + action->duration_s;
--- a/tests/sim_call_copies.c
+++ b/tests/sim_call_copies.c
@@ -5,6 +5,7 @@
  */
 #include "sim_call_copies.h"
 #include "sim_cloud.h"
+#include "sim_nodes.h"
 #include "sim_store.h"
 #include "sim_workers.h"
 
@@ -69,6 +70,7 @@
 	case WS_CALL_SESSION_CLOSE: return repetition->store;
 	case WS_CALL_SCALE_OUT:
 	case WS_CALL_SCALE_IN: return repetition->cloud;
+	case WS_CALL_OUTAGE_VOTE: return repetition->peers;
 	default: return false;
 	}
 }
@@ -107,11 +109,29 @@
 	sim_log(WS_LOG_INFO, "a copy of a call started tasks");
 }
 
+/* Asks the peer for its vote once more; nobody awaits the answer. */
+static void execute_outage_vote(struct sim *sim, const struct ws_outage_vote_call *vote)
+{
+	uint64_t request_id = ++sim->last_request_id << SIM_REQUEST_ID_SHIFT | SIM_ID_OUTAGE_VOTE;
+
+	for (int i = 0; i < sim->node_count; i++) {
+		const struct sim_node *peer = &sim->nodes[i];
+
+		if (!strcmp(peer->settings.node, vote->peer) && peer->is_up &&
+		    peer->version == &sim_this_version)
+			ws_core_outage_vote(peer->core, sim_node_time(sim, peer), request_id,
+					    vote->leader_revision, vote->since_revision,
+					    vote->after_job);
+	}
+}
+
 /* Returns when the receiver of a call is available again, or 0 if it is now. */
 static double unavailable_until(const struct sim *sim, const struct ws_call *call)
 {
 	const struct sim_worker *worker;
 
+	if (call->kind == WS_CALL_OUTAGE_VOTE)
+		return 0;
 	if (call->kind != WS_CALL_COMMANDS)
 		return sim->now < sim->store_down_until ? sim->store_down_until : 0;
 	worker = &sim->workers[sim_worker_by_address(call->commands.address)];
@@ -133,6 +153,7 @@
 		break;
 	case WS_CALL_SCALE_OUT:
 	case WS_CALL_SCALE_IN: sim_cloud_execute(sim, call, &result); break;
+	case WS_CALL_OUTAGE_VOTE: execute_outage_vote(sim, &call->outage_vote); break;
 	default: sim_store_execute(sim, call, &result); break;
 	}
 	ws_result_free(&result);
--- a/tests/sim_calls.c
+++ b/tests/sim_calls.c
@@ -368,6 +368,7 @@
 	flight->request_id = ++sim->last_request_id << SIM_REQUEST_ID_SHIFT |
 			     (uint64_t)flight->node | SIM_ID_OUTAGE_VOTE;
 	schedule_answer(sim, flight, sim->now + VOTE_TIMEOUT_S);
+	sim_call_copies_schedule(sim, call);
 	/* only two nodes of this version exchange lists of cancellations */
 	if (peer->version == &sim_this_version && node->version == &sim_this_version)
 		ws_core_outage_vote(peer->core, sim_node_time(sim, peer), flight->request_id,
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -199,7 +199,7 @@
 
 /* A fraction of the executed calls of these kinds arrives again, up to a maximum time later. */
 struct sim_call_repetition {
-	bool commands, store, cloud;
+	bool commands, store, cloud, peers;
 	double until, share;
 	double min_s, max_s;
 	int copies; /* of each repeated call */
--- a/tests/sim_users.c
+++ b/tests/sim_users.c
@@ -78,6 +78,8 @@
 		if (is_reachable(sim, &sim->nodes[i])) {
 			send_consistency_check(sim, i, job, SIM_REQUEST_POLL);
 			send_consistency_check(sim, i, job, SIM_REQUEST_SUBMIT);
+			if (job->cancel_sent)
+				send_consistency_check(sim, i, job, SIM_REQUEST_CANCEL);
 		}
 }
 
