Simulator: actions of users and faults of messages in files of their own

The actions of users and the faults of messages are now in sim_user_actions.c and sim_message_actions.c; the code was moved as it stood.

--- a/tests/sim_scenario.h
+++ b/tests/sim_scenario.h
@@ -49,8 +49,8 @@
 	double (*count_of)(struct sim *sim, const char *subject); /* WORD SUBJECT OPERATOR NUMBER */
 };
 
-extern const struct sim_action_word sim_machine_actions[], sim_leader_actions[],
-    sim_cold_start_actions[], sim_domains_actions[];
+extern const struct sim_action_word sim_user_actions[], sim_message_actions[],
+    sim_machine_actions[], sim_leader_actions[], sim_cold_start_actions[], sim_domains_actions[];
 extern const struct sim_expect_word sim_cold_start_expectations[], sim_domains_expectations[];
 extern const struct sim_setting_word sim_domains_settings_words[];
 
