Unknown fields may hold any JSON value; what is checked is what is read

What callers saw: a sound submission got 400. With such a field in the replies of the store or the cloud no job was ever done, and a worker that sent one was never heard.

Cause: ws_json_parse() checked the whole document for all that jansson once refused: integers beyond 63 bits, NUL characters, repeated names. simdjson itself refuses numbers beyond 64 bits or a double, halves of surrogate pairs, and more than 1,024 levels; jansson, which read the records, the same and more than 2,048. Class: a check of the whole message where only the members that are read are ours to check.

Change: checks move to the readers of members. One reader, simdjson, now serves all messages; records are copied from it to jansson. Documents that it refuses for a number or a surrogate are searched for those by yajl, which hands out numbers as text, and parsed again with substitutes. Counts are read up to 2^64 - 1 and in any spelling of a whole number. A refusal keeps the member and the reason; a 400 carries them.

--- a/src/io/codec.h
+++ b/src/io/codec.h
@@ -40,16 +40,19 @@
 #ifndef WS_CODEC_H
 #define WS_CODEC_H
 #include "../core/core.h"
+#include "json_members.h"
 
-/* Decodes a user's job. Returns 0, or the HTTP status of the error if the body is invalid. */
+/* Decodes a user's job. Returns 0, or the HTTP status of the error if the body is invalid; `id` is
+ * then set if it could be read. ws_message_refusal() tells why a body is refused. */
 int ws_decode_job(const char *body, size_t length, struct ws_job_spec *spec);
 /* Returns whether a job id has the form "job-" and digits, and is not too long. */
 bool ws_job_id_is_valid(const char *id);
-/* Decodes a worker's heartbeat. Returns false if the body is malformed. The caller frees the
- * memory of the heartbeat with ws_heartbeat_free(). */
+/* Decodes a worker's heartbeat. Returns false if the body is malformed; `machine` is then set if it
+ * could be read. The caller frees the memory of the heartbeat with ws_heartbeat_free(). */
 bool ws_decode_heartbeat(const char *body, size_t length, struct ws_heartbeat *heartbeat);
 
 /* Encode the body of a message, which the caller frees. Return NULL if memory is exhausted. */
+char *ws_encode_refusal(struct ws_refusal refusal);
 char *ws_encode_user_answer(const struct ws_effect *answer);
 char *ws_encode_heartbeat_answer(const struct ws_effect *answer);
 char *ws_encode_commands(uint64_t fencing_token, uint64_t incarnation,
--- a/src/io/decode_cloud.c
+++ b/src/io/decode_cloud.c
@@ -14,7 +14,8 @@
 	char name[WS_NAME_MAX];
 
 	if (!ws_member_string(object, "name", type->name, sizeof(type->name), false) ||
-	    !ws_member_amount(object, "vcpus", &type->cpus) || type->cpus <= 0 ||
+	    !ws_member_amount(object, "vcpus", &type->cpus) ||
+	    (type->cpus <= 0 && !ws_message_refuse("vcpus", "is 0")) ||
 	    !ws_member_amount(object, "memGb", &type->mem_gb) ||
 	    !ws_member_amount(object, "rate", &type->price) ||
 	    !ws_member_amount(object, "startupS", &type->boot_s))
@@ -30,7 +31,7 @@
 	if (!ws_member_array(object, "halls", &zones, &count))
 		return false;
 	while (ws_json_next(&zones, &zone)) {
-		if (!ws_element_name(zone, name))
+		if (!ws_element_name(zone, "halls", name))
 			return false;
 		if (type->zone_count < WS_MAX_ALLOWED)
 			snprintf(type->zones[type->zone_count++], WS_NAME_MAX, "%s", name);
@@ -91,8 +92,9 @@
 	while (ws_json_next(&elements, &element)) {
 		struct ws_instance *instance = &result->instances.list[result->instances.count];
 
-		if (names_only ? !ws_element_name(element, instance->name) || !instance->name[0]
-			       : !decode_instance(element, instance))
+		if (names_only
+			? !ws_element_name(element, "hosts", instance->name) || !instance->name[0]
+			: !decode_instance(element, instance))
 			return false;
 		result->instances.count++;
 	}
--- a/src/io/decode_internal.h
+++ b/src/io/decode_internal.h
@@ -16,7 +16,7 @@
 /* ---- decode_store.c ---- */
 
 /* Decodes the reply to a read of one record, a list of records or a watch. */
-bool ws_decode_store_reply(const struct ws_call *call, const char *body, size_t length,
+bool ws_decode_store_reply(const struct ws_call *call, struct ws_json object,
 			   struct ws_result *result);
 /* Decodes the keys whose revision compare failed, from the reply to a rejected transaction. */
 void ws_decode_failed_keys(struct ws_json object, struct ws_result *result);
--- a/src/io/decode_reply.c
+++ b/src/io/decode_reply.c
@@ -23,6 +23,9 @@
 			   struct ws_result *result)
 {
 	switch (call->kind) {
+	case WS_CALL_GET:
+	case WS_CALL_LIST:
+	case WS_CALL_WATCH: return ws_decode_store_reply(call, object, result);
 	case WS_CALL_TRANSACTION:
 		return ws_member_uint(object, "ledgerRev", &result->transaction.revision);
 	case WS_CALL_SESSION_OPEN: return ws_member_uint(object, "permit", &result->session);
@@ -37,12 +40,6 @@
 	}
 }
 
-static bool returns_records(const struct ws_call *call)
-{
-	return call->kind == WS_CALL_GET || call->kind == WS_CALL_LIST ||
-	       call->kind == WS_CALL_WATCH;
-}
-
 /* Returns whether the status of a successful reply is sufficient, so that its body is ignored. */
 static bool needs_no_body(const struct ws_call *call)
 {
@@ -50,30 +47,31 @@
 	       call->kind == WS_CALL_SCALE_IN;
 }
 
+/* Decodes the body of an error that carries more than its status. */
+static void decode_error(const struct ws_call *call, struct ws_json object,
+			 struct ws_result *result)
+{
+	if (result->http_status == 409 && call->kind == WS_CALL_TRANSACTION)
+		ws_decode_failed_keys(object, result);
+	else if (result->http_status == 503 && call->kind == WS_CALL_SCALE_OUT)
+		result->instances.no_capacity = ws_decode_no_capacity(object);
+}
+
 void ws_decode_reply(const struct ws_call *call, int status, const char *body, size_t length,
 		     struct ws_result *result)
 {
 	bool succeeded = status == 200 || (status == 409 && call->kind == WS_CALL_COMMANDS);
 	struct ws_json object;
+	bool parsed;
 
 	*result = (struct ws_result){.kind = call->kind,
 				     .outcome = ws_outcome_of_http_status(status),
 				     .http_status = status};
 	if (status <= 0 || (succeeded && needs_no_body(call)))
 		return;
-	if (returns_records(call)) {
-		if (succeeded && !ws_decode_store_reply(call, body, length, result))
-			ws_result_free(result); /* the outcome of the call is unknown */
-		return;
-	}
-	bool parsed = ws_json_parse(body, length, &object) && ws_json_is_object(object);
-
-	if (succeeded) {
-		if (!parsed || !decode_success(call, object, result))
-			ws_result_free(result); /* the outcome of the call is unknown */
-	} else if (parsed && status == 409 && call->kind == WS_CALL_TRANSACTION) {
-		ws_decode_failed_keys(object, result);
-	} else if (parsed && status == 503 && call->kind == WS_CALL_SCALE_OUT) {
-		result->instances.no_capacity = ws_decode_no_capacity(object);
-	}
+	parsed = ws_message_parse(body, length, &object) && ws_json_is_object(object);
+	if (!succeeded && parsed)
+		decode_error(call, object, result);
+	if (succeeded && (!parsed || !decode_success(call, object, result)))
+		ws_result_free(result); /* the outcome of the call is unknown */
 }
--- a/src/io/decode_store.c
+++ b/src/io/decode_store.c
@@ -1,107 +1,78 @@
 /* Decodes replies of the store. codec.h explains the names of the protocol. */
 #include "codec.h"
 #include "decode_internal.h"
+#include "json_copy.h"
 #include "json_members.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* ---- records: their values outlive the reply, so they are parsed with jansson ---- */
+/* ---- records ---- */
 
-static bool record_revision(json_t *object, const char *key, uint64_t *target)
+/* Decodes a record whose key is in the member `name`. */
+static bool decode_record(struct ws_json object, const char *name, struct ws_kv *entry)
 {
-	json_t *value = json_object_get(object, key);
+	struct ws_json value;
 
-	if (!json_is_integer(value) || json_integer_value(value) < 0)
+	if (!ws_member_string(object, name, entry->key, sizeof(entry->key), false) ||
+	    !ws_member_uint(object, "stamp", &entry->revision))
 		return false;
-	*target = (uint64_t)json_integer_value(value);
-	return true;
+	if (ws_json_find(object, "value", &value) != WS_JSON_FOUND)
+		return ws_message_refuse("value", "is missing or repeated");
+	entry->value = ws_json_copy(value);
+	return entry->value != NULL;
 }
 
-static bool record_key(json_t *object, const char *name, char *target, size_t size)
+static bool decode_event(struct ws_json object, struct ws_kv *entry)
 {
-	json_t *value = json_object_get(object, name);
-	const char *text = json_string_value(value);
-	size_t length = json_string_length(value);
-
-	if (!text || !length || length >= size || strlen(text) != length)
-		return false;
-	memcpy(target, text, length + 1);
-	return true;
+	if (!ws_member_is_set(object, "delete"))
+		return decode_record(object, "write", entry);
+	return ws_member_string(object, "delete", entry->key, sizeof(entry->key), false) &&
+	       ws_member_uint(object, "stamp", &entry->revision);
 }
 
-static bool decode_record(json_t *object, const char *name, struct ws_kv *entry,
-			  bool value_required)
+static bool decode_list(struct ws_json object, struct ws_result *result)
 {
-	json_t *value;
-
-	memset(entry, 0, sizeof(*entry));
-	if (!json_is_object(object) || !record_key(object, name, entry->key, sizeof(entry->key)) ||
-	    !record_revision(object, "stamp", &entry->revision))
-		return false;
-	value = json_object_get(object, "value");
-	if (value_required && !value)
-		return false;
-	entry->value = json_incref(value);
-	return true;
-}
-
-static bool decode_records_array(json_t *array, struct ws_result *result, bool events)
-{
-	size_t i;
-	json_t *entry;
+	bool events = result->kind == WS_CALL_WATCH;
+	struct ws_json_elements elements;
+	struct ws_json element;
+	size_t count;
 
-	if (!json_is_array(array))
+	if (!ws_member_array(object, events ? "news" : "entries", &elements, &count))
 		return false;
-	result->records.entries =
-	    calloc(json_array_size(array) + 1, sizeof(*result->records.entries));
+	result->records.entries = calloc(count + 1, sizeof(*result->records.entries));
 	if (!result->records.entries)
 		return false;
-	json_array_foreach (array, i, entry) {
-		bool deleted = events && json_object_get(entry, "delete");
-		const char *key_name = events ? "write" : "k";
+	while (ws_json_next(&elements, &element)) {
+		struct ws_kv *entry = &result->records.entries[result->records.entry_count];
 
-		if (deleted)
-			key_name = "delete";
-		if (!decode_record(entry, key_name,
-				   &result->records.entries[result->records.entry_count], !deleted))
+		if (!(events ? decode_event(element, entry) : decode_record(element, "k", entry)))
 			return false;
-		if (deleted) {
-			json_decref(result->records.entries[result->records.entry_count].value);
-			result->records.entries[result->records.entry_count].value = NULL;
-		}
 		result->records.entry_count++;
 	}
 	return true;
 }
 
-static bool decode_records(const struct ws_call *call, json_t *object, struct ws_result *result)
+static bool decode_requested_record(struct ws_json object, const char *key,
+				    struct ws_result *result)
 {
-	if (call->kind == WS_CALL_GET) {
-		result->records.entries = calloc(1, sizeof(*result->records.entries));
-		if (!result->records.entries ||
-		    !decode_record(object, "k", result->records.entries, true))
-			return false;
-		result->records.entry_count = 1;
-		return !strcmp(result->records.entries->key, call->read.key);
-	}
-	result->records.has_more = json_is_true(json_object_get(object, "hasNext"));
-	if (!record_revision(object, "ledgerRev", &result->records.revision))
+	result->records.entries = calloc(1, sizeof(*result->records.entries));
+	if (!result->records.entries || !decode_record(object, "k", result->records.entries))
 		return false;
-	return call->kind == WS_CALL_LIST
-		   ? decode_records_array(json_object_get(object, "entries"), result, false)
-		   : decode_records_array(json_object_get(object, "news"), result, true);
+	result->records.entry_count = 1;
+	return !strcmp(result->records.entries->key, key) ||
+	       ws_message_refuse("k", "is not the key that was read");
 }
 
-bool ws_decode_store_reply(const struct ws_call *call, const char *body, size_t length,
+bool ws_decode_store_reply(const struct ws_call *call, struct ws_json object,
 			   struct ws_result *result)
 {
-	/* jansson also rejects numbers too large for a double, duplicate keys and deep nesting */
-	json_t *object = json_loadb(body, length, JSON_REJECT_DUPLICATES, NULL);
-	bool ok = json_is_object(object) && decode_records(call, object, result);
-
-	json_decref(object);
-	return ok;
+	if (call->kind == WS_CALL_GET)
+		return decode_requested_record(object, call->read.key, result);
+	if (!ws_member_bool(object, "hasNext", &result->records.has_more))
+		result->records.has_more = false;
+	return ws_member_uint(object, "ledgerRev", &result->records.revision) &&
+	       decode_list(object, result);
 }
 
 /* ---- transactions ---- */
--- a/src/io/decode_worker.c
+++ b/src/io/decode_worker.c
@@ -40,11 +40,11 @@
 		return false;
 	slash = strrchr(text, '/');
 	if (!slash || slash == text || (size_t)(slash - text) >= sizeof(task->job))
-		return false;
+		return ws_message_refuse("shard", "is not JOB/TASK");
 	*slash = 0;
 	number = strtoul(slash + 1, &end, 10);
 	if (!isdigit((unsigned char)slash[1]) || *end || number >= WS_MAX_TASKS)
-		return false;
+		return ws_message_refuse("shard", "has no valid task number");
 	task->task = (uint32_t)number;
 	memcpy(task->job, text, (size_t)(slash - text) + 1);
 	return true;
@@ -90,8 +90,8 @@
 
 static bool decode_task(struct ws_json object, struct ws_task_status *task)
 {
-	if (!ws_json_is_object(object) || !decode_task_name(object, task) ||
-	    !ws_member_uint(object, "tryNo", &task->attempt) || !decode_task_state(object, task))
+	if (!decode_task_name(object, task) || !ws_member_uint(object, "tryNo", &task->attempt) ||
+	    !decode_task_state(object, task))
 		return false;
 	task->exit_reason = WS_EXIT_NONE;
 	return task->state != WS_TASK_EXITED || decode_exit_reason(object, task);
@@ -104,8 +104,9 @@
 	size_t count;
 
 	memset(heartbeat, 0, sizeof(*heartbeat));
-	if (!ws_json_is_object(object) ||
-	    !ws_member_string(object, "host", heartbeat->machine, sizeof(heartbeat->machine),
+	if (!ws_json_is_object(object))
+		return ws_message_refuse("", "not an object");
+	if (!ws_member_string(object, "host", heartbeat->machine, sizeof(heartbeat->machine),
 			      false) ||
 	    !ws_member_address(object, "address", heartbeat->address, sizeof(heartbeat->address),
 			       &heartbeat->port) ||
@@ -113,10 +114,11 @@
 	    !ws_member_string(object, "hall", heartbeat->zone, sizeof(heartbeat->zone), false) ||
 	    !ws_member_bool(object, "reclaimable", &heartbeat->preemptible) ||
 	    !ws_member_uint(object, "tenure", &heartbeat->incarnation) ||
-	    heartbeat->incarnation < 1 ||
 	    !ws_member_uint(object, "counter", &heartbeat->sequence) ||
 	    !ws_member_uint(object, "epoch", &heartbeat->fencing_token))
 		return false;
+	if (heartbeat->incarnation < 1)
+		return ws_message_refuse("tenure", "is 0");
 	heartbeat->preemption_notice_s = -1;
 	if (ws_member_is_set(object, "warningS") &&
 	    !ws_member_amount(object, "warningS", &heartbeat->preemption_notice_s))
@@ -140,6 +142,7 @@
 {
 	struct ws_json object;
 
-	return ws_json_parse(body, length, &object) &&
+	memset(heartbeat, 0, sizeof(*heartbeat));
+	return ws_message_parse(body, length, &object) &&
 	       ws_decode_heartbeat_object(object, heartbeat);
 }
--- a/src/io/encode.c
+++ b/src/io/encode.c
@@ -31,6 +31,14 @@
 	return text;
 }
 
+char *ws_encode_refusal(struct ws_refusal refusal)
+{
+	ws_pool_begin();
+	if (!refusal.member[0])
+		return to_text(json_pack("{s:s}", "error", refusal.reason));
+	return to_text(json_pack("{s:s++}", "error", refusal.member, " ", refusal.reason));
+}
+
 char *ws_encode_user_answer(const struct ws_effect *answer)
 {
 	static const char *const phases[] = {"queued", "running", "done", "withdrawn"};
--- a/src/io/forwarding.c
+++ b/src/io/forwarding.c
@@ -217,6 +217,17 @@
 				      frame->body.len, true);
 }
 
+static void note_oversized_frame(struct ws_service *service, const Ws__PeerFrame *frame)
+{
+	const struct ws_refused_message message = {.kind = WS_REFUSED_PEER_FRAME,
+						   .sender = frame->node,
+						   .subject = frame->path,
+						   .length = frame->body.len,
+						   .refusal = {"frame", "is too long"}};
+
+	ws_refusals_add(&service->refusals, ws_now(), &message);
+}
+
 void ws_forwarding_on_frame(void *context, uint64_t connection, const Ws__PeerFrame *frame)
 {
 	struct ws_service *service = context;
@@ -226,7 +237,7 @@
 	struct ws_pending_request *request;
 
 	if (frame->body.len > WS_BODY_MAX || strlen(frame->path) > PEER_PATH_MAX) {
-		ws_logf(WS_LOG_ERROR, "oversized request from peer rejected peer=%s", frame->node);
+		note_oversized_frame(service, frame);
 		return;
 	}
 	request =
@@ -244,6 +255,7 @@
 		handle_vote_request(service, request_id, frame->vote);
 		break;
 	default:
+		service->refusals.counts[WS_REFUSED_PEER_FRAME]++;
 		ws_logf(WS_LOG_ERROR, "peer frame of unknown kind rejected peer=%s kind=%d",
 			frame->node, (int)frame->kind);
 		ws_router_answer_status(service, request_id, 400);
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -45,6 +45,7 @@
 	ws_http_request_fn on_request;
 	void *context;
 	uint64_t last_request_id;
+	unsigned long rejected_count;
 	struct connection *connections;
 	struct connection *by_request_id[REQUEST_ID_BUCKETS];
 };
@@ -208,6 +209,7 @@
 /* Responds with an error to an invalid or incomplete request, then closes the connection. */
 static void reject_request(struct connection *connection, int status)
 {
+	connection->server->rejected_count++;
 	connection->close_after_response = true;
 	connection->receive_started = 0;
 	send_response(connection, status, "{}", 2, status == 503 ? 1 : 0);
@@ -472,6 +474,14 @@
 	return true;
 }
 
+bool ws_server_client_address(const struct ws_http_server *server, uint64_t request_id,
+			      char *address, size_t size)
+{
+	const struct connection *connection = find_connection(server, request_id);
+
+	return connection && ws_socket_peer(connection->fd, address, size);
+}
+
 void ws_server_set_kind(struct ws_http_server *server, uint64_t request_id, enum ws_conn_kind kind)
 {
 	struct connection *connection = find_connection(server, request_id);
@@ -505,6 +515,11 @@
 	return server->count_by_kind[kind];
 }
 
+unsigned long ws_server_rejected_count(const struct ws_http_server *server)
+{
+	return server->rejected_count;
+}
+
 void ws_server_free(struct ws_http_server *server)
 {
 	struct connection *connection, *next;
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -44,6 +44,9 @@
 /* Gets a request by its id. Returns false if its connection is closed. */
 bool ws_server_get_request(const struct ws_http_server *server, uint64_t request_id,
 			   struct ws_http_request *request);
+/* Writes "ADDRESS:PORT" of the client of a request. Returns false if its connection is closed. */
+bool ws_server_client_address(const struct ws_http_server *server, uint64_t request_id,
+			      char *address, size_t size);
 /* Sets the kind of the connection that a request arrived on. */
 void ws_server_set_kind(struct ws_http_server *server, uint64_t request_id, enum ws_conn_kind kind);
 /* Sends the response to a request, or nothing if its connection is closed. With 0 seconds the
@@ -54,6 +57,9 @@
 int ws_server_port(const struct ws_http_server *server);
 /* Returns the number of open connections of a kind. */
 int ws_server_connection_count(const struct ws_http_server *server, enum ws_conn_kind kind);
+/* Returns the number of requests that were rejected since the start: malformed, too large, or too
+ * slow to arrive. */
+unsigned long ws_server_rejected_count(const struct ws_http_server *server);
 /* Closes all connections without a response and frees the server, which may be NULL. */
 void ws_server_free(struct ws_http_server *server);
 #endif
--- a/src/io/json_reader.cpp
+++ b/src/io/json_reader.cpp
@@ -1,10 +1,12 @@
 #define SIMDJSON_EXCEPTIONS 0
 #include "json_reader.h"
+#include "json_substitution.h"
 #include <algorithm>
+#include <cstdlib>
 #include <cstring>
+#include <memory>
 #include <simdjson.h>
 #include <type_traits>
-#include <vector>
 
 namespace dom = simdjson::dom;
 
@@ -15,6 +17,14 @@
 static_assert(std::is_trivially_copyable<dom::array::iterator>::value,
 	      "iterators are copied by memcpy");
 
+static_assert(sizeof(dom::object::iterator) == sizeof(ws_json),
+	      "ws_json_members must hold two iterators");
+static_assert(std::is_trivially_copyable<dom::object::iterator>::value,
+	      "iterators are copied by memcpy");
+
+/* Memory for documents up to this length is reserved with the first one. */
+#define WS_JSON_INITIAL_BYTES ((size_t)4096)
+
 static dom::parser &ws_parser()
 {
 	static dom::parser parser(WS_JSON_MAX_BYTES);
@@ -38,99 +48,64 @@
 	return value;
 }
 
-static bool ws_has_no_nul(std::string_view text)
+static simdjson::error_code &ws_last_error()
 {
-	return text.find('\0') == std::string_view::npos;
+	static simdjson::error_code error;
+
+	return error;
 }
 
-static bool ws_unique_keys(const dom::object &object)
+/* Replaces a parser that holds memory for a long document, once none is parsed. */
+static simdjson::error_code ws_prepare_parser(dom::parser &parser, size_t length)
 {
-	std::vector<std::string_view> keys;
-
-	for (auto field : object)
-		keys.push_back(field.key);
-	std::sort(keys.begin(), keys.end());
-	return std::adjacent_find(keys.begin(), keys.end()) == keys.end();
+	if (parser.capacity() > WS_JSON_KEPT_BYTES && length <= WS_JSON_KEPT_BYTES)
+		parser = dom::parser(WS_JSON_MAX_BYTES);
+	if (length > WS_JSON_MAX_BYTES)
+		return simdjson::CAPACITY;
+	if (parser.capacity() && parser.capacity() >= length)
+		return simdjson::SUCCESS;
+	/* simdjson counts one level more */
+	return parser.allocate(std::max(length, WS_JSON_INITIAL_BYTES), WS_JSON_MAX_DEPTH + 1);
 }
 
-/* Compares all pairs of keys, which for a small object takes no allocation. */
-static bool ws_unique_keys_pairwise(const dom::object &object)
+static simdjson::error_code ws_parse(const char *text, size_t length, dom::element &root)
 {
-	for (auto a = object.begin(); a != object.end(); ++a) {
-		auto b = a;
-
-		for (++b; b != object.end(); ++b)
-			if (a.key() == b.key())
-				return false;
-	}
-	return true;
-}
+	dom::parser &parser = ws_parser();
+	simdjson::error_code error = ws_prepare_parser(parser, length);
 
-/* Objects with more keys are checked by sorting the keys. */
-#define WS_PAIRWISE_KEYS_MAX 16
-
-/* Initial capacity of the list of unchecked values; sufficient for usual messages. */
-#define WS_UNCHECKED_RESERVE 64
-
-/* Checks keys and scalars, and adds the members of a container to `unchecked`. */
-static bool ws_check_value(dom::element value, std::vector<dom::element> &unchecked)
-{
-	dom::object object;
-	dom::array array;
-
-	switch (value.type()) {
-	case dom::element_type::STRING: return ws_has_no_nul(value.get_string().value_unsafe());
-	case dom::element_type::UINT64: return false;
-	case dom::element_type::ARRAY:
-		if (value.get(array))
-			return false;
-		for (auto member : array)
-			unchecked.push_back(member);
-		return true;
-	case dom::element_type::OBJECT:
-		if (value.get(object))
-			return false;
-		for (auto field : object) {
-			if (!ws_has_no_nul(field.key))
-				return false;
-			unchecked.push_back(field.value);
-		}
-		return object.size() <= WS_PAIRWISE_KEYS_MAX ? ws_unique_keys_pairwise(object)
-							     : ws_unique_keys(object);
-	default: return true;
-	}
+	if (error)
+		return error;
+	return parser.parse(text, length, true).get(root);
 }
 
-/* Returns false if the document has what simdjson accepts and jansson rejects. */
-static bool ws_well_formed(dom::element root)
+/* Parses a document that has values which the parser cannot represent. */
+static simdjson::error_code ws_parse_substituted(const char *text, size_t length,
+						 dom::element &root)
 {
-	std::vector<dom::element> unchecked;
+	std::unique_ptr<char, decltype(&free)> copy(ws_json_substitute(text, length), free);
 
-	unchecked.reserve(WS_UNCHECKED_RESERVE);
-	unchecked.push_back(root);
-	while (!unchecked.empty()) {
-		dom::element value = unchecked.back();
-
-		unchecked.pop_back();
-		if (!ws_check_value(value, unchecked))
-			return false;
-	}
-	return true;
+	return copy ? ws_parse(copy.get(), length, root) : simdjson::MEMALLOC;
 }
 
 extern "C" bool ws_json_parse(const char *text, size_t len, struct ws_json *root)
 {
-	dom::parser &parser = ws_parser();
 	dom::element e;
+	simdjson::error_code error = ws_parse(text, len, e);
 
-	if (parser.capacity() > WS_JSON_KEPT_BYTES && len <= WS_JSON_KEPT_BYTES)
-		parser = dom::parser(WS_JSON_MAX_BYTES);
-	if (parser.parse(text, len, true).get(e) || !ws_well_formed(e))
+	if (error == simdjson::NUMBER_ERROR || error == simdjson::STRING_ERROR)
+		error = ws_parse_substituted(text, len, e);
+	ws_last_error() = error;
+	if (error)
 		return false;
 	*root = ws_json_of(e);
 	return true;
 }
 
+extern "C" const char *ws_json_parse_error(void)
+{
+	return simdjson::error_message(ws_last_error());
+}
+
 extern "C" bool ws_json_is_object(struct ws_json value)
 {
 	return ws_element(value).is_object();
@@ -141,15 +116,38 @@
 	return ws_element(value).is_null();
 }
 
-extern "C" bool ws_json_member(struct ws_json object, const char *name, struct ws_json *value)
+extern "C" enum ws_json_type ws_json_type_of(struct ws_json value)
+{
+	switch (ws_element(value).type()) {
+	case dom::element_type::BOOL: return WS_JSON_BOOL;
+	case dom::element_type::INT64: return WS_JSON_INTEGER;
+	case dom::element_type::UINT64: return WS_JSON_UNSIGNED;
+	case dom::element_type::DOUBLE: return WS_JSON_REAL;
+	case dom::element_type::STRING: return WS_JSON_STRING;
+	case dom::element_type::ARRAY: return WS_JSON_ARRAY;
+	case dom::element_type::OBJECT: return WS_JSON_OBJECT;
+	default: return WS_JSON_NULL;
+	}
+}
+
+extern "C" enum ws_json_lookup ws_json_find(struct ws_json object, const char *name,
+					    struct ws_json *value)
 {
+	enum ws_json_lookup found = WS_JSON_ABSENT;
+	std::string_view wanted(name);
 	dom::object o;
-	dom::element e;
 
-	if (ws_element(object).get(o) || o.at_key(name).get(e))
-		return false;
-	*value = ws_json_of(e);
-	return true;
+	if (ws_element(object).get(o))
+		return WS_JSON_ABSENT;
+	for (auto at = o.begin(); at != o.end(); ++at) {
+		if (!at.key_equals(wanted))
+			continue;
+		if (found == WS_JSON_FOUND)
+			return WS_JSON_REPEATED;
+		*value = ws_json_of(at.value());
+		found = WS_JSON_FOUND;
+	}
+	return found;
 }
 
 extern "C" bool ws_json_string(struct ws_json value, const char **text, size_t *len)
@@ -173,6 +171,11 @@
 	return !ws_element(value).get(*target);
 }
 
+extern "C" bool ws_json_unsigned(struct ws_json value, uint64_t *target)
+{
+	return !ws_element(value).get(*target);
+}
+
 extern "C" bool ws_json_bool(struct ws_json value, bool *target)
 {
 	return !ws_element(value).get(*target);
@@ -209,6 +212,36 @@
 	return true;
 }
 
+extern "C" bool ws_json_members(struct ws_json object, struct ws_json_members *members)
+{
+	dom::object o;
+
+	if (ws_element(object).get(o))
+		return false;
+	auto from = o.begin(), to = o.end();
+
+	memcpy(members->next, static_cast<const void *>(&from), sizeof(from));
+	memcpy(members->end, static_cast<const void *>(&to), sizeof(to));
+	return true;
+}
+
+extern "C" bool ws_json_next_member(struct ws_json_members *members, const char **name,
+				    size_t *length, struct ws_json *value)
+{
+	dom::object::iterator at, end;
+
+	memcpy(static_cast<void *>(&at), members->next, sizeof(at));
+	memcpy(static_cast<void *>(&end), members->end, sizeof(end));
+	if (!(at != end))
+		return false;
+	*name = at.key().data();
+	*length = at.key().size();
+	*value = ws_json_of(at.value());
+	++at;
+	memcpy(members->next, static_cast<const void *>(&at), sizeof(at));
+	return true;
+}
+
 extern "C" size_t ws_json_capacity(void)
 {
 	return ws_parser().capacity();
--- a/src/io/outgoing_calls.c
+++ b/src/io/outgoing_calls.c
@@ -1,5 +1,4 @@
 /* Sends the core's calls to the store, the cloud, workers and voters, and returns their results. */
-#include "../log.h"
 #include "clock.h"
 #include "codec.h"
 #include "outage_vote.h"
@@ -106,6 +105,31 @@
 	}
 }
 
+static const char *service_of_call(const struct ws_call *call)
+{
+	switch (call->kind) {
+	case WS_CALL_MACHINE_TYPES:
+	case WS_CALL_INSTANCES:
+	case WS_CALL_SCALE_OUT:
+	case WS_CALL_SCALE_IN: return "cloud";
+	case WS_CALL_COMMANDS: return "worker";
+	case WS_CALL_OUTAGE_VOTE: return "peer";
+	default: return "store";
+	}
+}
+
+static void note_refused_reply(struct ws_service *service, const struct ws_call *call,
+			       size_t length, struct ws_refusal refusal)
+{
+	const struct ws_refused_message message = {.kind = WS_REFUSED_REPLY,
+						   .sender = service_of_call(call),
+						   .subject = call_target(call),
+						   .length = length,
+						   .refusal = refusal};
+
+	ws_refusals_add(&service->refusals, ws_now(), &message);
+}
+
 static void complete_with_reply(struct ws_service *service, struct ws_call *call, int status,
 				const char *body, size_t length)
 {
@@ -113,9 +137,7 @@
 
 	ws_decode_reply(call, status, body, length, &result);
 	if (status > 0 && result.outcome == WS_OUTCOME_NO_REPLY)
-		ws_logf(WS_LOG_ERROR,
-			"malformed reply discarded kind=%d target=%s status=%d bytes=%zu",
-			call->kind, call_target(call), status, length);
+		note_refused_reply(service, call, length, ws_message_refusal());
 	if (result.outcome == WS_OUTCOME_NOT_SENT && call->kind != WS_CALL_COMMANDS) {
 		result.outcome = WS_OUTCOME_NO_REPLY;
 		result.http_status = 0;
@@ -149,8 +171,8 @@
 	struct ws_result result = {.kind = WS_CALL_OUTAGE_VOTE};
 
 	if (reply && !ws_vote_decode_reply(reply, &result))
-		ws_logf(WS_LOG_ERROR, "malformed outage vote discarded peer=%s",
-			pending->call->outage_vote.peer);
+		note_refused_reply(pending->service, pending->call, 0,
+				   (struct ws_refusal){"job", "is not a job id"});
 	complete(pending->service, pending->call, &result);
 	free(pending);
 }
--- a/src/io/request_router.c
+++ b/src/io/request_router.c
@@ -2,7 +2,6 @@
  * Handles HTTP requests of users, workers and health checks, and sends the answers by HTTP or, for
  * a request from a peer, in a frame.
  */
-#include "../log.h"
 #include "clock.h"
 #include "codec.h"
 #include "http_status.h"
@@ -16,6 +15,8 @@
 #define USER_PATH_LENGTH (sizeof(WS_USER_PATH) - 1)
 #define EMPTY_BODY "{}"
 #define RETRY_AFTER_S 1
+/* Large enough for "ADDRESS:PORT". */
+#define CLIENT_ADDRESS_SIZE 32
 
 /* ---- answers ---- */
 
@@ -81,16 +82,46 @@
 	answer_encoded(service, answer, ws_encode_heartbeat_answer(answer), 0);
 }
 
+/* ---- malformed messages ---- */
+
+/* Writes who sent a request: the address of its connection, or "peer" if it was forwarded. */
+static void sender_of_request(const struct ws_service *service, uint64_t request_id, char *sender,
+			      size_t size)
+{
+	if (!ws_server_client_address(service->server, request_id, sender, size))
+		snprintf(sender, size, "peer");
+}
+
+/* Answers a malformed message with 400 and the reason. */
+static void refuse_message(struct ws_service *service, uint64_t request_id,
+			   enum ws_refused_kind kind, const char *subject, size_t length)
+{
+	char sender[CLIENT_ADDRESS_SIZE];
+	const struct ws_refused_message message = {.kind = kind,
+						   .sender = sender,
+						   .subject = subject,
+						   .length = length,
+						   .refusal = ws_message_refusal()};
+	char *body = ws_encode_refusal(message.refusal);
+
+	sender_of_request(service, request_id, sender, sizeof(sender));
+	ws_refusals_add(&service->refusals, ws_now(), &message);
+	if (body)
+		ws_router_answer(service, request_id, 400, body, strlen(body), 0);
+	else
+		ws_router_answer_status(service, request_id, 400);
+	free(body);
+}
+
 /* ---- users ---- */
 
 static void submit_job(struct ws_service *service, uint64_t request_id, const char *body,
 		       size_t length, bool forwarded)
 {
 	struct ws_job_spec spec;
-	int status = ws_decode_job(body, length, &spec);
 
-	if (status) {
-		ws_router_answer_status(service, request_id, status);
+	if (ws_decode_job(body, length, &spec)) {
+		refuse_message(service, request_id, WS_REFUSED_SUBMISSION, spec.id, length);
 		return;
 	}
 	pthread_mutex_lock(&service->core_lock);
@@ -164,8 +195,8 @@
 	struct ws_heartbeat heartbeat;
 
 	if (!ws_decode_heartbeat(body, length, &heartbeat)) {
-		ws_logf(WS_LOG_ERROR, "malformed heartbeat rejected bytes=%zu", length);
-		ws_router_answer_status(service, request_id, 400);
+		refuse_message(service, request_id, WS_REFUSED_HEARTBEAT, heartbeat.machine,
+			       length);
 		return;
 	}
 	pthread_mutex_lock(&service->core_lock);
--- a/src/io/server.c
+++ b/src/io/server.c
@@ -23,12 +23,19 @@
 {
 	ws_logf(WS_LOG_INFO,
 		"connections from_workers=%d from_users=%d other=%d to_workers=%u "
-		"user_requests=%d forwarded_heartbeats=%d",
+		"user_requests=%d forwarded_heartbeats=%d refused_requests=%lu "
+		"refused_submissions=%lu refused_heartbeats=%lu refused_frames=%lu "
+		"refused_replies=%lu",
 		ws_server_connection_count(service->server, WS_CONN_WORKER),
 		ws_server_connection_count(service->server, WS_CONN_USER),
 		ws_server_connection_count(service->server, WS_CONN_UNCLASSIFIED),
 		ws_worker_connections_count(service->outgoing.workers),
-		service->requests.user_requests, service->forwarding.heartbeats_in_flight);
+		service->requests.user_requests, service->forwarding.heartbeats_in_flight,
+		ws_server_rejected_count(service->server),
+		service->refusals.counts[WS_REFUSED_SUBMISSION],
+		service->refusals.counts[WS_REFUSED_HEARTBEAT],
+		service->refusals.counts[WS_REFUSED_PEER_FRAME],
+		service->refusals.counts[WS_REFUSED_REPLY]);
 	ws_worker_connections_retire_idle(service->outgoing.workers, now,
 					  WORKER_IDLE_LEASES * service->settings->lease_s);
 }
--- a/src/io/server_internal.h
+++ b/src/io/server_internal.h
@@ -20,6 +20,7 @@
 #include "http_server.h"
 #include "peer.h"
 #include "pending_requests.h"
+#include "refusals.h"
 #include "queue_model_thread.h"
 #include "worker_connections.h"
 #include <pthread.h>
@@ -69,6 +70,7 @@
 	struct ws_http_server *server;
 	struct ws_peers *peers;
 	struct ws_pending_requests requests;
+	struct ws_refusals refusals;
 	struct ws_forwarding forwarding;
 	struct ws_outgoing_calls outgoing;
 	struct ws_queue_model_thread *queue_model;
--- a/src/io/sockets.c
+++ b/src/io/sockets.c
@@ -73,6 +73,19 @@
 	return accept4(listener_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 }
 
+bool ws_socket_peer(int socket_fd, char *text, size_t size)
+{
+	struct sockaddr_in address = {0};
+	socklen_t length = sizeof(address);
+	char host[INET_ADDRSTRLEN];
+
+	if (getpeername(socket_fd, (struct sockaddr *)&address, &length) ||
+	    address.sin_family != AF_INET ||
+	    !inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host)))
+		return false;
+	return snprintf(text, size, "%s:%d", host, ntohs(address.sin_port)) < (int)size;
+}
+
 bool ws_socket_connect_succeeded(int socket_fd)
 {
 	int error = 0;
--- a/src/io/sockets.h
+++ b/src/io/sockets.h
@@ -19,6 +19,8 @@
 int ws_socket_listen(const char *host, int *port, int backlog, char *error, size_t error_size);
 /* Accepts a connection. Returns -1 with errno if none is waiting or on failure. */
 int ws_socket_accept(int listener_fd);
+/* Writes "ADDRESS:PORT" of the other end of a connection. Returns false if it is not known. */
+bool ws_socket_peer(int socket_fd, char *text, size_t size);
 /* Whether a pending connection attempt succeeded; called once the socket is writable. */
 bool ws_socket_connect_succeeded(int socket_fd);
 /*
--- a/tests/smoke_test.c
+++ b/tests/smoke_test.c
@@ -112,6 +112,14 @@
 	return answer && !strcmp(json_string_value(json_object_get(answer, "phase")), "done");
 }
 
+/* Whether the answer has this error, or any if `text` is NULL. */
+static bool answer_has_error(const char *text)
+{
+	const char *error = json_string_value(json_object_get(answer, "error"));
+
+	return error && (!text || !strcmp(error, text));
+}
+
 static void on_wait_end(struct ev_loop *wait_loop, ev_timer *timer, int events)
 {
 	(void)timer;
@@ -371,6 +379,10 @@
 	check("a repeated submission is answered with 200",
 	      send_request("POST", "/v2/runs", job) == 200);
 	check("an invalid job is answered with 400", send_request("POST", "/v2/runs", "{}") == 400);
+	check("the answer to an invalid job names the field",
+	      answer_has_error("nameId is missing"));
+	check("text that is not JSON is answered with 400",
+	      send_request("POST", "/v2/runs", "{\"nameId\":") == 400 && answer_has_error(NULL));
 	check("an unknown job is answered with 404",
 	      send_request("GET", "/v2/runs/job-000002", "") == 404);
 	check("an unknown path is answered with 404", send_request("GET", "/other", "") == 404);
