--- a/src/io/json_copy.c
+++ b/src/io/json_copy.c
@@ -1,41 +1,18 @@
 #include "json_copy.h"
+#include <stdlib.h>
 
-static json_t *copy_value(struct ws_json value, unsigned depth);
-
-static json_t *copy_array(struct ws_json array, unsigned depth)
-{
+/* A list or object that is being copied. */
+struct level {
+	json_t *copy; /* belongs to the level above */
+	bool is_object;
 	struct ws_json_elements elements;
-	struct ws_json element;
-	json_t *copy = json_array();
-	size_t count;
-
-	if (!ws_json_elements(array, &elements, &count))
-		return copy;
-	while (copy && ws_json_next(&elements, &element))
-		if (json_array_append_new(copy, copy_value(element, depth))) {
-			json_decref(copy);
-			copy = NULL;
-		}
-	return copy;
-}
-
-static json_t *copy_object(struct ws_json object, unsigned depth)
-{
 	struct ws_json_members members;
-	struct ws_json member;
-	json_t *copy = json_object();
-	const char *name;
-	size_t length;
+};
 
-	if (!ws_json_members(object, &members))
-		return copy;
-	while (copy && ws_json_next_member(&members, &name, &length, &member))
-		if (json_object_setn_new_nocheck(copy, name, length, copy_value(member, depth))) {
-			json_decref(copy);
-			copy = NULL;
-		}
-	return copy;
-}
+struct copier {
+	struct level *levels;
+	size_t depth, capacity;
+};
 
 static json_t *copy_number(struct ws_json value)
 {
@@ -61,19 +38,80 @@
 	return ws_json_is_null(value) ? json_null() : copy_number(value);
 }
 
-/* `depth` is the number of lists and objects around the value. */
-static json_t *copy_value(struct ws_json value, unsigned depth)
+static bool is_container(struct ws_json value)
 {
 	enum ws_json_type type = ws_json_type_of(value);
 
-	if (type != WS_JSON_ARRAY && type != WS_JSON_OBJECT)
+	return type == WS_JSON_ARRAY || type == WS_JSON_OBJECT;
+}
+
+/* Returns the copy of a scalar, or an empty list or object. */
+static json_t *new_copy(const struct copier *copier, struct ws_json value)
+{
+	if (!is_container(value))
 		return copy_scalar(value);
-	if (depth == WS_JSON_COPY_MAX_DEPTH)
+	if (copier->depth == WS_JSON_COPY_MAX_DEPTH)
 		return json_null();
-	return type == WS_JSON_ARRAY ? copy_array(value, depth + 1) : copy_object(value, depth + 1);
+	return ws_json_is_object(value) ? json_object() : json_array();
+}
+
+/* Adds a level for a list or object that was copied without its content. Returns false if memory is
+ * exhausted. */
+static bool enter(struct copier *copier, struct ws_json value, json_t *copy)
+{
+	struct level *level;
+	size_t count;
+
+	if (copier->depth == copier->capacity) {
+		size_t capacity = copier->capacity ? 2 * copier->capacity : 8;
+		struct level *levels = realloc(copier->levels, capacity * sizeof(*levels));
+
+		if (!levels)
+			return false;
+		copier->levels = levels;
+		copier->capacity = capacity;
+	}
+	level = &copier->levels[copier->depth++];
+	level->copy = copy;
+	level->is_object = ws_json_members(value, &level->members);
+	return level->is_object || ws_json_elements(value, &level->elements, &count);
+}
+
+/* Copies the next value of the innermost level, or leaves that level after its last value. Returns
+ * false if memory is exhausted. */
+static bool copy_next(struct copier *copier)
+{
+	struct level *level = &copier->levels[copier->depth - 1];
+	struct ws_json value;
+	const char *name = NULL;
+	size_t length = 0;
+	json_t *copy;
+
+	if (level->is_object ? !ws_json_next_member(&level->members, &name, &length, &value)
+			     : !ws_json_next(&level->elements, &value)) {
+		copier->depth--;
+		return true;
+	}
+	copy = new_copy(copier, value);
+	if (level->is_object ? json_object_setn_new_nocheck(level->copy, name, length, copy)
+			     : json_array_append_new(level->copy, copy))
+		return false;
+	return json_is_object(copy) || json_is_array(copy) ? enter(copier, value, copy) : true;
 }
 
 json_t *ws_json_copy(struct ws_json value)
 {
-	return copy_value(value, 0);
+	struct copier copier = {0};
+	json_t *copy = new_copy(&copier, value);
+	bool complete = copy != NULL;
+
+	if (complete && is_container(value))
+		complete = enter(&copier, value, copy);
+	while (complete && copier.depth)
+		complete = copy_next(&copier);
+	free(copier.levels);
+	if (complete)
+		return copy;
+	json_decref(copy);
+	return NULL;
 }
--- a/src/io/json_substitution.c
+++ b/src/io/json_substitution.c
@@ -9,11 +9,13 @@
 
 #define REPLACEMENT "1e308"
 #define REPLACEMENT_LENGTH (sizeof(REPLACEMENT) - 1)
-#define REPLACEMENT_CHARACTER "fffd"
 /* Digits of an escape, and the bytes of a whole one: \uXXXX. */
 #define ESCAPE_DIGITS 4
 #define ESCAPE_SIZE ((size_t)6)
 
+/* The digits of U+FFFD. */
+static const char replacement_character[ESCAPE_DIGITS] = {'f', 'f', 'f', 'd'};
+
 /* ---- numbers ---- */
 
 static bool is_integer(const char *number, size_t length)
@@ -102,7 +104,7 @@
 			continue;
 		}
 		if (is_high_surrogate(unit) || is_low_surrogate(unit))
-			memcpy(at + 2, REPLACEMENT_CHARACTER, ESCAPE_DIGITS);
+			memcpy(at + 2, replacement_character, sizeof(replacement_character));
 		/* skips the escaped character, which may be another backslash */
 		at += end - at > 2 ? 2 : end - at;
 	}
