HTTP client: an interim reply is not the reply

What callers saw: with a store, cloud or worker that sends 100 Continue, or a proxy before it that does, each call ended with status 100, which counts as a failure; the real reply then met a connection that awaited none, or stood first in line for the next request.

Cause: http-parser reports the end of an interim reply as that of a message. Class: a message taken for the last of its exchange without a look at its kind. Bytes behind a complete reply were dropped and the connection was used again; it is closed now.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -121,10 +121,18 @@
 	return !ws_buffer_append(&connection->body, bytes, length);
 }
 
+/* Whether the reply is an interim one such as 100 Continue, which the final reply follows. */
+static bool is_interim(const http_parser *parser)
+{
+	return parser->status_code / 100 == 1;
+}
+
 static int on_message_complete(http_parser *parser)
 {
 	struct connection *connection = parser->data;
 
+	if (is_interim(parser))
+		return 0;
 	connection->reply_complete = true;
 	connection->close_after_reply = !http_should_keep_alive(parser);
 	http_parser_pause(parser, 1);
@@ -186,12 +194,19 @@
  * ended before the reply was complete. */
 static bool parse_reply(struct connection *connection, const char *bytes, ssize_t count)
 {
+	size_t parsed;
+
 	if (count < 0)
 		return false;
 	/* 0 bytes mark the end of the connection, which may also end the reply */
-	http_parser_execute(&connection->parser, &parser_settings, bytes, (size_t)count);
-	if (connection->reply_complete)
+	parsed = http_parser_execute(&connection->parser, &parser_settings, bytes, (size_t)count);
+	if (connection->reply_complete) {
+		/* what follows the reply must not be taken for the next one; the parser pauses
+		 * before the last byte of a reply or behind it */
+		if (parsed + 1 < (size_t)count)
+			connection->close_after_reply = true;
 		return true;
+	}
 	return count > 0 && HTTP_PARSER_ERRNO(&connection->parser) == HPE_OK;
 }
 
