HTTP server: slow connections cannot keep sound ones out

What callers saw: with 220 half-sent, slow or malformed connections at each of three nodes of 200 sockets, opened again whenever they were closed, a sound submission on a connection of its own took 3.3 s on average and 20.9 s at most, with 3.4 tries; other new connections got 503 likewise, so also those of health checks.

Cause: at its limit of connections the server turned away the new ones, and a connection without a whole request keeps its socket until a timeout. Class: a limit on a resource that was held by those who had shown the least.

Change: at the limit a new connection replaces the one that has waited longest for a whole request, which gets 408. Connections that await a response or are kept open after one are not touched.

--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -348,6 +348,50 @@
 
 /* ---- accepting ---- */
 
+/* Whether a connection may be closed in favour of a new one: it has sent no whole request yet, or
+ * the next one only in part. */
+static bool is_replaceable(const struct connection *connection)
+{
+	return !connection->awaiting_response && !connection->out.length &&
+	       (connection->kind == WS_CONN_UNCLASSIFIED || connection->receive_started > 0);
+}
+
+/* Returns since when a replaceable connection has kept its socket waiting. */
+static double waiting_since(const struct connection *connection)
+{
+	return connection->receive_started > 0 ? connection->receive_started
+					       : connection->last_active;
+}
+
+/* Returns the connection that has waited longest for a whole request, NULL if none waits. */
+static struct connection *slowest_connection(const struct ws_http_server *server)
+{
+	struct connection *slowest = NULL;
+
+	for (struct connection *connection = server->connections; connection;
+	     connection = connection->next)
+		if (is_replaceable(connection) &&
+		    (!slowest || waiting_since(connection) <= waiting_since(slowest)))
+			slowest = connection;
+	return slowest;
+}
+
+/* Makes room for a new connection. A sound client sends its request at once, so that slow ones
+ * cannot keep it out. Returns false if no connection can be replaced. */
+static bool make_room(struct ws_http_server *server)
+{
+	struct connection *slowest;
+
+	if (server->count < server->options.max_connections)
+		return true;
+	slowest = slowest_connection(server);
+	if (!slowest)
+		return false;
+	reject_request(slowest, 408);
+	close_and_free(slowest);
+	return true;
+}
+
 static void reject_connection(int socket_fd)
 {
 	static const char response[] = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
@@ -397,8 +441,7 @@
 				ev_io_stop(loop, &server->acceptable);
 			return;
 		}
-		if (server->count >= server->options.max_connections ||
-		    !add_connection(server, socket_fd))
+		if (!make_room(server) || !add_connection(server, socket_fd))
 			reject_connection(socket_fd);
 	}
 }
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -18,8 +18,10 @@
 enum ws_conn_kind { WS_CONN_UNCLASSIFIED, WS_CONN_USER, WS_CONN_WORKER };
 #define WS_CONN_KINDS 3
 struct ws_http_server_options {
-	int max_connections; /* maximum number of connections; further ones get a 503 */
-	int backlog;	     /* of listen() */
+	/* maximum number of connections; a further one replaces one without a whole request, or
+	 * gets a 503 */
+	int max_connections;
+	int backlog;			   /* of listen() */
 	int keep_alive_max[WS_CONN_KINDS]; /* maximum number kept open between requests, by kind */
 	double idle_timeout_s[WS_CONN_KINDS]; /* idle timeout in seconds, by kind */
 	double receive_timeout_s; /* timeout for receiving a whole request, in seconds */
@@ -57,8 +59,8 @@
 int ws_server_port(const struct ws_http_server *server);
 /* Returns the number of open connections of a kind. */
 int ws_server_connection_count(const struct ws_http_server *server, enum ws_conn_kind kind);
-/* Returns the number of requests that were rejected since the start: malformed, too large, or too
- * slow to arrive. */
+/* Returns the number of requests that were rejected since the start: malformed, too large, too slow
+ * to arrive, or not complete when a new connection needed the socket. */
 unsigned long ws_server_rejected_count(const struct ws_http_server *server);
 /* Closes all connections without a response and frees the server, which may be NULL. */
 void ws_server_free(struct ws_http_server *server);
