JSON: a number is compared within its own bytes

random-sound-message-refused draws values by the grammar of RFC 8259 into the unknown fields of every message, which must change nothing, and damages the messages, which must not end the process.

--- a/src/io/json_substitution.c
+++ b/src/io/json_substitution.c
@@ -24,7 +24,7 @@
 	       !memchr(number, 'E', length);
 }
 
-/* The number is followed by a character that does not belong to it. */
+/* The number is followed by a NUL. */
 static bool number_in_range(const char *number, size_t length)
 {
 	if (!is_integer(number, length))
@@ -37,19 +37,28 @@
 	return errno != ERANGE;
 }
 
-/* Is called with each number, which lies in the text that is parsed. */
+static void replace_number(char *number, size_t length)
+{
+	size_t sign = *number == '-';
+
+	memcpy(number + sign, REPLACEMENT, REPLACEMENT_LENGTH);
+	memset(number + sign + REPLACEMENT_LENGTH, ' ', length - sign - REPLACEMENT_LENGTH);
+}
+
+/* Is called with each number, which lies in the text that is parsed. In malformed text more digits
+ * may follow, which belong to the next token. */
 static int on_number(void *context, const char *number, size_t length)
 {
 	char *text = context, *target = text + (number - text);
-
-	if (number_in_range(number, length))
-		return 1;
-	if (*target == '-') {
-		target++;
-		length--;
-	}
-	memcpy(target, REPLACEMENT, REPLACEMENT_LENGTH);
-	memset(target + REPLACEMENT_LENGTH, ' ', length - REPLACEMENT_LENGTH);
+	char next = target[length];
+	bool in_range;
+
+	target[length] = 0;
+	in_range = number_in_range(target, length);
+	target[length] = next;
+	/* the shortest numbers out of range are 1e309 and -1e309 */
+	if (!in_range)
+		replace_number(target, length);
 	return 1;
 }
 
--- a/tests/sound_messages_test.c
+++ b/tests/sound_messages_test.c
@@ -3,12 +3,15 @@
 #include "check.h"
 #include "codec_digest.h"
 #include "odd_json.h"
+#include "random_json.h"
 #include "../src/io/http_common.h"
+#include <time.h>
 
 /* Depth of the deepest value in a body of 64 KiB. */
 #define DEEP_LEVELS 32000
 #define LONG_TEXT 50000
 #define MANY_FIELDS 5000
+#define RANDOM_VALUE_MAX 3000
 
 /* A message with places for unknown fields, which begin with a comma. */
 struct message {
@@ -220,8 +223,43 @@
 	free(plain);
 }
 
-int main(void)
+/* Draws values for unknown fields, which change nothing, and damages messages, which must not end
+ * the process. Prints the time of it. */
+static void check_random_values(unsigned long first, unsigned long count)
 {
+	struct timespec begin, end;
+	unsigned long executions = 0;
+	double seconds;
+
+	clock_gettime(CLOCK_MONOTONIC, &begin);
+	for (unsigned long seed = first; seed < first + count; seed++) {
+		char value[RANDOM_VALUE_MAX];
+
+		random_json_seed(seed);
+		check_ignored(random_json(value, sizeof(value)), value);
+		for (size_t i = 0; i < MESSAGES; i++) {
+			char *text = message_with(&messages[i], value);
+
+			random_json_damage(text, strlen(text));
+			decode(&messages[i], text);
+			free(text);
+		}
+		executions += 3 * MESSAGES;
+	}
+	clock_gettime(CLOCK_MONOTONIC, &end);
+	seconds = (double)(end.tv_sec - begin.tv_sec) + (double)(end.tv_nsec - begin.tv_nsec) / 1e9;
+	printf("seeds %lu to %lu: %lu messages decoded, %.0f a second\n", first, first + count - 1,
+	       executions, (double)executions / seconds);
+}
+
+/* With FIRST and COUNT it draws that many random values; else it checks those of odd_json.h. */
+int main(int argc, char **argv)
+{
+	if (argc == 3) {
+		check_random_values(strtoul(argv[1], NULL, 10), strtoul(argv[2], NULL, 10));
+		printf("%d passed, %d failed\n", passed_checks, failed_checks);
+		return failed_checks != 0;
+	}
 	for (size_t i = 0; i < ODD_COUNT; i++)
 		check_ignored(odd_values[i], odd_values[i]);
 	for (size_t i = 0; i < MALFORMED_COUNT; i++)
