Simulator: calls that are held up, and tasks that no leader knows of

hold-up-calls carries a call out only later, once or more, without an answer: starts and stops, rentals, deletions.

--- a/tests/sim.c
+++ b/tests/sim.c
@@ -169,6 +169,7 @@
 	advance_calls(sim, step_end);
 	sim->now = step_end;
 	sim_check_running_tasks(sim);
+	sim_check_unknown_tasks(sim);
 }
 
 bool sim_run(struct sim *sim, char *error, size_t size)
--- a/tests/sim_call_copies.c
+++ b/tests/sim_call_copies.c
@@ -75,13 +75,19 @@
 	}
 }
 
-void sim_call_copies_schedule(struct sim *sim, const struct ws_call *call)
+/* Whether the scenario repeats this call, or holds it up. */
+static bool is_affected(struct sim *sim, const struct ws_call *call)
+{
+	const struct sim_call_repetition *repetition = &sim->call_repetition;
+
+	return sim->now < repetition->until && is_repeated(repetition, call->kind) &&
+	       sim_random(sim) < repetition->share;
+}
+
+static void schedule_copies(struct sim *sim, const struct ws_call *call)
 {
 	const struct sim_call_repetition *repetition = &sim->call_repetition;
 
-	if (sim->now >= repetition->until || !is_repeated(repetition, call->kind) ||
-	    sim_random(sim) >= repetition->share)
-		return;
 	for (int i = 0; i < repetition->copies; i++) {
 		struct sim_call_copy *copy = calloc(1, sizeof(*copy));
 
@@ -95,6 +101,20 @@
 	}
 }
 
+void sim_call_copies_schedule(struct sim *sim, const struct ws_call *call)
+{
+	if (!sim->call_repetition.holds_up && is_affected(sim, call))
+		schedule_copies(sim, call);
+}
+
+bool sim_call_hold_up(struct sim *sim, const struct ws_call *call)
+{
+	if (!sim->call_repetition.holds_up || !is_affected(sim, call))
+		return false;
+	schedule_copies(sim, call);
+	return true;
+}
+
 /* Counts the tasks that a copy of commands starts. */
 static void execute_commands(struct sim *sim, const struct ws_commands_call *commands,
 			     struct sim_worker *worker)
--- a/tests/sim_calls.c
+++ b/tests/sim_calls.c
@@ -253,6 +253,10 @@
 
 static void execute_cloud_call(struct sim *sim, struct sim_call_in_flight *flight)
 {
+	if (sim_call_hold_up(sim, flight->call)) {
+		drop_answer(sim, flight, sim->now + CLOUD_TIMEOUT_S);
+		return;
+	}
 	sim_cloud_execute(sim, flight->call, &flight->result);
 	sim_call_copies_schedule(sim, flight->call);
 	if (flight->call->kind == WS_CALL_SCALE_OUT && sim->lost_scale_outs > 0) {
@@ -315,6 +319,10 @@
 		schedule_answer(sim, flight, sim->now + sim->heartbeat_s);
 		return;
 	}
+	if (sim_call_hold_up(sim, call)) {
+		schedule_answer(sim, flight, sim->now + sim->heartbeat_s);
+		return;
+	}
 	delayed_until = commands_delayed_until(sim, worker, &sim->nodes[flight->node]);
 	if (delayed_until > 0) {
 		delay_commands(sim, call, index, delayed_until);
--- a/tests/sim_checks.h
+++ b/tests/sim_checks.h
@@ -11,4 +11,6 @@
 void sim_check_start(struct sim *sim, struct sim_worker *worker, struct sim_task *task);
 /* Checks that no team exceeds its limit and that no task runs long after its job was cancelled. */
 void sim_check_running_tasks(struct sim *sim);
+/* Checks that no task runs for long without the leader's knowledge. */
+void sim_check_unknown_tasks(struct sim *sim);
 #endif
--- a/tests/sim_message_actions.c
+++ b/tests/sim_message_actions.c
@@ -47,7 +47,7 @@
  * and MAX_S seconds later. wait-for-token: not at workers that have accepted no fencing token since
  * they started
  */
-static void run_repeat_calls(struct sim *sim, const struct sim_action *action)
+static void repeat_calls(struct sim *sim, const struct sim_action *action, bool holds_up)
 {
 	struct sim_call_repetition *repetition = &sim->call_repetition;
 	bool all = !strcmp(action->operand, "all");
@@ -62,6 +62,21 @@
 	repetition->share = sim_option(action->text, "share", 1);
 	repetition->copies = (int)sim_option(action->text, "copies", 1);
 	repetition->waits_for_token = sim_flag(action->text, "wait-for-token");
+	repetition->holds_up = holds_up;
+}
+
+static void run_repeat_calls(struct sim *sim, const struct sim_action *action)
+{
+	repeat_calls(sim, action, false);
+}
+
+/*
+ * hold-up-calls commands|cloud MAX_S, with the options of repeat-calls: this fraction of calls is
+ * carried out only when its copies arrive, and not answered. It replaces repeat-calls.
+ */
+static void run_hold_up_calls(struct sim *sim, const struct sim_action *action)
+{
+	repeat_calls(sim, action, true);
 }
 
 /* slow-command-answers SECONDS: delays answers to commands, which are executed at once */
@@ -103,6 +118,7 @@
 const struct sim_action_word sim_message_actions[] = {
     {"delay-calls", run_delay_calls},
     {"duplicate-heartbeats", run_duplicate_heartbeats},
+    {"hold-up-calls", run_hold_up_calls},
     {"list-tasks-twice", run_list_tasks_twice},
     {"lose-answer", run_lose_answer},
     {"partition-zones", run_partition_zones},
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -38,6 +38,8 @@
 	enum ws_exit_reason exit_reason;
 	double seconds_left;		  /* of the image fetch, then of the run */
 	double waiting_since, stopped_at; /* used for gang tasks only */
+	double
+	    known_at; /* when the leader knew of it, or could not be expected to; 0: not checked */
 };
 
 /* A machine and the worker that runs on it. */
@@ -205,6 +207,7 @@
 	int copies; /* of each repeated call */
 	/* no copy reaches a worker that has not accepted a fencing token since it started */
 	bool waits_for_token;
+	bool holds_up; /* the copies are all that is carried out */
 };
 
 /* A heartbeat that a partition delays, or a duplicate that arrives later. */
