Tests: a submission in another order and spelling is the same job

The decoder yields the same job for reordered, escaped and exponential spellings, and a running controller answers 200 to such a repetition.

--- a/tests/smoke_test.c
+++ b/tests/smoke_test.c
@@ -37,6 +37,13 @@
     "\"bundle\":\"i\",\"sizeGb\":1.0,\"flavours\":null,\"hall\":null,\"samePlace\":false,"
     "\"spread\":false,\"reclaimable\":true,\"expectedS\":1.0,\"snapshotEveryS\":0.0,"
     "\"snapshotS\":0.0,\"dueS\":null}";
+/* The same job in another order and spelling, with an unknown field. */
+static const char respelled_job[] =
+    " {\"snapshotS\":0,\"snapshotEveryS\":-0.0,\"expectedS\":1e0,\"reclaimable\":true,"
+    "\"x\":[18446744073709551616,1e400,{\"\":0,\"\":1}],\"spread\":false,\"samePlace\":false,"
+    "\"sizeGb\":10e-1,\"bundle\":\"i\",\"memGb\":1,\"accelerators\":0,\"vcpus\":1,\"shards\":1.0,"
+    "\"tier\":\"n\\u006frmal\",\"shape\":\"sweep\",\"owner\":\"t\",\"jobclass\":\"c\","
+    "\"\\u006eameId\":\"job-00000\\u0031\"}\n";
 static const char job_path[] = "/v2/runs/job-000001";
 
 /* The controller process, and the ports of the servers. */
@@ -378,6 +385,8 @@
 	check("a new job is answered with 201", send_request("POST", "/v2/runs", job) == 201);
 	check("a repeated submission is answered with 200",
 	      send_request("POST", "/v2/runs", job) == 200);
+	check("the same job in another spelling is answered with 200",
+	      send_request("POST", "/v2/runs", respelled_job) == 200);
 	check("an invalid job is answered with 400", send_request("POST", "/v2/runs", "{}") == 400);
 	check("the answer to an invalid job names the field",
 	      answer_has_error("nameId is missing"));
--- a/tests/sound_messages_test.c
+++ b/tests/sound_messages_test.c
@@ -85,7 +85,7 @@
 	return text;
 }
 
-/* The first reply of a kind, for comparison: how the decoded message differs is told by digests. */
+/* Whether a message was accepted, and a digest of what was decoded from it. */
 struct decoded {
 	bool accepted;
 	uint64_t digest;
@@ -168,6 +168,25 @@
 	}
 }
 
+/* A submission in another order and spelling is the same job. */
+static void check_other_spelling(void)
+{
+	static const char respelled[] =
+	    " {\"dueS\" : 9E2,\"snapshotS\":4,\"snapshotEveryS\":3e+1,\"expectedS\":240,"
+	    "\"reclaimable\":true,\"spread\":false,\"samePlace\":true,\"x\":[1e400],"
+	    "\"flavours\":[\"\\u0067\\u0038\"],\"sizeGb\":620e-2,\"bundle\":\"im\\u0067-07\","
+	    "\"memGb\":64,\"accelerators\":1,\"vcpus\":0.8e1,\r\n\t\"shards\":1.6e1,"
+	    "\"tier\":\"\\u0075rgent\",\"shape\":\"sweep\",\"owner\":\"vision\","
+	    "\"jobclass\":\"trai\\u006e\",\"\\u006eameId\":\"job-00041\\u0032\"} ";
+	char *plain = message_with(&messages[0], NULL);
+	struct decoded expected = decode_request(&messages[0], plain);
+	struct decoded decoded = decode_request(&messages[0], respelled);
+
+	check("a submission in another order and spelling is the same job",
+	      decoded.accepted && decoded.digest == expected.digest);
+	free(plain);
+}
+
 /* Returns `levels` opening texts, a value, and as many closing characters; the caller frees it. */
 static char *nested(const char *open, char close, size_t levels)
 {
@@ -264,6 +283,7 @@
 		check_ignored(odd_values[i], odd_values[i]);
 	for (size_t i = 0; i < MALFORMED_COUNT; i++)
 		check_refused(malformed_values[i], malformed_values[i]);
+	check_other_spelling();
 	check_large_values();
 	check_deepest_body();
 	printf("%d passed, %d failed\n", passed_checks, failed_checks);
