Review: a held-up start runs a task on two machines; cases in order

Cause: the leader counts the lease of a machine that is back from the last report before, and the reports that it refuses as old copies tell it nothing; a start that was held up runs on longer.

--- a/review/stand-ins-2/world.c
+++ b/review/stand-ins-2/world.c
@@ -881,6 +881,13 @@
 
 	if (command_hook)
 		command_hook(worker);
+	if (worker->holds_calls) {
+		record("%s: a direct call is held up: %.*s", worker->name, (int)length, text);
+		if (!worker->held_call && strstr(text, "\"run\""))
+			worker->held_call = strndup(text, length);
+		json_decref(body);
+		return;
+	}
 	if (length > BODY_LIMIT) {
 		worker->oversize_commands++;
 		record("%s: a controller sent %s %s with a body of %zu bytes, refused with 413",
@@ -1125,6 +1132,7 @@
 		cannot_run(error);
 	worker->port = ws_server_port(worker->server);
 	worker->tenure = 1;
+	worker->counter = 300; /* reports of ten minutes, the age in the machine list */
 	worker->renewed_at = ws_now();
 	worker->node = index % NODES;
 	worker->next_report_at = ws_now() + 0.1 * index;
--- a/review/stand-ins-2/world.h
+++ b/review/stand-ins-2/world.h
@@ -94,6 +94,8 @@
 	/* faults */
 	char *last_report;     /* the report that was sent last */
 	char *run_call;	       /* body of the first direct call with a start that was carried out */
+	bool holds_calls;      /* direct calls are held up: neither carried out nor answered */
+	char *held_call;       /* body of the first one with a start */
 	double direct_delay_s; /* answers to direct calls leave this much later */
 };
 extern struct worker workers[WORKERS_MAX];
