--- a/review/stand-ins-2/case_held_start.c
+++ b/review/stand-ins-2/case_held_start.c
@@ -1,7 +1,7 @@
 /*
- * A job is started on a machine. With the disruption the direct call with the start is held up, the
- * machine is back at once, the call reaches it then, and further calls of the controllers to it are
- * held up for longer than a lease. The machine's reports arrive all the time.
+ * A job is started on a machine. With the disruption the direct call with the start is held up and
+ * the machine is back at once; the call reaches it then. For longer than a lease the network
+ * between it and the leader's host is interrupted; its reports reach the other controllers.
  */
 #include "world.h"
 
--- a/review/stand-ins-2/case_lower_limits.c
+++ b/review/stand-ins-2/case_lower_limits.c
@@ -43,9 +43,9 @@
 		store_lower_limits();
 	run_for(3);
 	gang = job_new("gang", TASKS, CPUS, 0.2, GANG_RUN_S);
-	snprintf(gang->class_name, sizeof(gang->class_name), "archive-gang");
+	snprintf(gang->class_name, sizeof(gang->class_name), "small-gang");
 	service = job_new("daemon", TASKS, CPUS, 0.2, 0);
-	snprintf(service->class_name, sizeof(service->class_name), "statement-portal");
+	snprintf(service->class_name, sizeof(service->class_name), "small-service");
 	snprintf(service->tier, sizeof(service->tier), "production");
 	job_submit(gang);
 	job_submit(service);
--- a/review/stand-ins-2/case_small_tasks.c
+++ b/review/stand-ins-2/case_small_tasks.c
@@ -18,7 +18,10 @@
 {
 	run_for(5);
 	for (int i = 0; i < RUSH; i++) {
-		job_submit(job_new("sweep", SHARDS, 0.01, 0.05, RUN_S));
+		struct job *job = job_new("sweep", SHARDS, 0.01, 0.05, RUN_S);
+
+		snprintf(job->class_name, sizeof(job->class_name), "small-sweep");
+		job_submit(job);
 		if (!trouble && !run_until(all_done, 35))
 			broken("job %s: not done", jobs[job_count - 1].id);
 	}
--- a/review/stand-ins-2/world.c
+++ b/review/stand-ins-2/world.c
@@ -5,6 +5,7 @@
 #include <math.h>
 #include <signal.h>
 #include <stdarg.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -13,6 +14,7 @@
 #define HARD_LIMIT_S 118
 #define HISTORY 10000
 #define GANG_WAIT_S 30
+#define REPORT_TIMEOUT_S 4
 
 struct deployment deployment = {.workers = 6,
 				.report_s = 2,
@@ -1087,6 +1089,14 @@
 		free(text);
 		return;
 	}
+	if (worker->holds_calls && worker->node == store_leader()) {
+		record("%s: its report to worker-%d gets no response", worker->name, worker->node);
+		worker->node = (worker->node + 1) % NODES;
+		worker->next_report_at = ws_now() + REPORT_TIMEOUT_S + 1;
+		worker->last_report_at = worker->next_report_at - 0.5;
+		free(text);
+		return;
+	}
 	worker->sent_at = ws_now();
 	worker->sent_tenure = worker->tenure;
 	worker->report_pending = ws_client_send(worker->clients[worker->node], "POST", "/checkin",
@@ -1142,17 +1152,19 @@
 
 /* ---- controllers ---- */
 
+/* Stays bound and never listens, so that no other process is given the port. */
 static int free_port(void)
 {
+	int enabled = 1;
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t length = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
+	if (fd < 0 || setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled)) ||
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
 	    getsockname(fd, (struct sockaddr *)&address, &length))
 		cannot_run("no free port");
-	close(fd);
 	return ntohs(address.sin_port);
 }
 
@@ -1218,6 +1230,7 @@
 	if (pid < 0)
 		cannot_run("fork failed");
 	if (!pid) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		char **words = calloc(count + 2, sizeof(*words));
 		char path[PATH_MAX];
 
