A worker that restarted under its name is taken for what it is

A machine refused for a lease after each restart.

Cause: the messages of a machine were ordered by session and number as if its worker never began anew. A restarted worker's reports count as old copies: they were refused, a proved restart's reply was not applied, a copied start that came first gave the worker a token and so prevented the probe, and a possible restart did not count for the lease. Both cases are one class, so one fix: state of one life of a worker was kept across lives.

Change: a restart is suspected (the lease counts from then, a probe and the answer carry a token never sent before, the machine gets no work, reports that continue the old life change nothing) and proved (a message written after a call or token, that counts as old): it is taken in, unwanted tasks are stopped at once, earlier tokens are old from then on. Until a report shows a new leader's token, exits and later sessions in it release nothing. Log lines and counters for both states.

--- a/src/core/event_counts.c
+++ b/src/core/event_counts.c
@@ -32,7 +32,10 @@
 	    [WS_EVENT_AT_TEAM_LIMIT] = "at_team_limit",
 	    [WS_EVENT_STALE_INCARNATION] = "heartbeats_of_old_incarnation",
 	    [WS_EVENT_STALE_SEQUENCE] = "heartbeats_of_old_sequence",
+	    [WS_EVENT_STALE_RESTART] = "heartbeats_before_restart",
 	    [WS_EVENT_STALE_MACHINE] = "heartbeats_of_returned_machine",
+	    [WS_EVENT_RESTART_SUSPECTED] = "restarts_suspected",
+	    [WS_EVENT_RESTART_PROVED] = "restarts_proved",
 	    [WS_EVENT_UNENTITLED_HEARTBEAT] = "heartbeats_unentitled",
 	};
 	struct ws_event_counts *counts = &core->event_counts;
--- a/src/core/event_counts.h
+++ b/src/core/event_counts.h
@@ -20,7 +20,10 @@
 	WS_EVENT_STALE_INCARNATION, /* a heartbeat of an earlier incarnation was rejected */
 	WS_EVENT_STALE_SEQUENCE, /* a heartbeat that is not newer than an accepted one was rejected
 				  */
+	WS_EVENT_STALE_RESTART,	 /* a heartbeat from before a worker's restart was rejected */
 	WS_EVENT_STALE_MACHINE,	 /* a heartbeat of a machine that was returned was rejected */
+	WS_EVENT_RESTART_SUSPECTED,    /* a heartbeat may be the first sign of a worker's restart */
+	WS_EVENT_RESTART_PROVED,       /* a reply proved that a worker had restarted */
 	WS_EVENT_UNENTITLED_HEARTBEAT, /* a heartbeat was rejected: this node may not act as the
 					  leader */
 	WS_EVENT_KINDS,
--- a/src/core/fleet/direct_calls.c
+++ b/src/core/fleet/direct_calls.c
@@ -34,8 +34,8 @@
 /* Whether a machine is to be probed now. Called for every machine in each sweep. */
 static inline bool ws_probe_is_due(const struct ws_core *core, const struct ws_machine *machine)
 {
-	if (ws_machine_echoes_token(machine) && !machine->restart_suspected &&
-	    !ws_heartbeat_overdue(core, machine->last_contact_at))
+	if (ws_machine_echoes_token(machine) && !machine->restart.probe_wanted &&
+	    !machine->restart.suspected && !ws_heartbeat_overdue(core, machine->last_contact_at))
 		return false;
 	return machine->port && machine->address[0] && !machine->gone &&
 	       !machine->scale_in.requested && !machine->commands.in_flight &&
@@ -54,7 +54,7 @@
 	if (!ws_probe_is_due(core, machine))
 		return false;
 	machine->commands.next_probe_at = core->now + core->settings->heartbeat_s;
-	machine->restart_suspected = false;
+	machine->restart.probe_wanted = false;
 	ws_machine_fence_direct_runs(core, machine); /* the worker may have forgotten its token */
 	ws_commands_call_new(core, machine);
 	return true;
@@ -69,43 +69,6 @@
 	       attempt->incarnation == attempt->machine->incarnation;
 }
 
-/*
- * Whether the reply to a call shows that the worker has restarted: it was written after the call
- * was sent, and yet its number is not above that of a report that came before.
- */
-static bool ws_reply_shows_restart(const struct ws_call *call, const struct ws_heartbeat *reply)
-{
-	return reply->incarnation < call->commands.incarnation ||
-	       (reply->incarnation == call->commands.incarnation &&
-		reply->sequence <= call->commands.known_sequence);
-}
-
-/*
- * Handles the reply of a worker that has restarted under its old name. Its lease began at the
- * restart, so tasks that it has started since may run for longer than the lease known here. Its
- * token is raised, because it accepts copies of all direct calls until it has seen a higher one.
- * Its heartbeats are stale until its next incarnation, which releases the attempts.
- */
-static void ws_machine_handle_restart(struct ws_core *core, struct ws_machine *machine,
-				      const struct ws_heartbeat *reply)
-{
-	bool is_new = !machine->restart_sequence || reply->sequence <= machine->restart_sequence;
-
-	machine->restart_sequence = reply->sequence;
-	if (!is_new)
-		return;
-	ws_log(
-	    core, WS_LOG_INFO,
-	    "worker restarted machine=%s incarnation=%llu sequence=%llu previous_incarnation=%llu "
-	    "previous_sequence=%llu attempts=%u",
-	    machine->name, (unsigned long long)reply->incarnation,
-	    (unsigned long long)reply->sequence, (unsigned long long)machine->incarnation,
-	    (unsigned long long)machine->sequence, machine->attempt_count);
-	if (reply->incarnation == machine->incarnation)
-		ws_machine_extend_lease(core, machine);
-	ws_machine_raise_fencing_token(core, machine, machine->fencing_token);
-}
-
 /* Applies the state in a worker's reply, unless a newer heartbeat has arrived before it. */
 static void ws_commands_apply_reply(struct ws_core *core, struct ws_machine *machine,
 				    const struct ws_heartbeat *heartbeat)
@@ -115,12 +78,12 @@
 		      heartbeat->sequence > machine->sequence) ||
 		     !machine->reported;
 
-	ws_leadership_worker_contact(core, false); /* the machine is reachable from this node */
-	machine->unreachable = false;
 	if (!newer)
 		return;
 	machine->last_contact_at = core->now;
 	ws_machine_apply_heartbeat(core, machine, heartbeat);
+	if (ws_message_may_follow_restart(core, heartbeat))
+		ws_machine_extend_lease(core, machine);
 }
 
 /* Handles a call with commands that got no reply: the commands may still arrive. */
@@ -155,6 +118,23 @@
 		}
 }
 
+/* Handles the reply to a direct call. */
+static void ws_commands_handle_reply(struct ws_core *core, struct ws_machine *machine,
+				     const struct ws_call *call, const struct ws_heartbeat *reply)
+{
+	ws_leadership_worker_contact(core, false); /* the machine is reachable from this node */
+	machine->unreachable = false;
+	if (call->created_at >= machine->restart.suspected_at)
+		machine->restart.suspected = false;
+	if (ws_reply_shows_restart(call, reply))
+		ws_worker_handle_restart(core, machine, reply);
+	if (!machine->restart.suspected)
+		ws_commands_apply_reply(core, machine, reply);
+	ws_machine_send_unsent_commands(core, machine);
+	if (ws_is_entitled(core)) /* after a restart, or if one is still suspected */
+		ws_machine_send_probe(core, machine);
+}
+
 /* Handles the result of a direct call. */
 static void ws_commands_handle_result(struct ws_core *core, struct ws_call *call,
 				      const struct ws_result *result)
@@ -171,10 +151,7 @@
 		return; /* the next answer to a heartbeat will hold the commands */
 	ws_subsystems_command_answered(core, machine, result->heartbeat != NULL);
 	if (result->heartbeat && !strcmp(result->heartbeat->machine, machine->name)) {
-		if (ws_reply_shows_restart(call, result->heartbeat))
-			ws_machine_handle_restart(core, machine, result->heartbeat);
-		ws_commands_apply_reply(core, machine, result->heartbeat);
-		ws_machine_send_unsent_commands(core, machine);
+		ws_commands_handle_reply(core, machine, call, result->heartbeat);
 	} else if (call->commands.count) {
 		ws_commands_handle_no_reply(core, machine, call, result->http_status);
 	} else {
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -29,7 +29,8 @@
 	machine->empty_since = core->now;
 	machine->last_contact_at = NEVER_CONTACTED;
 	/* an earlier leader may have answered it and sent commands */
-	machine->lease.expires_at = ws_earlier_leases_expiry(core);
+	machine->lease.expires_at = machine->lease.earlier_expires_at =
+	    ws_earlier_leases_expiry(core);
 	machine->commands.outstanding_token = machine->commands.direct_run_token =
 	    core->leadership.fencing_token ? core->leadership.fencing_token - 1 : 0;
 	machine->fencing_token = machine->expected_echo = core->leadership.fencing_token;
--- a/src/core/fleet/fleet.h
+++ b/src/core/fleet/fleet.h
@@ -29,10 +29,14 @@
  * length of a line. */
 #define WS_ANSWER_COMMANDS_MAX 400
 
+/* Number of heartbeats for which a copy is recognized when it counts as old. */
+#define WS_ACCEPTED_DIGESTS 32
+
 /* The lease of a machine. Its worker ends all tasks when the lease expires. */
 struct ws_machine_lease {
 	double expires_at; /* with clock drift allowed for; set when a heartbeat is answered */
-	uint64_t min_incarnation; /* heartbeats of earlier ones are stale: their lease expired */
+	double earlier_expires_at; /* the same of incarnations before the newest one reported */
+	uint64_t min_incarnation;  /* heartbeats of earlier ones are stale: their lease expired */
 };
 
 /* The newest heartbeat of a machine. Replies to direct commands do not update it. */
@@ -41,6 +45,21 @@
 	double received_at;
 };
 
+/* What is known of a restart of a machine's worker under the same name, see worker_restarts.c. */
+struct ws_machine_restart {
+	bool suspected;		  /* by a heartbeat, and no message since has resolved it */
+	double suspected_at;	  /* time of the last such heartbeat */
+	uint64_t resolving_token; /* its echo shows that a message was written since it began */
+	uint64_t known_incarnation, known_sequence; /* of the newest message when it began */
+	bool probe_wanted;			    /* since a heartbeat, until a probe is sent */
+	/* heartbeats that echo an earlier fencing token were sent before the last proved restart,
+	 * or before the worker saw this leader's token since; 0: none was proved */
+	uint64_t min_token;
+	/* digests of heartbeats that were accepted, from the first messages of a worker's life */
+	uint64_t accepted_digests[WS_ACCEPTED_DIGESTS];
+	size_t next_digest; /* the oldest one, which is replaced next */
+};
+
 /* Commands to a machine, sent directly or in the answers to its heartbeats. */
 struct ws_machine_commands {
 	/* direct commands up to this fencing token may still arrive; 0: none */
@@ -117,10 +136,7 @@
 	uint64_t incarnation, sequence;
 	uint64_t echoed_token;
 	double last_contact_at;
-	/* a worker that restarted under the same name counts its reports from the start again, so
-	 * that they look like old copies */
-	bool restart_suspected;	   /* is to be probed: only a reply is proof */
-	uint64_t restart_sequence; /* newest reply since the restart; 0: it has not restarted */
+	struct ws_machine_restart restart;
 	struct ws_machine_heartbeat heartbeat;
 	struct ws_machine_lease lease;
 
@@ -225,9 +241,29 @@
  * higher token. The machine stays usable.
  */
 bool ws_machine_fence_direct_runs(struct ws_core *core, struct ws_machine *machine);
+/* Makes the next message to a machine carry a token that none before has carried. The machine stays
+ * usable. */
+void ws_machine_advance_token(struct ws_core *core, struct ws_machine *machine);
 /* Makes a machine's lease last one lease from now. It never ends earlier than assumed before: an
  * earlier leader may still renew it. */
 void ws_machine_extend_lease(const struct ws_core *core, struct ws_machine *machine);
+/* The same for the lease of one incarnation, as its worker knows it. */
+void ws_machine_extend_lease_of(const struct ws_core *core, struct ws_machine *machine,
+				uint64_t incarnation);
+/*
+ * Whether the newest report of a machine was written after its worker heard this leader. Until then
+ * it may be a copy from before a restart, after which the worker has begun with incarnation 1
+ * again.
+ */
+bool ws_machine_heard_leader(const struct ws_core *core, const struct ws_machine *machine);
+/*
+ * Releases the attempts of earlier incarnations than the newest one reported. They are not only
+ * those of the incarnation before: the record of one job may name an earlier one than the record of
+ * another job or of the machine.
+ */
+void ws_machine_release_earlier_incarnations(struct ws_core *core, struct ws_machine *machine,
+					     enum ws_reconciliation_result result,
+					     enum ws_release_evidence evidence);
 /* Whether more time has passed since a heartbeat than a healthy machine takes to send the next. */
 bool ws_heartbeat_overdue(const struct ws_core *core, double since);
 /* Whether a machine may be assigned tasks. */
@@ -350,6 +386,43 @@
 /* Probes machines for which a probe is due, a limited number per call. */
 void ws_fleet_send_probes(struct ws_core *core);
 
+/* ---- worker_restarts.c ---- */
+
+/*
+ * Whether a message may come from a worker that has restarted and was not answered since. Without
+ * an answer to a heartbeat an incarnation ends after a lease, which bounds its number of messages.
+ */
+bool ws_message_may_follow_restart(const struct ws_core *core,
+				   const struct ws_heartbeat *heartbeat);
+/* Remembers a heartbeat that was accepted, so that copies of it raise no suspicion. */
+void ws_worker_remember_heartbeat(const struct ws_core *core, struct ws_machine *machine,
+				  const struct ws_heartbeat *heartbeat);
+/*
+ * Handles a stale heartbeat: if it may be the first sign of a restart, probes the machine and
+ * counts its lease from now. Returns true in that case: the heartbeat is to be answered with the
+ * machine's fencing token and without commands.
+ */
+bool ws_worker_suspect_restart(struct ws_core *core, struct ws_machine *machine,
+			       const struct ws_heartbeat *heartbeat);
+/* Ends the suspicion if the worker wrote a heartbeat that is not stale after it began. */
+void ws_worker_check_suspicion(struct ws_machine *machine, const struct ws_heartbeat *heartbeat);
+/*
+ * Whether the reply to a call proves that the worker has restarted: it was written after the call
+ * was sent, and yet its number is not above that of a message that came before.
+ */
+bool ws_reply_shows_restart(const struct ws_call *call, const struct ws_heartbeat *reply);
+/* Whether a heartbeat that counts as old was written after the suspicion, which proves a restart.
+ */
+bool ws_heartbeat_shows_restart(const struct ws_machine *machine,
+				const struct ws_heartbeat *heartbeat);
+/*
+ * Begins the new life of a worker, of which `message` is the newest state known; the caller applies
+ * it. The worker's lease began at the restart, so it is counted from now. The machine's token is
+ * raised, and messages with earlier tokens are stale.
+ */
+void ws_worker_handle_restart(struct ws_core *core, struct ws_machine *machine,
+			      const struct ws_heartbeat *message);
+
 /* ---- gang_attempts.c ---- */
 
 /*
--- a/src/core/fleet/fleet_sweep.c
+++ b/src/core/fleet/fleet_sweep.c
@@ -50,6 +50,9 @@
 	}
 	if (machine->attempt_count && core->now > machine->lease.expires_at && machine->incarnation)
 		ws_machine_expire_lease(core, machine);
+	if (machine->attempt_count && core->now > machine->lease.earlier_expires_at)
+		ws_machine_release_earlier_incarnations(core, machine, WS_RECONCILED_LEASE_EXPIRED,
+							WS_RELEASE_LEASE_EXPIRED);
 	if (machine->preemption_noticed &&
 	    core->now < machine->preemption_at + core->settings->lease_s)
 		ws_machine_drain(core, machine);
--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -55,12 +55,12 @@
 						   ? heartbeat->fencing_token
 						   : machine->fencing_token);
 	machine->incarnation = heartbeat->incarnation;
+	machine->lease.earlier_expires_at = machine->lease.expires_at;
 	/* a worker's lease starts with its incarnation, even if no answer to a heartbeat has
 	 * renewed it: the reply to a direct command may be the first report of the incarnation */
 	ws_machine_extend_lease(core, machine);
 	/* workers reject commands for earlier incarnations */
 	machine->commands.outstanding_token = 0;
-	machine->restart_sequence = 0;
 	ws_machine_mark_dirty(core, machine);
 }
 
@@ -119,18 +119,11 @@
 	ws_machine_update_identity(core, machine, heartbeat);
 	if (heartbeat->incarnation > machine->incarnation)
 		ws_machine_begin_incarnation(core, machine, heartbeat);
-	/* needed even if the incarnation is not new to this leader: the record of one job may name
-	 * an earlier incarnation than the record of another job or of the machine */
-	for (struct ws_attempt *attempt = machine->attempts, *next_attempt; attempt;
-	     attempt = next_attempt) {
-		next_attempt = attempt->machine_next;
-		if (attempt->incarnation < heartbeat->incarnation) {
-			ws_attempt_reconcile(core, attempt, WS_RECONCILED_LEASE_LOST);
-			ws_attempt_release(core, attempt, WS_RELEASE_LATER_INCARNATION);
-		}
-	}
 	machine->sequence = heartbeat->sequence;
 	machine->echoed_token = heartbeat->fencing_token;
+	if (ws_machine_heard_leader(core, machine))
+		ws_machine_release_earlier_incarnations(core, machine, WS_RECONCILED_LEASE_LOST,
+							WS_RELEASE_LATER_INCARNATION);
 	/* the worker rejects commands and drops answers with a lower token */
 	if (heartbeat->fencing_token > machine->commands.outstanding_token)
 		machine->commands.outstanding_token = 0;
@@ -145,27 +138,33 @@
 }
 
 /*
- * Whether a heartbeat is a copy of an earlier one or arrived after a later one. An answer would
- * renew the lease here, but no worker would receive it. Only heartbeats are compared: the reply to
- * a command may have overtaken a heartbeat that is not stale.
+ * Whether a heartbeat is a copy of an earlier one, arrived after a later one or was sent before a
+ * restart. An answer would renew the lease here, but no worker would receive it. Only heartbeats
+ * are compared: the reply to a command may have overtaken a heartbeat that is not stale.
  */
 static bool ws_heartbeat_is_stale(const struct ws_machine *machine,
 				  const struct ws_heartbeat *heartbeat)
 {
-	return heartbeat->incarnation < machine->lease.min_incarnation ||
+	return heartbeat->fencing_token < machine->restart.min_token ||
+	       heartbeat->incarnation < machine->lease.min_incarnation ||
 	       heartbeat->incarnation < machine->incarnation ||
 	       (heartbeat->incarnation == machine->heartbeat.incarnation &&
 		heartbeat->sequence <= machine->heartbeat.sequence);
 }
 
-/* Applies a heartbeat that is not stale. Returns false if the reply to a command was newer, in
- * which case only the time and sequence of the heartbeat are stored. */
+/* Applies a heartbeat that is not stale. Returns false if the reply to a command was newer, or the
+ * worker may have restarted since, in which case only the time and sequence of the heartbeat are
+ * stored. */
 static bool ws_machine_accept_heartbeat(struct ws_core *core, struct ws_machine *machine,
 					const struct ws_heartbeat *heartbeat)
 {
-	bool newest = heartbeat->incarnation > machine->incarnation ||
-		      heartbeat->sequence > machine->sequence || !machine->reported;
+	bool newest;
 
+	ws_worker_check_suspicion(machine, heartbeat);
+	newest = !machine->restart.suspected &&
+		 (heartbeat->incarnation > machine->incarnation ||
+		  heartbeat->sequence > machine->sequence || !machine->reported);
+	ws_worker_remember_heartbeat(core, machine, heartbeat);
 	machine->heartbeat.received_at = core->now;
 	machine->heartbeat.incarnation = heartbeat->incarnation;
 	machine->heartbeat.sequence = heartbeat->sequence;
@@ -205,47 +204,67 @@
 		machine->commands.answer_token = machine->fencing_token;
 }
 
+/* Returns the event under which a stale heartbeat is counted. */
+static enum ws_event ws_heartbeat_stale_event(const struct ws_machine *machine,
+					      const struct ws_heartbeat *heartbeat)
+{
+	if (heartbeat->fencing_token < machine->restart.min_token)
+		return WS_EVENT_STALE_RESTART;
+	if (heartbeat->incarnation == machine->heartbeat.incarnation)
+		return WS_EVENT_STALE_SEQUENCE;
+	return WS_EVENT_STALE_INCARNATION;
+}
+
 /* Counts a stale heartbeat by its cause and logs it. */
 static void ws_heartbeat_count_stale(struct ws_core *core, const struct ws_machine *machine,
 				     const struct ws_heartbeat *heartbeat)
 {
-	bool old_sequence = heartbeat->incarnation == machine->heartbeat.incarnation;
-
-	ws_event_count(core, old_sequence ? WS_EVENT_STALE_SEQUENCE : WS_EVENT_STALE_INCARNATION);
+	ws_event_count(core, ws_heartbeat_stale_event(machine, heartbeat));
 	ws_log(core, WS_LOG_DEBUG,
 	       "stale heartbeat rejected machine=%s incarnation=%llu sequence=%llu token=%llu "
-	       "newest_incarnation=%llu newest_sequence=%llu",
+	       "newest_incarnation=%llu newest_sequence=%llu min_token=%llu tasks=%zu",
 	       machine->name, (unsigned long long)heartbeat->incarnation,
 	       (unsigned long long)heartbeat->sequence,
 	       (unsigned long long)heartbeat->fencing_token,
 	       (unsigned long long)machine->heartbeat.incarnation,
-	       (unsigned long long)machine->heartbeat.sequence);
+	       (unsigned long long)machine->heartbeat.sequence,
+	       (unsigned long long)machine->restart.min_token, heartbeat->task_count);
 }
 
-/* Probes a machine whose stale heartbeat has no token yet: it is a copy of one of its first, or the
- * worker has restarted and forgotten the token. */
-static void ws_heartbeat_check_restart(struct ws_core *core, struct ws_machine *machine,
-				       const struct ws_heartbeat *heartbeat)
+/* Answers a heartbeat that may come from a worker that has restarted: the token makes it reject
+ * late direct calls. */
+static void ws_machine_answer_suspect(struct ws_core *core, struct ws_machine *machine,
+				      uint64_t request_id)
+{
+	struct ws_effect *effect = ws_effect_new(core, WS_EFFECT_ANSWER_HEARTBEAT);
+
+	ws_machine_fence_direct_runs(core, machine);
+	effect->request_id = request_id;
+	effect->answer = WS_ANSWER_OK;
+	effect->heartbeat.fencing_token = machine->fencing_token;
+}
+
+/* Handles a stale heartbeat. Returns whether it was answered. */
+static bool ws_machine_handle_stale(struct ws_core *core, struct ws_machine *machine,
+				    const struct ws_heartbeat *heartbeat, uint64_t request_id)
 {
-	if (heartbeat->fencing_token || !ws_is_entitled(core) || core->leadership.in_outage)
-		return;
-	machine->restart_suspected = true;
-	machine->commands.next_probe_at = 0;
-	ws_machine_send_probe(core, machine);
+	ws_heartbeat_count_stale(core, machine, heartbeat);
+	if (!ws_worker_suspect_restart(core, machine, heartbeat))
+		return false;
+	ws_machine_answer_suspect(core, machine, request_id);
+	return true;
 }
 
 bool ws_fleet_heartbeat(struct ws_core *core, const struct ws_heartbeat *heartbeat,
 			uint64_t request_id)
 {
-	struct ws_machine *machine;
+	struct ws_machine *machine = ws_machine_find_or_add(core, heartbeat->machine);
 	bool newest;
 
-	machine = ws_machine_find_or_add(core, heartbeat->machine);
-	if (ws_heartbeat_is_stale(machine, heartbeat)) {
-		ws_heartbeat_count_stale(core, machine, heartbeat);
-		ws_heartbeat_check_restart(core, machine, heartbeat);
-		return false;
-	}
+	if (ws_heartbeat_shows_restart(machine, heartbeat))
+		ws_worker_handle_restart(core, machine, heartbeat);
+	else if (ws_heartbeat_is_stale(machine, heartbeat))
+		return ws_machine_handle_stale(core, machine, heartbeat, request_id);
 	newest = ws_machine_accept_heartbeat(core, machine, heartbeat);
 	ws_machine_answer_heartbeat(core, machine, heartbeat, newest, request_id);
 	if (!ws_machine_echoes_token(machine) && ws_is_entitled(core) &&
--- a/src/core/fleet/machine_leases.c
+++ b/src/core/fleet/machine_leases.c
@@ -52,6 +52,11 @@
 	machine->commands.next_probe_at = 0;
 }
 
+void ws_machine_advance_token(struct ws_core *core, struct ws_machine *machine)
+{
+	ws_machine_set_token_above(core, machine, machine->fencing_token);
+}
+
 bool ws_machine_fence_direct_runs(struct ws_core *core, struct ws_machine *machine)
 {
 	return ws_machine_set_token_above(core, machine, machine->commands.direct_run_token);
@@ -63,6 +68,21 @@
 	    fmax(machine->lease.expires_at, ws_lease_expiry(core, core->now));
 }
 
+void ws_machine_extend_lease_of(const struct ws_core *core, struct ws_machine *machine,
+				uint64_t incarnation)
+{
+	if (incarnation == machine->incarnation)
+		ws_machine_extend_lease(core, machine);
+	else if (incarnation < machine->incarnation)
+		machine->lease.earlier_expires_at =
+		    fmax(machine->lease.earlier_expires_at, ws_lease_expiry(core, core->now));
+}
+
+bool ws_machine_heard_leader(const struct ws_core *core, const struct ws_machine *machine)
+{
+	return machine->echoed_token >= core->leadership.fencing_token;
+}
+
 bool ws_heartbeat_overdue(const struct ws_core *core, double since)
 {
 	return core->now - since > OVERDUE_INTERVALS * core->settings->heartbeat_s;
@@ -84,9 +104,10 @@
 bool ws_machine_is_usable(const struct ws_core *core, const struct ws_machine *machine)
 {
 	return ws_machine_echoes_token(machine) && !machine->unreachable &&
-	       !machine->invalid_name && !machine->quarantine.running && machine->reported &&
-	       machine->type && !machine->gone && !machine->scale_in.requested &&
-	       !machine->failed && machine->incarnation &&
+	       !machine->restart.suspected && !machine->invalid_name &&
+	       !machine->quarantine.running && machine->reported && machine->type &&
+	       !machine->gone && !machine->scale_in.requested && !machine->failed &&
+	       machine->incarnation &&
 	       core->now - machine->last_contact_at <
 		   CONTACT_TIMEOUT_INTERVALS * core->settings->heartbeat_s &&
 	       ws_machine_heartbeats_arrive(core, machine) &&
@@ -108,6 +129,20 @@
 	}
 }
 
+void ws_machine_release_earlier_incarnations(struct ws_core *core, struct ws_machine *machine,
+					     enum ws_reconciliation_result result,
+					     enum ws_release_evidence evidence)
+{
+	for (struct ws_attempt *attempt = machine->attempts, *next_attempt; attempt;
+	     attempt = next_attempt) {
+		next_attempt = attempt->machine_next;
+		if (attempt->incarnation >= machine->incarnation)
+			continue;
+		ws_attempt_reconcile(core, attempt, result);
+		ws_attempt_release(core, attempt, evidence);
+	}
+}
+
 void ws_machine_expire_lease(struct ws_core *core, struct ws_machine *machine)
 {
 	ws_log(
--- a/src/core/fleet/task_reports.c
+++ b/src/core/fleet/task_reports.c
@@ -154,6 +154,19 @@
 	}
 }
 
+/*
+ * Handles an exit in a report that the worker wrote before it heard this leader. The worker may
+ * have restarted since and may have been told to run the attempt again, so the attempt is not
+ * released. A completion counts all the same.
+ */
+static void ws_attempt_hold_exit(struct ws_core *core, struct ws_attempt *attempt,
+				 const struct ws_task_status *status)
+{
+	ws_event_count(core, WS_EVENT_RELEASE_HELD_BACK);
+	if (attempt->job && status->exit_reason == WS_EXIT_DONE)
+		ws_job_task_done(core, attempt->job, attempt->task);
+}
+
 void ws_machine_apply_task_status(struct ws_core *core, struct ws_machine *machine,
 				  const struct ws_task_status *status)
 {
@@ -165,6 +178,11 @@
 		return;
 	attempt->mark = core->fleet.mark;
 	attempt->reported = attempt->maybe_sent = true;
+	if (status->state == WS_TASK_EXITED && !attempt->unrecorded &&
+	    !ws_machine_heard_leader(core, machine)) {
+		ws_attempt_hold_exit(core, attempt, status);
+		return;
+	}
 	ws_attempt_reconcile_status(core, attempt, status);
 	if (attempt->quarantined && !attempt->job && status->state == WS_TASK_EXITED &&
 	    status->exit_reason == WS_EXIT_DONE) {
--- a/tests/sim_expect.c
+++ b/tests/sim_expect.c
@@ -268,6 +268,16 @@
 	return entry ? (double)json_dumpb(entry->value, NULL, 0, JSON_COMPACT) : 0;
 }
 
+/* usable MACHINE: the leader may assign tasks to the machine */
+static void check_usable(struct sim *sim, const struct sim_expectation *expectation)
+{
+	struct ws_core *core = (struct ws_core *)leading_core(sim);
+	const struct ws_machine *machine = core ? ws_machine_find(core, expectation->first) : NULL;
+
+	if (!machine || !ws_machine_is_usable(core, machine))
+		sim_fail(sim, "machine %s is not usable", expectation->first);
+}
+
 /* ---- costs ---- */
 
 /* jobs-in-memory COUNT: the maximum number of jobs in the memory of the leader */
@@ -376,6 +386,7 @@
     {"status", 2, .check = check_status},
     {"task-failures", 2, .count = count_failures},
     {"unhealthy", 1, .check = check_node_health},
+    {"usable", 1, .check = check_usable},
     {"value-bytes", 3, .count_of = count_value_bytes},
     {NULL},
 };
--- a/tests/sim_workers.h
+++ b/tests/sim_workers.h
@@ -53,4 +53,6 @@
 void sim_gangs_step(struct sim *sim);
 /* Starts tracking a gang's attempt, unless it is tracked already. */
 void sim_gang_track_attempt(struct sim *sim, struct sim_job *job, uint64_t attempt);
+/* Seconds for which a task of a job would fetch its image on a worker. */
+double sim_worker_fetch_s(const struct sim_worker *worker, const struct sim_job *job);
 #endif
