A machine is not kept out of use by a quarantined task that has exited

Cause: quarantine.running was a count beside the list that it counts. An attempt was set to exited first and released then, and the release took only attempts that had not exited off the count.

Change: the count is gone; a machine with quarantined attempts is asked whether one has not exited. The conditions for use are one function, which names the reason: "empty machine gets no tasks" in the log, machines_unused in the counters, once a lease while jobs lack capacity.

--- a/src/core/fleet/fleet.h
+++ b/src/core/fleet/fleet.h
@@ -82,10 +82,26 @@
 	double backoff_until;	  /* no tasks until then, after a single failure or refusal */
 };
 
-/* Quarantined attempts on a machine. While one runs, the machine is assigned no other task. */
+/* Whether a machine may be assigned tasks, or the first reason found why it may not. */
+enum ws_machine_use {
+	WS_USABLE,
+	WS_USE_GONE, /* failed, gone or being returned to the cloud */
+	WS_USE_PREEMPTION_NOTICE,
+	WS_USE_UNKNOWN_TYPE, /* its type is not in the catalog, or records can't hold its name */
+	WS_USE_QUARANTINE,   /* a quarantined attempt has not exited */
+	WS_USE_TASK_FAILURES,
+	WS_USE_TOKEN_NOT_ECHOED,
+	WS_USE_RESTART_SUSPECTED,
+	WS_USE_UNREACHABLE,
+	WS_USE_NO_HEARTBEATS,
+	WS_USE_LEASE_EXPIRED,
+	WS_USE_COUNT,
+};
+
+/* Quarantined attempts on a machine. While one has not exited, the machine is assigned no other
+ * task. */
 struct ws_machine_quarantine {
 	uint32_t count;
-	uint32_t running; /* of these, those that have not exited */
 	/* includes attempts that are no longer quarantined, see struct ws_attempt */
 	uint32_t of_unknown_team;
 };
@@ -131,6 +147,7 @@
 	bool preemption_noticed;
 	double preemption_at; /* when the cloud will take it; 0: no notice */
 	double empty_since;   /* it has had no live attempts since */
+	double unused_since;  /* empty, in contact and not usable since; 0: it is not */
 
 	/* its newest report: a heartbeat or the reply to a direct command */
 	uint64_t incarnation, sequence;
@@ -266,6 +283,10 @@
 					     enum ws_release_evidence evidence);
 /* Whether more time has passed since a heartbeat than a healthy machine takes to send the next. */
 bool ws_heartbeat_overdue(const struct ws_core *core, double since);
+/* Whether a machine may be assigned tasks, and if not, why. */
+enum ws_machine_use ws_machine_use(const struct ws_core *core, const struct ws_machine *machine);
+/* Returns the text of a reason in log lines. */
+const char *ws_machine_use_text(enum ws_machine_use use);
 /* Whether a machine may be assigned tasks. */
 bool ws_machine_is_usable(const struct ws_core *core, const struct ws_machine *machine);
 /* Releases the attempts of a machine whose lease has expired, with clock drift allowed for. */
--- a/src/core/fleet/fleet_sweep.c
+++ b/src/core/fleet/fleet_sweep.c
@@ -41,6 +41,43 @@
 		ws_machine_send_commands(core, machine);
 }
 
+/* Whether tasks of some job lack capacity. */
+static bool ws_jobs_lack_capacity(const struct ws_core *core)
+{
+	const struct ws_job *job = core->jobs.by_id;
+
+	while (job && !(job->unmet_since > 0))
+		job = job->hh.next;
+	return job != NULL;
+}
+
+/*
+ * Logs and counts a machine that is in contact and empty, and yet not usable for a lease while jobs
+ * lack capacity. Logged once per lease.
+ */
+static void ws_machine_check_unused(struct ws_core *core, struct ws_machine *machine)
+{
+	enum ws_machine_use use;
+
+	if (machine->attempt_count || ws_heartbeat_overdue(core, machine->last_contact_at)) {
+		machine->unused_since = 0;
+		return;
+	}
+	use = ws_machine_use(core, machine);
+	if (use == WS_USABLE || use == WS_USE_GONE || !machine->unused_since) {
+		machine->unused_since = use == WS_USABLE || use == WS_USE_GONE ? 0 : core->now;
+		return;
+	}
+	if (core->now - machine->unused_since <= core->settings->lease_s ||
+	    !ws_jobs_lack_capacity(core))
+		return;
+	ws_event_count(core, WS_EVENT_MACHINE_UNUSED);
+	ws_log(core, WS_LOG_INFO,
+	       "empty machine gets no tasks machine=%s reason=\"%s\" unused_s=%.0f", machine->name,
+	       ws_machine_use_text(use), core->now - machine->empty_since);
+	machine->unused_since = core->now;
+}
+
 static void ws_machine_sweep(struct ws_core *core, struct ws_machine *machine)
 {
 	if (machine->gone) {
@@ -53,6 +90,7 @@
 	if (machine->attempt_count && core->now > machine->lease.earlier_expires_at)
 		ws_machine_release_earlier_incarnations(core, machine, WS_RECONCILED_LEASE_EXPIRED,
 							WS_RELEASE_LEASE_EXPIRED);
+	ws_machine_check_unused(core, machine);
 	if (machine->preemption_noticed &&
 	    core->now < machine->preemption_at + core->settings->lease_s)
 		ws_machine_drain(core, machine);
--- a/src/core/fleet/machine_leases.c
+++ b/src/core/fleet/machine_leases.c
@@ -101,19 +101,75 @@
 	       CONTACT_TIMEOUT_INTERVALS * core->settings->heartbeat_s;
 }
 
+/* Whether a quarantined attempt on a machine has not exited. */
+static bool ws_machine_runs_quarantined(const struct ws_machine *machine)
+{
+	const struct ws_attempt *attempt;
+
+	if (!machine->quarantine.count)
+		return false;
+	for (attempt = machine->attempts; attempt; attempt = attempt->machine_next)
+		if (attempt->quarantined && attempt->task_state != WS_TASK_EXITED)
+			return true;
+	return false;
+}
+
+/* Whether the worker of a machine is in contact with this leader, both ways. */
+static enum ws_machine_use ws_machine_contact_use(const struct ws_core *core,
+						  const struct ws_machine *machine)
+{
+	if (!ws_machine_echoes_token(machine))
+		return WS_USE_TOKEN_NOT_ECHOED;
+	if (machine->restart.suspected)
+		return WS_USE_RESTART_SUSPECTED;
+	if (machine->unreachable || core->now - machine->last_contact_at >=
+					CONTACT_TIMEOUT_INTERVALS * core->settings->heartbeat_s)
+		return WS_USE_UNREACHABLE;
+	if (!ws_machine_heartbeats_arrive(core, machine))
+		return WS_USE_NO_HEARTBEATS;
+	if (!machine->incarnation || core->now >= machine->lease.expires_at)
+		return WS_USE_LEASE_EXPIRED;
+	return WS_USABLE;
+}
+
+enum ws_machine_use ws_machine_use(const struct ws_core *core, const struct ws_machine *machine)
+{
+	if (machine->gone || machine->failed || machine->scale_in.requested)
+		return WS_USE_GONE;
+	if (machine->preemption_noticed)
+		return WS_USE_PREEMPTION_NOTICE;
+	if (machine->invalid_name || !machine->type)
+		return WS_USE_UNKNOWN_TYPE;
+	if (ws_machine_runs_quarantined(machine))
+		return WS_USE_QUARANTINE;
+	if (core->now < machine->failures.suspended_until ||
+	    core->now < machine->failures.backoff_until)
+		return WS_USE_TASK_FAILURES;
+	return ws_machine_contact_use(core, machine);
+}
+
+const char *ws_machine_use_text(enum ws_machine_use use)
+{
+	static const char *const texts[WS_USE_COUNT] = {
+	    [WS_USABLE] = "usable",
+	    [WS_USE_GONE] = "failed or being returned",
+	    [WS_USE_PREEMPTION_NOTICE] = "preemption notice",
+	    [WS_USE_UNKNOWN_TYPE] = "unknown type or invalid name",
+	    [WS_USE_QUARANTINE] = "quarantined task",
+	    [WS_USE_TASK_FAILURES] = "task failures",
+	    [WS_USE_TOKEN_NOT_ECHOED] = "fencing token not echoed",
+	    [WS_USE_RESTART_SUSPECTED] = "restart suspected",
+	    [WS_USE_UNREACHABLE] = "unreachable",
+	    [WS_USE_NO_HEARTBEATS] = "no heartbeats",
+	    [WS_USE_LEASE_EXPIRED] = "lease expired",
+	};
+
+	return texts[use];
+}
+
 bool ws_machine_is_usable(const struct ws_core *core, const struct ws_machine *machine)
 {
-	return ws_machine_echoes_token(machine) && !machine->unreachable &&
-	       !machine->restart.suspected && !machine->invalid_name &&
-	       !machine->quarantine.running && machine->reported && machine->type &&
-	       !machine->gone && !machine->scale_in.requested && !machine->failed &&
-	       machine->incarnation &&
-	       core->now - machine->last_contact_at <
-		   CONTACT_TIMEOUT_INTERVALS * core->settings->heartbeat_s &&
-	       ws_machine_heartbeats_arrive(core, machine) &&
-	       core->now < machine->lease.expires_at &&
-	       core->now >= machine->failures.suspended_until &&
-	       core->now >= machine->failures.backoff_until && !machine->preemption_noticed;
+	return ws_machine_use(core, machine) == WS_USABLE;
 }
 
 /* Releases all attempts on a machine that is gone or failed, or whose lease has expired. */
--- a/src/core/fleet/quarantine.c
+++ b/src/core/fleet/quarantine.c
@@ -13,7 +13,6 @@
 {
 	if (attempt->task_state == WS_TASK_EXITED)
 		return;
-	attempt->machine->quarantine.running--;
 	ws_attempt_clear_unknown_team(core, attempt);
 	attempt->task_state = WS_TASK_EXITED;
 	attempt->exit_reason = WS_EXIT_DONE;
--- a/src/core/jobs/quarantined_jobs.c
+++ b/src/core/jobs/quarantined_jobs.c
@@ -51,10 +51,7 @@
 	ws_quarantined_job_find_or_add(core, attempt->job_id)->count++;
 	attempt->quarantined = true;
 	attempt->machine->quarantine.count++;
-	if (attempt->task_state == WS_TASK_EXITED)
-		return;
-	attempt->machine->quarantine.running++;
-	if (!attempt->job)
+	if (attempt->task_state != WS_TASK_EXITED && !attempt->job)
 		ws_unknown_team_count(core, attempt, 1);
 }
 
@@ -66,7 +63,6 @@
 		return;
 	attempt->quarantined = false;
 	attempt->machine->quarantine.count--;
-	attempt->machine->quarantine.running -= attempt->task_state != WS_TASK_EXITED;
 	quarantined_job = ws_quarantined_job_find(core, attempt->job_id);
 	if (!quarantined_job || --quarantined_job->count)
 		return;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -170,6 +170,7 @@
 	sim->now = step_end;
 	sim_check_running_tasks(sim);
 	sim_check_unknown_tasks(sim);
+	sim_check_counts(sim);
 }
 
 bool sim_run(struct sim *sim, char *error, size_t size)
--- a/tests/sim_checks.h
+++ b/tests/sim_checks.h
@@ -13,6 +13,8 @@
 void sim_check_running_tasks(struct sim *sim);
 /* Checks that no task runs for long without the leader's knowledge. */
 void sim_check_unknown_tasks(struct sim *sim);
+/* Checks that each count that the leader keeps beside a list equals what the list gives. */
+void sim_check_counts(struct sim *sim);
 /* Returns the leader if it is of this version and not frozen, else NULL. */
 const struct sim_node *sim_acting_leader(struct sim *sim);
 /* Whether a worker and the leader reach each other, both ways. */
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -370,6 +370,7 @@
 	double crash_down_s;
 	int boot_failures; /* remaining new instances that never boot */
 	bool instant_boot;
+	uint64_t steps;		      /* simulated so far */
 	bool copy_precedes_contact;   /* a copy is being executed by a worker without a token */
 	double reboot_report_after_s; /* from a reboot to the first report */
 	bool heartbeats_list_tasks_twice;
