--- a/src/core/autoscaler/autoscaler_internal.h
+++ b/src/core/autoscaler/autoscaler_internal.h
@@ -24,7 +24,7 @@
 struct ws_bin {
 	struct ws_machine_kind kind;
 	uint32_t machine_count;
-	double free_cpus, free_gpus, free_mem_gb; /* on each machine */
+	struct ws_capacity free; /* on each machine */
 };
 
 /* The bins into which unmet demand is packed by first fit. */
--- a/src/core/autoscaler/demand_packing.c
+++ b/src/core/autoscaler/demand_packing.c
@@ -25,11 +25,8 @@
 
 struct ws_bin ws_bin_of_empty(const struct ws_machine_kind *kind, uint32_t machine_count)
 {
-	return (struct ws_bin){.kind = *kind,
-			       .machine_count = machine_count,
-			       .free_cpus = kind->type->cpus,
-			       .free_gpus = kind->type->gpus,
-			       .free_mem_gb = kind->type->mem_gb};
+	return (struct ws_bin){
+	    .kind = *kind, .machine_count = machine_count, .free = ws_type_capacity(kind->type)};
 }
 
 static bool ws_kinds_are_equal(const struct ws_machine_kind *left,
@@ -62,7 +59,7 @@
 	const struct ws_job_spec *spec = &demand->job->spec;
 	const struct ws_machine_kind *kind = &bin->kind;
 
-	if (!bin->machine_count || bin->free_cpus + CPU_TOLERANCE < spec->cpus)
+	if (!bin->machine_count || bin->free.cpus + CPU_TOLERANCE < spec->cpus)
 		return 0;
 	if (kind->preemptible && !spec->allows_preemptible)
 		return 0;
@@ -70,7 +67,7 @@
 		return 0;
 	if (!(demand->job->eligible_types >> (kind->type - core->catalog.types) & 1))
 		return 0;
-	return ws_tasks_fit(spec, bin->free_cpus, bin->free_gpus, bin->free_mem_gb, demand->tasks);
+	return ws_tasks_fit(spec, &bin->free, demand->tasks);
 }
 
 /* Places tasks on some machines of a bin. If these are not all of its machines, they are split off
@@ -79,6 +76,7 @@
 				const struct ws_job_spec *spec, uint32_t machine_count,
 				uint32_t tasks_each)
 {
+	const struct ws_capacity task = ws_task_capacity(spec);
 	struct ws_bin *bin = &packing->bins[index];
 
 	if (machine_count < bin->machine_count) {
@@ -89,9 +87,7 @@
 		ws_packing_add_bin(packing, &part);
 		bin = &packing->bins[packing->bin_count - 1];
 	}
-	bin->free_cpus -= tasks_each * spec->cpus;
-	bin->free_gpus -= tasks_each * spec->gpus;
-	bin->free_mem_gb -= tasks_each * spec->mem_gb;
+	ws_capacity_add(&bin->free, &task, -(double)tasks_each);
 	return machine_count * tasks_each;
 }
 
@@ -122,7 +118,7 @@
 		const struct ws_bin *bin = &packing->bins[i];
 
 		if (bin->machine_count &&
-		    bin->free_cpus + CPU_TOLERANCE >= packing->smallest_task_cpus)
+		    bin->free.cpus + CPU_TOLERANCE >= packing->smallest_task_cpus)
 			packing->bins[left++] = *bin;
 	}
 	packing->bin_count = left;
--- a/src/core/autoscaler/scale_out_plan.c
+++ b/src/core/autoscaler/scale_out_plan.c
@@ -142,11 +142,12 @@
 
 	for (size_t i = 0; i < core->catalog.type_count; i++) {
 		const struct ws_machine_type *type = &core->catalog.types[i];
+		const struct ws_capacity empty = ws_type_capacity(type);
 		double fit;
 
 		if (!(demand->job->eligible_types >> i & 1))
 			continue;
-		fit = fmax(1, ws_tasks_fit(spec, type->cpus, type->gpus, type->mem_gb, tasks));
+		fit = fmax(1, ws_tasks_fit(spec, &empty, tasks));
 		for (size_t j = 0; j < type->zone_count; j++) {
 			struct ws_machine_kind kind = {
 			    .type = type, .zone_index = ws_zone_index(core, type->zones[j])};
--- a/src/core/catalog/catalog.c
+++ b/src/core/catalog/catalog.c
@@ -1,5 +1,6 @@
 /* Lookup of machine types, zones and images by name, and which tasks fit a machine type. */
 #include "../core_state.h"
+#include "../message_size.h"
 
 /* Sums of resource amounts may have rounding errors of this size. */
 #define WS_RESOURCE_TOLERANCE 1e-9
@@ -58,7 +59,10 @@
 {
 	double mean_cpus = ws_mean_machine_cpus(core);
 
-	return mean_cpus > 0 ? spec->cpus / mean_cpus : 0;
+	return mean_cpus > 0
+		   ? fmax(spec->cpus / mean_cpus,
+			  (double)ws_job_report_entry_bytes(spec) / WS_REPORT_TASKS_BYTES_MAX)
+		   : 0;
 }
 
 const struct ws_machine_type *ws_machine_type_find(const struct ws_core *core, const char *name)
@@ -113,16 +117,45 @@
 	core->catalog.image_count = 0;
 }
 
-uint32_t ws_tasks_fit(const struct ws_job_spec *spec, double cpus, double gpus, double mem_gb,
+struct ws_capacity ws_type_capacity(const struct ws_machine_type *type)
+{
+	return (struct ws_capacity){.cpus = type->cpus,
+				    .gpus = type->gpus,
+				    .mem_gb = type->mem_gb,
+				    .report_bytes = (double)WS_REPORT_TASKS_BYTES_MAX};
+}
+
+struct ws_capacity ws_task_capacity(const struct ws_job_spec *spec)
+{
+	return (struct ws_capacity){.cpus = spec->cpus,
+				    .gpus = spec->gpus,
+				    .mem_gb = spec->mem_gb,
+				    .report_bytes = (double)ws_job_report_entry_bytes(spec)};
+}
+
+void ws_capacity_add(struct ws_capacity *capacity, const struct ws_capacity *added, double times)
+{
+	capacity->cpus += times * added->cpus;
+	capacity->gpus += times * added->gpus;
+	capacity->mem_gb += times * added->mem_gb;
+	capacity->report_bytes += times * added->report_bytes;
+}
+
+/* Returns how many times an amount fits into what is free, at most the limit. */
+static double ws_amount_fit(double amount, double free, double limit)
+{
+	return amount > 0 ? fmin(limit, floor((free + WS_RESOURCE_TOLERANCE) / amount)) : limit;
+}
+
+uint32_t ws_tasks_fit(const struct ws_job_spec *spec, const struct ws_capacity *capacity,
 		      uint32_t limit)
 {
+	const struct ws_capacity task = ws_task_capacity(spec);
 	double fit = limit;
 
-	if (spec->cpus > 0)
-		fit = fmin(fit, floor((cpus + WS_RESOURCE_TOLERANCE) / spec->cpus));
-	if (spec->gpus > 0)
-		fit = fmin(fit, floor((gpus + WS_RESOURCE_TOLERANCE) / spec->gpus));
-	if (spec->mem_gb > 0)
-		fit = fmin(fit, floor((mem_gb + WS_RESOURCE_TOLERANCE) / spec->mem_gb));
+	fit = ws_amount_fit(task.cpus, capacity->cpus, fit);
+	fit = ws_amount_fit(task.gpus, capacity->gpus, fit);
+	fit = ws_amount_fit(task.mem_gb, capacity->mem_gb, fit);
+	fit = ws_amount_fit(task.report_bytes, capacity->report_bytes, fit);
 	return fit > 0 ? (uint32_t)fit : 0;
 }
--- a/src/core/catalog/catalog.h
+++ b/src/core/catalog/catalog.h
@@ -8,14 +8,20 @@
  * names them, and removed at step-down.
  *
  * Machine types and zones are never removed, so their indexes and addresses stay valid. An image's
- * index is valid until step-down. Resources are given in CPUs, GPUs and gigabytes of memory, times
- * in seconds on the core's clock. A failed memory allocation aborts the process. The core is
- * single-threaded: the I/O layer holds its lock during each call into it.
+ * index is valid until step-down. Resources are given in CPUs, GPUs, gigabytes of memory and bytes
+ * of a report, times in seconds on the core's clock. A failed memory allocation aborts the process.
+ * The core is single-threaded: the I/O layer holds its lock during each call into it.
  */
 #ifndef WS_CATALOG_H
 #define WS_CATALOG_H
 #include "../core.h"
 
+/* Resources that a machine has left, or that tasks take of it. */
+struct ws_capacity {
+	double cpus, gpus, mem_gb;
+	double report_bytes; /* of the machine's reports, which have a maximum size */
+};
+
 /* An image that jobs run and machines cache. Images are compared by index. */
 struct ws_image {
 	char name[WS_NAME_MAX];
@@ -54,12 +60,19 @@
 const struct ws_machine_type *ws_machine_type_find(const struct ws_core *core, const char *name);
 /* Returns true if a job allows a machine type and one of its tasks fits an empty machine of it. */
 bool ws_machine_type_fits(const struct ws_machine_type *type, const struct ws_job_spec *spec);
+/* Returns the capacity of an empty machine of a type. */
+struct ws_capacity ws_type_capacity(const struct ws_machine_type *type);
+/* Returns what a task of a job takes of its machine. */
+struct ws_capacity ws_task_capacity(const struct ws_job_spec *spec);
+/* Adds a number of times one capacity to another; the number may be negative. */
+void ws_capacity_add(struct ws_capacity *capacity, const struct ws_capacity *added, double times);
 /* Returns how many tasks of a job fit into the given capacity, at most the limit. */
-uint32_t ws_tasks_fit(const struct ws_job_spec *spec, double cpus, double gpus, double mem_gb,
+uint32_t ws_tasks_fit(const struct ws_job_spec *spec, const struct ws_capacity *capacity,
 		      uint32_t limit);
 /* Returns the mean number of CPUs of the known machine types, or 0 if none is known. */
 double ws_mean_machine_cpus(const struct ws_core *core);
-/* Returns the demand of one task: its CPUs as a fraction of the mean CPUs of a machine type. */
+/* Returns the demand of one task: its CPUs as a fraction of the mean CPUs of a machine type, or its
+ * part of a machine's report if that is more. */
 double ws_task_demand_units(const struct ws_core *core, const struct ws_job_spec *spec);
 
 /* ---- machine_types.c ---- */
--- a/src/core/event_counts.c
+++ b/src/core/event_counts.c
@@ -30,6 +30,7 @@
 	    [WS_EVENT_RELEASED_REPORTED] = "released_attempts_reported",
 	    [WS_EVENT_RELEASE_HELD_BACK] = "releases_held_back",
 	    [WS_EVENT_AT_TEAM_LIMIT] = "at_team_limit",
+	    [WS_EVENT_COMMANDS_SLICED] = "commands_sliced",
 	    [WS_EVENT_MACHINE_UNUSED] = "machines_unused",
 	    [WS_EVENT_STALE_INCARNATION] = "heartbeats_of_old_incarnation",
 	    [WS_EVENT_STALE_SEQUENCE] = "heartbeats_of_old_sequence",
--- a/src/core/event_counts.h
+++ b/src/core/event_counts.h
@@ -17,6 +17,8 @@
 	WS_EVENT_RELEASE_HELD_BACK, /* an attempt was not reported, but its start command may be in
 				       flight */
 	WS_EVENT_AT_TEAM_LIMIT,	    /* tasks of a job wait because its team is at its limit */
+	/* a message had no room for all commands due for a machine */
+	WS_EVENT_COMMANDS_SLICED,
 	WS_EVENT_MACHINE_UNUSED,    /* a machine in contact was empty and unusable for a lease */
 	WS_EVENT_STALE_INCARNATION, /* a heartbeat of an earlier incarnation was rejected */
 	WS_EVENT_STALE_SEQUENCE, /* a heartbeat that is not newer than an accepted one was rejected
--- a/src/core/fleet/commands.c
+++ b/src/core/fleet/commands.c
@@ -10,6 +10,7 @@
  * while it waits for an answer.
  */
 #include "../core_state.h"
+#include "../message_size.h"
 
 /* Initial capacity of the list of commands. */
 #define COMMANDS_CAPACITY_MIN 64
@@ -55,26 +56,23 @@
 	return !ws_result_is_unrecorded(core, status);
 }
 
-/* Appends a command to the scratch list. */
-static struct ws_command *ws_command_add(struct ws_core *core, enum ws_command_kind kind,
-					 const char *job, uint32_t task, uint64_t attempt)
+/* Appends a command to the scratch list. Returns false if the message has no room for it. */
+static bool ws_command_add(struct ws_core *core, const struct ws_command *command)
 {
 	struct ws_fleet *fleet = &core->fleet;
-	struct ws_command *command;
+	size_t bytes = ws_command_bytes(command);
 
+	if (fleet->command_bytes + bytes > WS_COMMANDS_BYTES_MAX)
+		return false;
 	if (fleet->command_count == fleet->command_capacity) {
 		fleet->command_capacity =
 		    fleet->command_capacity ? 2 * fleet->command_capacity : COMMANDS_CAPACITY_MIN;
 		fleet->commands =
 		    ws_resize(fleet->commands, fleet->command_capacity, sizeof(*fleet->commands));
 	}
-	command = &fleet->commands[fleet->command_count++];
-	command->kind = kind;
-	snprintf(command->job, sizeof(command->job), "%s", job);
-	command->task = task;
-	command->attempt = attempt;
-	command->grace_s = 0;
-	return command;
+	fleet->commands[fleet->command_count++] = *command;
+	fleet->command_bytes += bytes;
+	return true;
 }
 
 /* Whether an attempt is to be stopped and its worker may have received a run command for it. */
@@ -85,24 +83,62 @@
 	       (attempt->maybe_sent || attempt->reported);
 }
 
-/* Appends the command due for an attempt, if any. A direct call does not repeat run commands. */
-static void ws_attempt_collect_command(struct ws_core *core, struct ws_attempt *attempt,
-				       bool direct)
+/* Appends the command due for an attempt, if any. A direct call does not repeat run commands.
+ * Returns false if the message has no room for it. */
+static bool ws_attempt_collect_command(struct ws_core *core, struct ws_attempt *attempt,
+				       bool direct, bool repeated)
 {
 	bool stop = ws_attempt_needs_stop(attempt);
-	struct ws_command *command;
-
-	if (!stop && !ws_attempt_is_runnable(core, attempt))
-		return;
-	if (!stop && direct && attempt->maybe_sent)
-		return;
-	command = ws_command_add(core, stop ? WS_COMMAND_STOP : WS_COMMAND_RUN, attempt->job_id,
-				 attempt->task, attempt->number);
-	command->grace_s = attempt->grace_s;
+	bool was_sent = stop ? attempt->stop_command_sent : attempt->maybe_sent;
+	struct ws_command command = {.kind = stop ? WS_COMMAND_STOP : WS_COMMAND_RUN,
+				     .task = attempt->task,
+				     .attempt = attempt->number,
+				     .grace_s = attempt->grace_s};
+
+	if (was_sent != repeated || attempt->command_list == core->fleet.command_list)
+		return true;
+	if (!stop && ((direct && repeated) || !ws_attempt_is_runnable(core, attempt)))
+		return true;
+	snprintf(command.job, sizeof(command.job), "%s", attempt->job_id);
+	if (!ws_command_add(core, &command))
+		return false;
+	attempt->command_list = core->fleet.command_list;
 	if (stop)
 		attempt->stop_command_sent = true;
 	else
 		attempt->maybe_sent = true;
+	return true;
+}
+
+/* Appends the commands due for the attempts on a machine: those that were not sent before, or those
+ * that are repeated. Returns false if the message is full. */
+static bool ws_commands_collect_attempts(struct ws_core *core, struct ws_machine *machine,
+					 bool direct, bool repeated)
+{
+	struct ws_attempt *attempt;
+
+	for (attempt = machine->attempts; attempt; attempt = attempt->machine_next)
+		if (!ws_attempt_collect_command(core, attempt, direct, repeated))
+			return false;
+	return true;
+}
+
+/* Appends reap commands for the exited tasks in a heartbeat that the worker may delete. */
+static void ws_commands_collect_reaps(struct ws_core *core, struct ws_machine *machine,
+				      const struct ws_heartbeat *heartbeat)
+{
+	for (size_t i = 0; i < heartbeat->task_count; i++) {
+		const struct ws_task_status *status = &heartbeat->tasks[i];
+		struct ws_command command = {
+		    .kind = WS_COMMAND_REAP, .task = status->task, .attempt = status->attempt};
+
+		if (status->state != WS_TASK_EXITED || !ws_may_reap(core, machine, status) ||
+		    !ws_machine_fence_direct_runs(core, machine))
+			continue;
+		snprintf(command.job, sizeof(command.job), "%s", status->job);
+		if (!ws_command_add(core, &command))
+			return;
+	}
 }
 
 bool ws_commands_include_run(const struct ws_command *commands, size_t count)
@@ -113,27 +149,27 @@
 	return false;
 }
 
-/* Collects the run, stop and reap commands for a machine in the scratch list. */
+/* Collects the run, stop and reap commands for a machine in the scratch list: those that were not
+ * sent before come first, so that all are sent even if one message has no room for them. */
 static void ws_commands_collect(struct ws_core *core, struct ws_machine *machine,
-				const struct ws_heartbeat *heartbeat, size_t max, bool direct)
+				const struct ws_heartbeat *heartbeat, bool direct)
 {
 	struct ws_fleet *fleet = &core->fleet;
-	struct ws_attempt *attempt;
 
 	fleet->command_count = 0;
-	for (attempt = machine->attempts; attempt && fleet->command_count < max;
-	     attempt = attempt->machine_next)
-		ws_attempt_collect_command(core, attempt, direct);
-	if (!heartbeat)
+	fleet->command_bytes = 0;
+	fleet->command_list++;
+	if (!ws_commands_collect_attempts(core, machine, direct, false) ||
+	    !ws_commands_collect_attempts(core, machine, direct, true)) {
+		ws_event_count(core, WS_EVENT_COMMANDS_SLICED);
+		ws_log(core, WS_LOG_INFO,
+		       "commands sliced machine=%s commands=%zu bytes=%zu limit=%zu attempts=%u",
+		       machine->name, fleet->command_count, fleet->command_bytes,
+		       WS_COMMANDS_BYTES_MAX, machine->attempt_count);
 		return;
-	for (size_t i = 0; i < heartbeat->task_count && fleet->command_count < max; i++) {
-		const struct ws_task_status *status = &heartbeat->tasks[i];
-
-		if (status->state == WS_TASK_EXITED && ws_may_reap(core, machine, status) &&
-		    ws_machine_fence_direct_runs(core, machine))
-			ws_command_add(core, WS_COMMAND_REAP, status->job, status->task,
-				       status->attempt);
 	}
+	if (heartbeat)
+		ws_commands_collect_reaps(core, machine, heartbeat);
 }
 
 static const char *ws_command_text(enum ws_command_kind kind)
@@ -161,12 +197,12 @@
 }
 
 struct ws_command *ws_commands_for_machine(struct ws_core *core, struct ws_machine *machine,
-					   const struct ws_heartbeat *heartbeat, size_t max,
-					   bool direct, size_t *count)
+					   const struct ws_heartbeat *heartbeat, bool direct,
+					   size_t *count)
 {
 	struct ws_command *list;
 
-	ws_commands_collect(core, machine, heartbeat, max, direct);
+	ws_commands_collect(core, machine, heartbeat, direct);
 	*count = core->fleet.command_count;
 	if (!core->fleet.command_count)
 		return NULL;
--- a/src/core/fleet/direct_calls.c
+++ b/src/core/fleet/direct_calls.c
@@ -191,7 +191,7 @@
 		return;
 	call = ws_commands_call_new(core, machine);
 	call->commands.list =
-	    ws_commands_for_machine(core, machine, NULL, SIZE_MAX, true, &call->commands.count);
+	    ws_commands_for_machine(core, machine, NULL, true, &call->commands.count);
 	if (ws_commands_include_run(call->commands.list, call->commands.count))
 		machine->commands.direct_run_token = call->commands.fencing_token;
 	ws_log(core, WS_LOG_DEBUG, "commands sent machine=%s token=%llu commands=%zu",
--- a/src/core/fleet/fleet.h
+++ b/src/core/fleet/fleet.h
@@ -16,6 +16,7 @@
  */
 #ifndef WS_FLEET_H
 #define WS_FLEET_H
+#include "../catalog/catalog.h"
 #include "../core.h"
 #include "../extension/hooks.h"
 #include "../jobs/jobs.h"
@@ -25,9 +26,6 @@
 #define WS_IMAGE_CACHE_MAX 24
 /* Shard records with this number or a higher one are ignored when records are read. */
 #define WS_MAX_MACHINE_SHARDS 100000
-/* Maximum number of commands in the answer to a heartbeat, which keeps it below the limit on the
- * length of a line. */
-#define WS_ANSWER_COMMANDS_MAX 400
 
 /* Number of heartbeats for which a copy is recognized when it counts as old. */
 #define WS_ACCEPTED_DIGESTS 32
@@ -169,8 +167,11 @@
 	/* the attempts on it and the resources they use */
 	struct ws_attempt *attempts;
 	uint32_t attempt_count; /* live attempts */
-	double used_cpus, used_gpus, used_mem;
-	double stopping_cpus, stopping_gpus, stopping_mem; /* the part of stopping attempts */
+	struct ws_capacity used;
+	struct ws_capacity stopping; /* the part of stopping attempts */
+	/* of its newest report: tasks that have exited and are not reaped, and those of unknown
+	 * jobs */
+	double other_report_bytes;
 	struct ws_machine_quarantine quarantine;
 	double reserved_until; /* reserved for a waiting gang until then */
 
@@ -179,8 +180,8 @@
 	int shard; /* index of the shard whose record names it; -1: none yet */
 
 	/* scratch data of one placement pass */
-	double planned_cpus, planned_gpus, planned_mem; /* free in the plan of this pass */
-	int pass_rank;					/* lower ranks are tried first */
+	struct ws_capacity planned; /* free in the plan of this pass */
+	int pass_rank;		    /* lower ranks are tried first */
 	bool avoided; /* a filter of a subsystem excludes it while other machines have room */
 
 	void *subsystem_handles[WS_SUBSYSTEMS_MAX]; /* indexed by subsystem; NULL: no handle */
@@ -221,6 +222,8 @@
 
 	struct ws_command *commands; /* scratch list of commands for one machine */
 	size_t command_count, command_capacity;
+	size_t command_bytes;  /* of the commands in the list, in a message */
+	uint64_t command_list; /* number of the list; attempts with it are in the list */
 	/* attempts with this mark are named by the current heartbeat, or are selected by the
 	 * current preemption search */
 	uint64_t mark;
@@ -261,6 +264,8 @@
 /* Makes the next message to a machine carry a token that none before has carried. The machine stays
  * usable. */
 void ws_machine_advance_token(struct ws_core *core, struct ws_machine *machine);
+/* Returns what the live attempts on a machine leave free of its capacity. Its type is known. */
+struct ws_capacity ws_machine_free_capacity(const struct ws_machine *machine);
 /* Makes a machine's lease last one lease from now. It never ends earlier than assumed before: an
  * earlier leader may still renew it. */
 void ws_machine_extend_lease(const struct ws_core *core, struct ws_machine *machine);
@@ -384,13 +389,14 @@
 /* ---- commands.c ---- */
 
 /*
- * Returns the commands due for a machine, at most `max`, and marks their attempts as sent. With a
- * heartbeat, includes reap commands for the exited tasks in it that the worker may delete. The
- * caller owns the list. Returns NULL if there are no commands.
+ * Returns the commands due for a machine that fit into a message, those that were not sent yet
+ * first, and marks their attempts as sent. With a heartbeat, includes reap commands for the exited
+ * tasks in it that the worker may delete. The caller owns the list. Returns NULL if there are no
+ * commands.
  */
 struct ws_command *ws_commands_for_machine(struct ws_core *core, struct ws_machine *machine,
-					   const struct ws_heartbeat *heartbeat, size_t max,
-					   bool direct, size_t *count);
+					   const struct ws_heartbeat *heartbeat, bool direct,
+					   size_t *count);
 /* Whether a list of commands has a run command. */
 bool ws_commands_include_run(const struct ws_command *commands, size_t count);
 /* Whether a run command that was sent to a machine may still arrive there. */
--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -1,5 +1,6 @@
 /* Heartbeats of machines: checks for stale ones, applies the others, and answers them. */
 #include "../core_state.h"
+#include "../message_size.h"
 
 /* Handles the first heartbeat, or reply to a command, of a machine. */
 static void ws_machine_first_contact(struct ws_core *core, struct ws_machine *machine)
@@ -113,6 +114,23 @@
 	}
 }
 
+/* Returns what a report holds besides live attempts of known jobs, in bytes. */
+static double ws_other_report_bytes(const struct ws_machine *machine,
+				    const struct ws_heartbeat *heartbeat)
+{
+	const struct ws_attempt *attempt;
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < heartbeat->task_count; i++)
+		if (heartbeat->tasks[i].state == WS_TASK_EXITED)
+			bytes += ws_report_entry_bytes(heartbeat->tasks[i].job,
+						       heartbeat->tasks[i].task);
+	for (attempt = machine->attempts; attempt; attempt = attempt->machine_next)
+		if (!attempt->job && attempt->state != WS_ATTEMPT_RELEASED)
+			bytes += ws_report_entry_bytes(attempt->job_id, attempt->task);
+	return (double)bytes;
+}
+
 void ws_machine_apply_heartbeat(struct ws_core *core, struct ws_machine *machine,
 				const struct ws_heartbeat *heartbeat)
 {
@@ -135,6 +153,7 @@
 	for (size_t i = 0; i < heartbeat->task_count; i++)
 		ws_machine_apply_task_status(core, machine, &heartbeat->tasks[i]);
 	ws_machine_release_unreported(core, machine);
+	machine->other_report_bytes = ws_other_report_bytes(machine, heartbeat);
 }
 
 /*
@@ -192,9 +211,9 @@
 		ws_subsystems_heartbeat_seen(core, machine);
 	ws_machine_extend_lease(core, machine);
 	if (heartbeat->incarnation == machine->incarnation)
-		effect->heartbeat.commands = ws_commands_for_machine(
-		    core, machine, newest ? heartbeat : NULL, WS_ANSWER_COMMANDS_MAX, false,
-		    &effect->heartbeat.command_count);
+		effect->heartbeat.commands =
+		    ws_commands_for_machine(core, machine, newest ? heartbeat : NULL, false,
+					    &effect->heartbeat.command_count);
 	effect->heartbeat.fencing_token = machine->fencing_token; /* raised by reap commands */
 	ws_log(core, WS_LOG_DEBUG,
 	       "heartbeat answered machine=%s sequence=%llu token=%llu commands=%zu", machine->name,
--- a/src/core/fleet/machine_leases.c
+++ b/src/core/fleet/machine_leases.c
@@ -52,6 +52,15 @@
 	machine->commands.next_probe_at = 0;
 }
 
+struct ws_capacity ws_machine_free_capacity(const struct ws_machine *machine)
+{
+	struct ws_capacity free_capacity = ws_type_capacity(machine->type);
+
+	ws_capacity_add(&free_capacity, &machine->used, -1);
+	free_capacity.report_bytes -= machine->other_report_bytes;
+	return free_capacity;
+}
+
 void ws_machine_advance_token(struct ws_core *core, struct ws_machine *machine)
 {
 	ws_machine_set_token_above(core, machine, machine->fencing_token);
--- a/src/core/fleet/worker_restarts.c
+++ b/src/core/fleet/worker_restarts.c
@@ -33,30 +33,42 @@
 	return (double)heartbeat->sequence <= UNANSWERED_MESSAGES_PER_S * core->settings->lease_s;
 }
 
-/* Adds bytes to a digest: the hash function FNV-1a. */
-static uint64_t ws_digest_add(uint64_t digest, const void *bytes, size_t count)
+/* Adds a byte to a digest: the hash function FNV-1a. */
+static uint64_t ws_digest_add_byte(uint64_t digest, unsigned char byte)
 {
-	const unsigned char *byte = bytes;
+	return (digest ^ byte) * FNV_PRIME;
+}
+
+static uint64_t ws_digest_add_number(uint64_t digest, uint64_t number)
+{
+	for (size_t i = 0; i < sizeof(number); i++)
+		digest = ws_digest_add_byte(digest, (unsigned char)(number >> (8 * i)));
+	return digest;
+}
 
-	for (size_t i = 0; i < count; i++)
-		digest = (digest ^ byte[i]) * FNV_PRIME;
+static uint64_t ws_digest_add_text(uint64_t digest, const char *text)
+{
+	for (; *text; text++)
+		digest = ws_digest_add_byte(digest, (unsigned char)*text);
 	return digest;
 }
 
 /* Returns a digest of what a restart would change in a heartbeat. */
 static uint64_t ws_heartbeat_digest(const struct ws_heartbeat *heartbeat)
 {
-	const uint64_t numbers[] = {heartbeat->incarnation, heartbeat->sequence,
-				    heartbeat->fencing_token};
-	uint64_t digest = ws_digest_add(FNV_OFFSET_BASIS, numbers, sizeof(numbers));
+	uint64_t digest = FNV_OFFSET_BASIS;
 
+	digest = ws_digest_add_number(digest, heartbeat->incarnation);
+	digest = ws_digest_add_number(digest, heartbeat->sequence);
+	digest = ws_digest_add_number(digest, heartbeat->fencing_token);
 	for (size_t i = 0; i < heartbeat->task_count; i++) {
 		const struct ws_task_status *status = &heartbeat->tasks[i];
-		const uint64_t fields[] = {status->task, status->attempt, (uint64_t)status->state,
-					   (uint64_t)status->exit_reason};
 
-		digest = ws_digest_add(digest, status->job, strlen(status->job));
-		digest = ws_digest_add(digest, fields, sizeof(fields));
+		digest = ws_digest_add_text(digest, status->job);
+		digest = ws_digest_add_number(digest, status->task);
+		digest = ws_digest_add_number(digest, status->attempt);
+		digest = ws_digest_add_number(digest, status->state);
+		digest = ws_digest_add_number(digest, status->exit_reason);
 	}
 	return digest;
 }
--- a/src/core/jobs/attempts.c
+++ b/src/core/jobs/attempts.c
@@ -48,19 +48,13 @@
 static void ws_attempt_account_machine(const struct ws_attempt *attempt, int sign)
 {
 	struct ws_machine *machine = attempt->machine;
-	const struct ws_job_spec *spec = &attempt->job->spec;
+	const struct ws_capacity task = ws_task_capacity(&attempt->job->spec);
 
-	machine->used_cpus += sign * spec->cpus;
-	machine->used_gpus += sign * spec->gpus;
-	machine->used_mem += sign * spec->mem_gb;
-	if (attempt->stopping) {
-		machine->stopping_cpus += sign * spec->cpus;
-		machine->stopping_gpus += sign * spec->gpus;
-		machine->stopping_mem += sign * spec->mem_gb;
-	}
+	ws_capacity_add(&machine->used, &task, sign);
+	if (attempt->stopping)
+		ws_capacity_add(&machine->stopping, &task, sign);
 	if (!machine->attempt_count) /* discards accumulated rounding errors */
-		machine->used_cpus = machine->used_gpus = machine->used_mem =
-		    machine->stopping_cpus = machine->stopping_gpus = machine->stopping_mem = 0;
+		machine->used = machine->stopping = (struct ws_capacity){0};
 }
 
 /* Updates the task's number of live attempts and the job's number of waiting tasks. */
@@ -213,9 +207,9 @@
 void ws_attempt_mark_stopping(struct ws_attempt *attempt)
 {
 	if (!attempt->stopping && attempt->job) {
-		attempt->machine->stopping_cpus += attempt->job->spec.cpus;
-		attempt->machine->stopping_gpus += attempt->job->spec.gpus;
-		attempt->machine->stopping_mem += attempt->job->spec.mem_gb;
+		const struct ws_capacity task = ws_task_capacity(&attempt->job->spec);
+
+		ws_capacity_add(&attempt->machine->stopping, &task, 1);
 	}
 	attempt->stopping = true;
 }
--- a/src/core/jobs/job_record_size.c
+++ b/src/core/jobs/job_record_size.c
@@ -27,12 +27,13 @@
 bool ws_gang_fits_record(const struct ws_core *core, const struct ws_job_spec *spec,
 			 const struct ws_machine_type *type)
 {
+	const struct ws_capacity empty = ws_type_capacity(type);
 	uint32_t per_machine;
 	double machines;
 
 	if (!spec->gang)
 		return true;
-	per_machine = ws_tasks_fit(spec, type->cpus, type->gpus, type->mem_gb, spec->tasks);
+	per_machine = ws_tasks_fit(spec, &empty, spec->tasks);
 	if (!per_machine)
 		return false;
 	machines = ceil((double)spec->tasks / per_machine);
--- a/src/core/jobs/jobs.h
+++ b/src/core/jobs/jobs.h
@@ -171,6 +171,7 @@
 	bool awaiting_reconciliation; /* recorded at the election, not reconciled yet */
 
 	/* decisions and commands */
+	uint64_t command_list;	/* the last list of commands that includes it */
 	bool maybe_sent;	/* a run command may have reached the worker or may still arrive */
 	bool stopping;		/* is to be stopped */
 	bool stop_command_sent; /* a stop command was sent */
--- a/src/core/scheduler/array_placement.c
+++ b/src/core/scheduler/array_placement.c
@@ -29,9 +29,9 @@
 
 	for (size_t i = 0; i < pass->open_count; i++) {
 		struct ws_machine *machine = pass->open_machines[i];
-		double free_cpus = machine->type->cpus - machine->used_cpus;
+		double free_cpus = machine->type->cpus - machine->used.cpus;
 
-		if (fmin(machine->planned_cpus, free_cpus) + WS_CAPACITY_TOLERANCE >=
+		if (fmin(machine->planned.cpus, free_cpus) + WS_CAPACITY_TOLERANCE >=
 		    pass->smallest_task_cpus)
 			pass->open_machines[kept++] = machine;
 	}
--- a/src/core/scheduler/capacity.c
+++ b/src/core/scheduler/capacity.c
@@ -55,63 +55,52 @@
 
 bool ws_capacity_fits_task(const struct ws_capacity *capacity, const struct ws_job *job)
 {
-	return job->spec.cpus <= capacity->cpus + WS_CAPACITY_TOLERANCE &&
-	       job->spec.gpus <= capacity->gpus + WS_CAPACITY_TOLERANCE &&
-	       job->spec.mem_gb <= capacity->mem_gb + WS_CAPACITY_TOLERANCE;
+	const struct ws_capacity task = ws_task_capacity(&job->spec);
+
+	return task.cpus <= capacity->cpus + WS_CAPACITY_TOLERANCE &&
+	       task.gpus <= capacity->gpus + WS_CAPACITY_TOLERANCE &&
+	       task.mem_gb <= capacity->mem_gb + WS_CAPACITY_TOLERANCE &&
+	       task.report_bytes <= capacity->report_bytes + WS_CAPACITY_TOLERANCE;
 }
 
 bool ws_has_free_capacity(const struct ws_job *job, const struct ws_machine *machine)
 {
-	const struct ws_machine_type *type = machine->type;
-
-	return machine->used_cpus + job->spec.cpus <= type->cpus + WS_CAPACITY_TOLERANCE &&
-	       machine->used_gpus + job->spec.gpus <= type->gpus + WS_CAPACITY_TOLERANCE &&
-	       machine->used_mem + job->spec.mem_gb <= type->mem_gb + WS_CAPACITY_TOLERANCE;
-}
+	const struct ws_capacity free_capacity = ws_machine_free_capacity(machine);
 
-struct ws_capacity ws_planned_capacity(const struct ws_machine *machine)
-{
-	return (struct ws_capacity){machine->planned_cpus, machine->planned_gpus,
-				    machine->planned_mem};
+	return ws_capacity_fits_task(&free_capacity, job);
 }
 
 bool ws_has_planned_capacity(const struct ws_job *job, const struct ws_machine *machine)
 {
-	struct ws_capacity planned = ws_planned_capacity(machine);
-
-	return ws_capacity_fits_task(&planned, job);
+	return ws_capacity_fits_task(&machine->planned, job);
 }
 
 void ws_planned_capacity_reserve(const struct ws_job *job, struct ws_machine *machine)
 {
-	machine->planned_cpus -= job->spec.cpus;
-	machine->planned_gpus -= job->spec.gpus;
-	machine->planned_mem -= job->spec.mem_gb;
+	const struct ws_capacity task = ws_task_capacity(&job->spec);
+
+	ws_capacity_add(&machine->planned, &task, -1);
 }
 
 void ws_planned_capacity_release(const struct ws_job *job, struct ws_machine *machine)
 {
-	machine->planned_cpus += job->spec.cpus;
-	machine->planned_gpus += job->spec.gpus;
-	machine->planned_mem += job->spec.mem_gb;
+	const struct ws_capacity task = ws_task_capacity(&job->spec);
+
+	ws_capacity_add(&machine->planned, &task, 1);
 }
 
 uint32_t ws_tasks_fit_planned(const struct ws_job *job, const struct ws_machine *machine,
 			      uint32_t limit)
 {
-	return ws_tasks_fit(&job->spec, machine->planned_cpus, machine->planned_gpus,
-			    machine->planned_mem, limit);
+	return ws_tasks_fit(&job->spec, &machine->planned, limit);
 }
 
 uint32_t ws_tasks_fit_now(const struct ws_job *job, const struct ws_machine *machine,
 			  uint32_t limit)
 {
-	const struct ws_machine_type *type = machine->type;
-	double cpus = fmin(machine->planned_cpus, type->cpus - machine->used_cpus);
-	double gpus = fmin(machine->planned_gpus, type->gpus - machine->used_gpus);
-	double mem_gb = fmin(machine->planned_mem, type->mem_gb - machine->used_mem);
+	const struct ws_capacity free_capacity = ws_machine_free_capacity(machine);
 
-	return ws_tasks_fit(&job->spec, cpus, gpus, mem_gb, limit);
+	return ws_tasks_fit(&job->spec, &free_capacity, ws_tasks_fit_planned(job, machine, limit));
 }
 
 bool ws_image_is_cached(const struct ws_machine *machine, int image)
--- a/src/core/scheduler/pass.h
+++ b/src/core/scheduler/pass.h
@@ -13,11 +13,6 @@
 /* All scheduling ranks are lower than this. */
 #define WS_RANK_LIMIT 1000
 
-/* Resources that a machine has left or that a task needs. */
-struct ws_capacity {
-	double cpus, gpus, mem_gb;
-};
-
 /* A machine on which preemption can free capacity for at least one task. */
 struct ws_preemption_candidate {
 	double cost;		/* work lost by the stopped tasks, in CPU seconds */
@@ -108,9 +103,6 @@
 bool ws_capacity_fits_task(const struct ws_capacity *capacity, const struct ws_job *job);
 /* Returns true if a task of a job fits into the free capacity of a machine. */
 bool ws_has_free_capacity(const struct ws_job *job, const struct ws_machine *machine);
-/* Returns the planned capacity of a machine: free capacity plus that of stopping tasks, minus what
- * this pass has allocated or reserved. */
-struct ws_capacity ws_planned_capacity(const struct ws_machine *machine);
 /* Returns true if a task of a job fits into the planned capacity of a machine. */
 bool ws_has_planned_capacity(const struct ws_job *job, const struct ws_machine *machine);
 /* Subtracts the resources of a task from a machine's planned capacity, or adds them back. */
--- a/src/core/scheduler/preemption.c
+++ b/src/core/scheduler/preemption.c
@@ -3,6 +3,7 @@
  * machine the tasks whose preemption costs least are the victims, and the machines with the lowest
  * total cost are used first.
  */
+#include "../message_size.h"
 #include "pass.h"
 
 /* Returned in place of a cost if preemption cannot free enough capacity. */
@@ -104,14 +105,15 @@
 static void ws_choose_victim(const struct ws_core *core, const struct ws_machine *machine,
 			     const struct ws_attempt *victim, struct ws_capacity *capacity)
 {
+	struct ws_capacity task;
+
 	for (struct ws_attempt *attempt = machine->attempts; attempt;
 	     attempt = attempt->machine_next) {
 		if (!ws_stops_with_victim(attempt, victim))
 			continue;
+		task = ws_task_capacity(&attempt->job->spec);
 		attempt->mark = core->fleet.mark;
-		capacity->cpus += attempt->job->spec.cpus;
-		capacity->gpus += attempt->job->spec.gpus;
-		capacity->mem_gb += attempt->job->spec.mem_gb;
+		ws_capacity_add(capacity, &task, 1);
 	}
 }
 
@@ -132,7 +134,7 @@
 static double ws_preempt_for_task(struct ws_core *core, const struct ws_job *job,
 				  struct ws_machine *machine, bool stop_victims)
 {
-	struct ws_capacity capacity = ws_planned_capacity(machine);
+	struct ws_capacity capacity = machine->planned;
 	double cost = 0;
 
 	if (ws_subsystems_action_deferred(core, WS_DEFER_PREEMPTION, machine->zone_index))
@@ -163,6 +165,7 @@
 	       ws_scheduling_rank(job) <= infeasible->rank &&
 	       job->spec.cpus >= infeasible->task.cpus && job->spec.gpus >= infeasible->task.gpus &&
 	       job->spec.mem_gb >= infeasible->task.mem_gb &&
+	       (double)ws_job_report_entry_bytes(&job->spec) >= infeasible->task.report_bytes &&
 	       (!job->spec.allows_preemptible || infeasible->allows_preemptible) &&
 	       !(job->eligible_types & ~infeasible->eligible_types) &&
 	       !(request->zones & ~infeasible->zones);
@@ -177,7 +180,7 @@
 	pass->infeasible_preemption = (struct ws_infeasible_preemption){
 	    .valid = true,
 	    .rank = ws_scheduling_rank(job),
-	    .task = {job->spec.cpus, job->spec.gpus, job->spec.mem_gb},
+	    .task = ws_task_capacity(&job->spec),
 	    .allows_preemptible = job->spec.allows_preemptible,
 	    .eligible_types = job->eligible_types,
 	    .zones = request->zones,
@@ -240,7 +243,7 @@
 {
 	uint32_t fit;
 
-	if (machine->stopping_cpus <= 0 && machine->stopping_mem <= 0 &&
+	if (machine->stopping.cpus <= 0 && machine->stopping.mem_gb <= 0 &&
 	    pass->stopping_count < pass->machine_count)
 		pass->stopping_machines[pass->stopping_count++] = machine;
 	ws_preempt_for_task(pass->core, job, machine, true);
--- a/src/core/scheduler/reservations.c
+++ b/src/core/scheduler/reservations.c
@@ -50,7 +50,7 @@
 
 		core->scheduler.steps++;
 		if (i == pass->reservation_scan_start &&
-		    machine->planned_cpus + WS_CAPACITY_TOLERANCE < pass->smallest_reserved_cpus)
+		    machine->planned.cpus + WS_CAPACITY_TOLERANCE < pass->smallest_reserved_cpus)
 			pass->reservation_scan_start++;
 		if (!ws_machine_is_eligible(job, machine) ||
 		    !ws_zone_in_mask(machine->zone_index, zones))
--- a/src/core/scheduler/scheduler.c
+++ b/src/core/scheduler/scheduler.c
@@ -140,14 +140,10 @@
 			continue;
 		pass->machines[pass->machine_count++] = machine;
 		machine->avoided = ws_subsystems_avoid_machine(core, machine);
-		machine->planned_cpus =
-		    machine->type->cpus - machine->used_cpus + machine->stopping_cpus;
-		machine->planned_gpus =
-		    machine->type->gpus - machine->used_gpus + machine->stopping_gpus;
-		machine->planned_mem =
-		    machine->type->mem_gb - machine->used_mem + machine->stopping_mem;
+		machine->planned = ws_machine_free_capacity(machine);
+		ws_capacity_add(&machine->planned, &machine->stopping, 1);
 		pass->open_machines[pass->open_count++] = machine;
-		if (machine->stopping_cpus > 0 || machine->stopping_mem > 0)
+		if (machine->stopping.cpus > 0 || machine->stopping.mem_gb > 0)
 			pass->stopping_machines[pass->stopping_count++] = machine;
 	}
 }
--- a/tests/random_call_copies.c
+++ b/tests/random_call_copies.c
@@ -18,7 +18,8 @@
 		unsigned share = 2 + random_draw(8), copies = 1 + random_draw(5);
 
 		random_event(
-		    at, "repeat-calls %s %u min=0.%u for=%u share=0.%u copies=%u wait-until-stoppable",
+		    at,
+		    "repeat-calls %s %u min=0.%u for=%u share=0.%u copies=%u wait-until-stoppable",
 		    kind, max_s, min, duration_s, share, copies);
 	}
 }
--- a/tests/random_held_up_calls.c
+++ b/tests/random_held_up_calls.c
@@ -18,7 +18,8 @@
 		unsigned share = 1 + random_draw(8), copies = random_chance(70) ? 1 : 2;
 
 		random_event(
-		    at, "hold-up-calls %s %u min=0.%u for=%u share=0.%u copies=%u wait-until-stoppable",
+		    at,
+		    "hold-up-calls %s %u min=0.%u for=%u share=0.%u copies=%u wait-until-stoppable",
 		    kind, max_s, min, duration_s, share, copies);
 	}
 	if (random_chance(40))
--- a/tests/sim_cold_start.c
+++ b/tests/sim_cold_start.c
@@ -177,12 +177,12 @@
 
 	sim_option_text(action->text, "target", target_name, sizeof(target_name));
 	target = from ? worker_named(sim, target_name) : NULL;
-	if (!target || !from->task_count || target->task_count == SIM_TASKS) {
+	if (!target || !from->task_count) {
 		sim_fail(sim, "can't copy a task from worker %s to worker '%s'", action->operand,
 			 target_name);
 		return;
 	}
-	task = &target->tasks[target->task_count++];
+	task = sim_worker_add_task(target);
 	*task = from->tasks[0];
 	task->attempt += (uint64_t)(int64_t)sim_option(action->text, "attempt-offset", 0);
 	task->state = WS_TASK_FETCHING;
--- a/tests/sim_counts.c
+++ b/tests/sim_counts.c
@@ -13,8 +13,7 @@
 /* What the attempts on a machine add up to. */
 struct machine_sums {
 	uint32_t attempts, quarantined, of_unknown_team;
-	double used_cpus, used_gpus, used_mem;
-	double stopping_cpus, stopping_gpus, stopping_mem;
+	struct ws_capacity used, stopping;
 };
 
 static void fail_count(struct sim *sim, const char *owner, const char *count, double kept,
@@ -32,16 +31,21 @@
 
 static void add_resources(struct machine_sums *sums, const struct ws_attempt *attempt)
 {
-	const struct ws_job_spec *spec = &attempt->job->spec;
+	const struct ws_capacity task = ws_task_capacity(&attempt->job->spec);
 
-	sums->used_cpus += spec->cpus;
-	sums->used_gpus += spec->gpus;
-	sums->used_mem += spec->mem_gb;
-	if (!attempt->stopping)
-		return;
-	sums->stopping_cpus += spec->cpus;
-	sums->stopping_gpus += spec->gpus;
-	sums->stopping_mem += spec->mem_gb;
+	ws_capacity_add(&sums->used, &task, 1);
+	if (attempt->stopping)
+		ws_capacity_add(&sums->stopping, &task, 1);
+}
+
+static void check_capacity(struct sim *sim, const struct ws_machine *machine,
+			   const struct ws_capacity *kept, const struct ws_capacity *recomputed)
+{
+	check_count(sim, machine->name, "CPUs", kept->cpus, recomputed->cpus);
+	check_count(sim, machine->name, "GPUs", kept->gpus, recomputed->gpus);
+	check_count(sim, machine->name, "memory", kept->mem_gb, recomputed->mem_gb);
+	check_count(sim, machine->name, "report bytes", kept->report_bytes,
+		    recomputed->report_bytes);
 }
 
 static struct machine_sums sum_attempts(const struct ws_machine *machine)
@@ -70,15 +74,8 @@
 		    sums.quarantined);
 	check_count(sim, machine->name, "attempts of unknown teams",
 		    machine->quarantine.of_unknown_team, sums.of_unknown_team);
-	check_count(sim, machine->name, "CPUs", machine->used_cpus, sums.used_cpus);
-	check_count(sim, machine->name, "GPUs", machine->used_gpus, sums.used_gpus);
-	check_count(sim, machine->name, "memory", machine->used_mem, sums.used_mem);
-	check_count(sim, machine->name, "stopping CPUs", machine->stopping_cpus,
-		    sums.stopping_cpus);
-	check_count(sim, machine->name, "stopping GPUs", machine->stopping_gpus,
-		    sums.stopping_gpus);
-	check_count(sim, machine->name, "stopping memory", machine->stopping_mem,
-		    sums.stopping_mem);
+	check_capacity(sim, machine, &machine->used, &sums.used);
+	check_capacity(sim, machine, &machine->stopping, &sums.stopping);
 }
 
 /* Checks the machines, and the counts that they add up to. */
--- a/tests/sim_gangs.c
+++ b/tests/sim_gangs.c
@@ -14,7 +14,7 @@
 
 /* The tasks of an attempt that have not exited, and counts of their states. */
 struct gang_members {
-	struct member members[SIM_TASKS];
+	struct member members[SIM_GANG_MEMBERS];
 	uint32_t count;
 	uint32_t waiting, running, checkpointing; /* `running` includes `checkpointing` */
 	double first_stopped_at, last_stopped_at;
@@ -53,7 +53,7 @@
 			struct sim_task *task = &worker->tasks[k];
 
 			if (task->attempt == gang->attempt && task->state != WS_TASK_EXITED &&
-			    !strcmp(task->job, job->spec.id) && found->count < SIM_TASKS)
+			    !strcmp(task->job, job->spec.id) && found->count < SIM_GANG_MEMBERS)
 				add_member(sim, found, worker, task);
 		}
 	}
--- a/tests/sim_machine_actions.c
+++ b/tests/sim_machine_actions.c
@@ -201,12 +201,7 @@
 
 	if (!worker)
 		return;
-	if (worker->task_count == SIM_TASKS) {
-		sim_fail(sim, "no free task slot on machine %s", action->operand);
-		return;
-	}
-	task = &worker->tasks[worker->task_count++];
-	memset(task, 0, sizeof(*task));
+	task = sim_worker_add_task(worker);
 	sim_option_text(action->text, "job", task->job, sizeof(task->job));
 	task->attempt = UNRECORDED_ATTEMPT;
 	task->state = WS_TASK_FETCHING;
@@ -227,11 +222,20 @@
 	sim->instant_boot = true;
 }
 
+/* drop-oversize-messages: messages between controllers and workers of more than 64 KiB have no
+ * effect */
+static void run_drop_oversize_messages(struct sim *sim, const struct sim_action *action)
+{
+	(void)action;
+	sim->drops_oversize_messages = true;
+}
+
 const struct sim_action_word sim_machine_actions[] = {
     {"block-inbound", run_block_inbound},
     {"block-outbound", run_block_outbound},
     {"boot-failures", run_boot_failures},
     {"delete-machine", run_delete_machine},
+    {"drop-oversize-messages", run_drop_oversize_messages},
     {"fail-tasks", run_fail_tasks},
     {"hang", run_hang},
     {"instant-boot", run_instant_boot},
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -6,7 +6,7 @@
 
 #define SIM_NODES 5
 #define SIM_WORKERS 8192
-#define SIM_TASKS 64
+#define SIM_GANG_MEMBERS 64
 #define SIM_IMAGES 32
 #define SIM_JOBS 4096
 #define SIM_GANG_ATTEMPTS 16
@@ -67,8 +67,8 @@
 	bool heartbeat_pending;
 	uint64_t heartbeat_id;
 	int node; /* the node to which it sends heartbeats */
-	struct sim_task tasks[SIM_TASKS];
-	int task_count;
+	struct sim_task *tasks;
+	int task_count, task_capacity;
 	char images[SIM_IMAGES][WS_NAME_MAX];
 	int image_count;
 };
@@ -370,6 +370,7 @@
 	double crash_down_s;
 	int boot_failures; /* remaining new instances that never boot */
 	bool instant_boot;
+	bool drops_oversize_messages; /* of machines that an earlier version has overfilled */
 	uint64_t steps;		      /* simulated so far */
 	bool copy_precedes_contact;   /* a copy is being executed by a worker without a token */
 	double reboot_report_after_s; /* from a reboot to the first report */
--- a/tests/sim_worker_tasks.c
+++ b/tests/sim_worker_tasks.c
@@ -1,5 +1,6 @@
 /* Tasks of simulated workers: RUN, STOP and REAP commands, image fetches and runs. */
 #include "sim_checks.h"
+#include "sim_message_sizes.h"
 #include "sim_subsystems.h"
 #include "sim_users.h"
 #include "sim_workers.h"
@@ -7,6 +8,20 @@
 #define FETCH_GB_PER_S 0.5
 #define CAPACITY_TOLERANCE 1e-9
 
+struct sim_task *sim_worker_add_task(struct sim_worker *worker)
+{
+	struct sim_task *task;
+
+	if (worker->task_count == worker->task_capacity) {
+		worker->task_capacity = worker->task_capacity ? 2 * worker->task_capacity : 8;
+		worker->tasks =
+		    realloc(worker->tasks, (size_t)worker->task_capacity * sizeof(*worker->tasks));
+	}
+	task = &worker->tasks[worker->task_count++];
+	memset(task, 0, sizeof(*task));
+	return task;
+}
+
 /* The attempts that a worker has of the task that a command names. */
 struct task_attempts {
 	struct sim_task *task;	/* the named attempt; NULL if the worker does not have it */
@@ -75,11 +90,8 @@
 	return WS_EXIT_NONE;
 }
 
-/*
- * Adds a task in state fetching, or exited if it can't be started. Returns false if the simulation
- * has failed.
- */
-static bool start_task(struct sim *sim, struct sim_worker *worker, const struct ws_command *command,
+/* Adds a task in state fetching, or exited if it can't be started. */
+static void start_task(struct sim *sim, struct sim_worker *worker, const struct ws_command *command,
 		       bool has_other_attempt)
 {
 	const struct sim_job *job = sim_find_job(sim, command->job);
@@ -87,12 +99,7 @@
 	    start_failure_reason(sim, worker, job, has_other_attempt);
 	struct sim_task *task;
 
-	if (worker->task_count == SIM_TASKS) {
-		sim_fail(sim, "machine %s has more than %d tasks", worker->name, SIM_TASKS);
-		return false;
-	}
-	task = &worker->tasks[worker->task_count++];
-	memset(task, 0, sizeof(*task));
+	task = sim_worker_add_task(worker);
 	snprintf(task->job, sizeof(task->job), "%s", command->job);
 	task->task = command->task;
 	task->attempt = command->attempt;
@@ -101,7 +108,6 @@
 	if (job && failure_reason == WS_EXIT_NONE)
 		task->seconds_left = sim_worker_fetch_s(worker, job);
 	sim_worker_expedite_heartbeat(worker, sim->now);
-	return true;
 }
 
 /* Returns whether a task writes a checkpoint before it stops; the grace period must suffice. */
@@ -138,8 +144,7 @@
 	sim_worker_expedite_heartbeat(worker, sim->now);
 }
 
-/* Executes one command. Returns false if the simulation has failed. */
-static bool execute_command(struct sim *sim, struct sim_worker *worker,
+static void execute_command(struct sim *sim, struct sim_worker *worker,
 			    const struct ws_command *command)
 {
 	struct task_attempts found = find_attempts(worker, command);
@@ -147,25 +152,30 @@
 	sim_cold_start_command_received(sim, worker, command, found.task);
 	switch (command->kind) {
 	case WS_COMMAND_RUN:
-		return found.task || start_task(sim, worker, command, found.has_other_attempt);
+		if (!found.task)
+			start_task(sim, worker, command, found.has_other_attempt);
+		break;
 	case WS_COMMAND_STOP:
 		if (found.task)
 			stop_task(sim, worker, found.task, command);
-		return true;
+		break;
 	case WS_COMMAND_REAP:
 		if (found.task)
 			reap_task(sim, worker, found.task);
-		return true;
+		break;
 	}
-	return true;
 }
 
 void sim_worker_execute_commands(struct sim *sim, struct sim_worker *worker,
 				 const struct ws_command *commands, size_t count)
 {
+	if (sim_commands_are_too_large(commands, count)) {
+		if (!sim->drops_oversize_messages)
+			sim_fail(sim, "message size: %zu commands to %s", count, worker->name);
+		return;
+	}
 	for (size_t i = 0; i < count; i++)
-		if (!execute_command(sim, worker, &commands[i]))
-			return;
+		execute_command(sim, worker, &commands[i]);
 }
 
 void sim_task_finished(struct sim *sim, struct sim_job *job, const struct sim_task *task)
--- a/tests/sim_workers.c
+++ b/tests/sim_workers.c
@@ -1,5 +1,6 @@
 /* Simulated workers: heartbeats, direct commands and leases. */
 #include "sim_workers.h"
+#include "sim_message_sizes.h"
 #include "sim_nodes.h"
 #include "sim_subsystems.h"
 
@@ -46,7 +47,7 @@
 {
 	int times = sim->heartbeats_list_tasks_twice ? 2 : 1;
 
-	heartbeat->tasks = calloc(2 * (size_t)SIM_TASKS, sizeof(*heartbeat->tasks));
+	heartbeat->tasks = calloc(2 * (size_t)worker->task_count + 1, sizeof(*heartbeat->tasks));
 	for (int i = 0; i < worker->task_count * times; i++) {
 		const struct sim_task *task = &worker->tasks[i % worker->task_count];
 		struct ws_task_status *status = &heartbeat->tasks[heartbeat->task_count++];
@@ -136,7 +137,7 @@
 		delayed->node = -1;
 	}
 	delayed->heartbeat = *heartbeat;
-	delayed->heartbeat.tasks = calloc(2 * (size_t)SIM_TASKS, sizeof(*heartbeat->tasks));
+	delayed->heartbeat.tasks = calloc(heartbeat->task_count + 1, sizeof(*heartbeat->tasks));
 	memcpy(delayed->heartbeat.tasks, heartbeat->tasks,
 	       heartbeat->task_count * sizeof(*heartbeat->tasks));
 	while (*link && (*link)->due_at <= delayed->due_at)
@@ -158,6 +159,14 @@
 	worker->next_heartbeat_at = sim->now + sim->heartbeat_s * (0.75 + 0.5 * sim_random(sim));
 	worker->heartbeat_id = (++sim->last_request_id << SIM_REQUEST_ID_SHIFT) |
 			       (uint64_t)(worker - sim->workers) | SIM_ID_HEARTBEAT;
+	if (sim_report_is_too_large(&heartbeat)) {
+		if (!sim->drops_oversize_messages)
+			sim_fail(sim, "message size: the report of %s with %zu tasks", worker->name,
+				 heartbeat.task_count);
+		free(heartbeat.tasks);
+		try_next_node(sim, worker);
+		return;
+	}
 	if (sim_is_partitioned(sim, worker, node)) {
 		delay_heartbeat(sim, worker, node, &heartbeat);
 		return;
@@ -378,5 +387,7 @@
 		sim->delayed_heartbeats = delayed->next;
 		free_delayed_heartbeat(delayed);
 	}
+	for (int i = 0; i < sim->worker_count; i++)
+		free(sim->workers[i].tasks);
 	free(sim->workers);
 }
--- a/tests/sim_workers.h
+++ b/tests/sim_workers.h
@@ -55,4 +55,6 @@
 void sim_gang_track_attempt(struct sim *sim, struct sim_job *job, uint64_t attempt);
 /* Seconds for which a task of a job would fetch its image on a worker. */
 double sim_worker_fetch_s(const struct sim_worker *worker, const struct sim_job *job);
+/* Adds a zeroed task to a worker. Valid until the next call. */
+struct sim_task *sim_worker_add_task(struct sim_worker *worker);
 #endif
