The newest live attempt of a task is found again when a newer one is released

Where a task had two live attempts, the release of the newer one left none as the newest, though the older one was live; a live attempt on record could so be taken for superseded.

--- a/src/core/jobs/attempts.c
+++ b/src/core/jobs/attempts.c
@@ -57,6 +57,20 @@
 		machine->used = machine->stopping = (struct ws_capacity){0};
 }
 
+/* Returns the newest live attempt of a task other than one that is being released, or NULL. */
+static struct ws_attempt *ws_task_newest_other(const struct ws_job *job,
+					       const struct ws_attempt *released)
+{
+	struct ws_attempt *attempt, *newest = NULL;
+
+	DL_FOREACH2 (job->attempts, attempt, job_next)
+		if (attempt != released && attempt->task == released->task &&
+		    attempt->state != WS_ATTEMPT_RELEASED &&
+		    (!newest || newest->number < attempt->number))
+			newest = attempt;
+	return newest;
+}
+
 /* Updates the task's number of live attempts and the job's number of waiting tasks. */
 static void ws_attempt_account_task(struct ws_attempt *attempt, int sign)
 {
@@ -78,7 +92,8 @@
 	if (sign > 0 && (!task->newest_attempt || task->newest_attempt->number < attempt->number))
 		task->newest_attempt = attempt;
 	else if (sign < 0 && task->newest_attempt == attempt)
-		task->newest_attempt = NULL;
+		task->newest_attempt =
+		    task->live_attempts ? ws_task_newest_other(job, attempt) : NULL;
 }
 
 void ws_attempt_account(struct ws_core *core, struct ws_attempt *attempt, int sign)
