--- a/tests/sim_message_sizes.c
+++ b/tests/sim_message_sizes.c
@@ -4,7 +4,7 @@
  */
 #include "sim_message_sizes.h"
 
-#define MESSAGE_BYTES_MAX (64 * 1024)
+#define MESSAGE_BYTES_MAX ((size_t)64 * 1024)
 /* The fields of the machine in a report, and those beside the commands in a message. */
 #define REPORT_FIELDS_BYTES 300
 #define MESSAGE_FIELDS_BYTES 80
