Log line: why a job's record has room for no further attempt

The log named a limit for the gang and nothing for the service, so it could not be told whether the placement, the encoder or the store held the rest back.

The line now stands where an attempt is refused, for every kind of job, with the bytes that the attempt would take and those that are left.

--- a/src/core/scheduler/gang_placement.c
+++ b/src/core/scheduler/gang_placement.c
@@ -155,8 +155,6 @@
 		ws_job_mark_dirty(core, job, true);
 		return true;
 	}
-	if (!record_bytes_left)
-		ws_log_wait_reason(core, job, "record limit reached");
 	ws_gang_unplace(core, job);
 	return false;
 }
--- a/src/core/scheduler/task_placement.c
+++ b/src/core/scheduler/task_placement.c
@@ -41,6 +41,18 @@
 	return task;
 }
 
+/* Logs that a job's record has no space for a further attempt, at most once per lease duration. */
+static void ws_log_record_full(struct ws_core *core, struct ws_job *job, size_t attempt_bytes,
+			       size_t bytes_left)
+{
+	if (ws_wait_log_is_due(core, job))
+		ws_log(core, WS_LOG_INFO,
+		       "job waiting job=%s reason=\"record full\" tasks=%u waiting=%u attempts=%u "
+		       "attempt_bytes=%zu bytes_left=%zu value_limit_bytes=%.0f",
+		       job->spec.id, job->spec.tasks, job->waiting, job->attempt_count,
+		       attempt_bytes, bytes_left, core->writer.value_bytes_max);
+}
+
 /* Plans an attempt of a task. Returns false and plans nothing if the job's record has no space. */
 static bool ws_place_task(struct ws_core *core, struct ws_job *job, struct ws_machine *machine,
 			  uint32_t task, uint64_t attempt_number, size_t *record_bytes_left)
@@ -53,6 +65,7 @@
 	if (size > *record_bytes_left) {
 		ws_attempt_account(core, attempt, -1);
 		ws_attempt_free(attempt);
+		ws_log_record_full(core, job, size, *record_bytes_left);
 		*record_bytes_left = 0;
 		return false;
 	}
