--- a/src/core/api/cancellation.c
+++ b/src/core/api/cancellation.c
@@ -40,15 +40,18 @@
 static void ws_cancel_split_record(struct ws_core *core, struct ws_call *call)
 {
 	const struct ws_user_request *request = call->context;
+	json_t *record = call->transaction.operations[0].value;
 	size_t continuations_max = (size_t)core->settings->transaction_ops - 1, continuation_count,
-	       original_size = ws_record_size(call->transaction.operations[0].value);
+	       original_size = ws_record_size(record);
+	uint32_t first_number = ws_job_record_continuation_count(record);
 	json_t **continuations = ws_alloc(continuations_max + 1, sizeof(*continuations));
 
-	ws_job_record_split(call->transaction.operations[0].value, ws_job_record_size_limit(core),
-			    continuations, continuations_max, &continuation_count);
+	ws_job_record_split(record, ws_job_record_size_limit(core), continuations,
+			    continuations_max, &continuation_count);
 	for (size_t i = 0; i < continuation_count; i++) {
 		snprintf(call->transaction.operations[call->transaction.operation_count].key,
-			 WS_KEY_MAX, WS_KEY_PREFIX_JOB_CONTINUATION "%s/%zu", request->job, i);
+			 WS_KEY_MAX, WS_KEY_PREFIX_JOB_CONTINUATION "%s/%zu", request->job,
+			 first_number + i);
 		call->transaction.operations[call->transaction.operation_count++].value =
 		    continuations[i];
 	}
--- a/src/core/api/submission.c
+++ b/src/core/api/submission.c
@@ -34,8 +34,7 @@
 	bool fits = false;
 
 	for (size_t i = 0; i < core->catalog.type_count; i++)
-		fits |= ws_machine_type_fits(&core->catalog.types[i], spec) &&
-			ws_gang_fits_record(core, spec, &core->catalog.types[i]);
+		fits |= ws_machine_type_fits(&core->catalog.types[i], spec);
 	return team && fits && ws_gang_can_spread(core, spec) &&
 	       tasks_at_once * spec->cpus <= team->settings->cpus_max + 1e-9 &&
 	       tasks_at_once * spec->gpus <= team->settings->gpus_max + 1e-9;
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -136,9 +136,9 @@
 	ws_status_cache_apply(core, call, result);
 }
 
-void ws_core_attempts_read(struct ws_core *core, const char *job_id, json_t *record)
+void ws_core_attempts_read(struct ws_core *core, const char *job_id, json_t *record, uint32_t part)
 {
-	ws_attempts_restore(core, job_id, record);
+	ws_attempts_restore(core, job_id, record, part);
 }
 
 void ws_core_attempts_restored(struct ws_core *core)
--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -104,8 +104,9 @@
 void ws_core_job_watch_answered(struct ws_core *core, const struct ws_call *call,
 				const struct ws_result *result);
 
-/* Called by the jobs part for each record read after the election: restores its attempts. */
-void ws_core_attempts_read(struct ws_core *core, const char *job_id, json_t *record);
+/* Called by the jobs part for each record read after the election: restores the attempts in a part
+ * of a job's records. */
+void ws_core_attempts_read(struct ws_core *core, const char *job_id, json_t *record, uint32_t part);
 /* Called by the jobs part when all records have been read. */
 void ws_core_attempts_restored(struct ws_core *core);
 /* Called by the jobs part when it adds a job: links the job's quarantined attempts to it. */
--- a/src/core/fleet/fleet.h
+++ b/src/core/fleet/fleet.h
@@ -350,7 +350,7 @@
 /* ---- restored_attempts.c ---- */
 
 /* Adds the attempts named by the record of a job or by one of its continuation records. */
-void ws_attempts_restore(struct ws_core *core, const char *job_id, json_t *record);
+void ws_attempts_restore(struct ws_core *core, const char *job_id, json_t *record, uint32_t part);
 /* Called when all records are read: marks attempts of cancelled jobs, and attempts superseded by a
  * newer attempt of their task, to be stopped. */
 void ws_attempts_stop_superseded(struct ws_core *core);
--- a/src/core/fleet/gang_attempts.c
+++ b/src/core/fleet/gang_attempts.c
@@ -24,12 +24,6 @@
  * stopped. */
 #define BROKEN_GANG_STOP_INTERVALS 1.5
 
-/* Whether an attempt is live and named by a record. */
-static bool ws_attempt_is_gang_member(const struct ws_attempt *attempt)
-{
-	return attempt->state != WS_ATTEMPT_RELEASED && !attempt->unrecorded;
-}
-
 /* Whether a task cannot be running: its run command was not sent, or its worker reported it as
  * fetching or waiting. */
 static bool ws_gang_task_is_assembling(const struct ws_attempt *attempt)
@@ -92,7 +86,7 @@
 	uint32_t stopped = 0;
 
 	DL_FOREACH_SAFE2 (job->attempts, attempt, next_attempt, job_next)
-		if (ws_attempt_is_gang_member(attempt) && !attempt->stopping) {
+		if (ws_attempt_is_listed(attempt) && !attempt->stopping) {
 			attempt->machine->commands.pending = true;
 			ws_attempt_stop(core, attempt, grace_s, WS_STOP_ALREADY_LOGGED);
 			stopped++;
@@ -144,7 +138,7 @@
 	const struct ws_attempt *attempt;
 
 	DL_FOREACH2 (job->attempts, attempt, job_next) {
-		if (!ws_attempt_is_gang_member(attempt))
+		if (!ws_attempt_is_listed(attempt))
 			continue;
 		progress.members++;
 		progress.stopping += attempt->stopping;
--- a/src/core/jobs/attempts.c
+++ b/src/core/jobs/attempts.c
@@ -128,6 +128,7 @@
 	attempt->number = number;
 	attempt->incarnation = machine->incarnation;
 	attempt->planned_at = core->now;
+	attempt->part = attempt->listed_part = WS_PART_NONE;
 	attempt->machine_next = machine->attempts;
 	machine->attempts = attempt;
 	if (attempt->job)
@@ -145,6 +146,7 @@
 	if (attempt->job)
 		DL_DELETE2(attempt->job->attempts, attempt, job_prev, job_next);
 	attempt->job = job;
+	attempt->part = attempt->listed_part = WS_PART_NONE;
 	if (job) {
 		DL_APPEND2(job->attempts, attempt, job_prev, job_next);
 		ws_attempt_clear_unknown_team(core, attempt);
@@ -205,6 +207,8 @@
 		ws_attempt_free(attempt);
 	} else {
 		attempt->state = WS_ATTEMPT_RELEASED;
+		ws_job_part_changed(job, attempt->part);
+		ws_job_part_changed(job, attempt->listed_part);
 		ws_job_mark_dirty(core, job, false);
 	}
 	if (job)
--- a/src/core/jobs/continuation_records.c
+++ b/src/core/jobs/continuation_records.c
@@ -1,25 +1,55 @@
 /*
  * The record source of the continuation records, more/<job>/<number>, which hold the attempts that
- * do not fit into a job's own record. The node that accepts a user's cancel request writes them
- * (api/cancellation.c), and they are deleted together with their job's record. This source deletes
- * those that a new leader finds without a live job.
+ * do not fit into a job's own record. They are written together with that record (job_records.c),
+ * but for transactions that only make room in it, whose outcome is handled here. This source also
+ * deletes the records of jobs that are over or unknown.
  */
 #include "../core_state.h"
 #include "../record_sources.h"
+#include "record_parts.h"
 
 /* Expiry time of an orphaned record's tombstone, which must last until the record is deleted. */
 #define NEVER_EXPIRES 1e18
+/* Larger numbers are taken for malformed keys. */
+#define CONTINUATION_NUMBER_MAX WS_MAX_TASKS
 
-static void ws_continuation_load(struct ws_core *core, const struct ws_kv *record)
+static struct ws_job *ws_job_of_continuation(struct ws_core *core, const char *key)
 {
-	const char *name = record->key + strlen(WS_KEY_PREFIX_JOB_CONTINUATION);
+	const char *name = key + strlen(WS_KEY_PREFIX_JOB_CONTINUATION);
 	char job_id[WS_ID_MAX];
 
 	snprintf(job_id, sizeof(job_id), "%.*s", (int)strcspn(name, "/"), name);
-	if (ws_job_find(core, job_id))
-		ws_core_attempts_read(core, job_id, record->value);
-	else if (strlen(record->key) < WS_NAME_MAX) /* its job no longer exists */
-		ws_tombstone_set(&core->jobs.orphaned_continuations, record->key, NEVER_EXPIRES);
+	return ws_job_find(core, job_id);
+}
+
+/* Returns the number of the part that a key stands for, or WS_PART_NONE if the key is malformed. */
+static uint32_t ws_part_of_continuation(const char *key)
+{
+	const char *number = strrchr(key, '/') + 1;
+	char *end;
+	unsigned long value = strtoul(number, &end, 10);
+
+	return end != number && !*end && value < CONTINUATION_NUMBER_MAX ? (uint32_t)value + 1
+									 : WS_PART_NONE;
+}
+
+void ws_continuation_orphaned(struct ws_core *core, const char *key)
+{
+	if (strlen(key) < WS_NAME_MAX)
+		ws_tombstone_set(&core->jobs.orphaned_continuations, key, NEVER_EXPIRES);
+}
+
+static void ws_continuation_load(struct ws_core *core, const struct ws_kv *record)
+{
+	struct ws_job *job = ws_job_of_continuation(core, record->key);
+	uint32_t part = ws_part_of_continuation(record->key);
+
+	if (!job || part == WS_PART_NONE) {
+		ws_continuation_orphaned(core, record->key);
+		return;
+	}
+	ws_job_part_add(job, part)->stored = true;
+	ws_core_attempts_read(core, job->spec.id, record->value, part);
 }
 
 /* Deletes the orphaned records. Their tombstones expire now and are freed by the periodic cleanup.
@@ -36,8 +66,46 @@
 	}
 }
 
+/* Returns the job of an operation whose transaction does not write the job's own record, or NULL:
+ * the source of that record handles the outcome then. */
+static struct ws_job *ws_job_of_separate_write(struct ws_core *core,
+					       const struct ws_operation *operation)
+{
+	struct ws_job *job = ws_job_of_continuation(core, operation->key);
+
+	return job && job->record.write_in_flight && !job->record.own.write_in_flight ? job : NULL;
+}
+
+static void ws_continuation_written(struct ws_core *core, const struct ws_operation *operation,
+				    uint64_t revision)
+{
+	struct ws_job *job = ws_job_of_separate_write(core, operation);
+
+	if (!job)
+		return;
+	job->record.write_in_flight = false;
+	ws_job_parts_written(job);
+	ws_log(core, WS_LOG_DEBUG, "continuation records written job=%s revision=%llu",
+	       job->spec.id, (unsigned long long)revision);
+}
+
+static bool ws_continuation_not_written(struct ws_core *core, const struct ws_operation *operation,
+					const struct ws_compare *failed_compare)
+{
+	struct ws_job *job = ws_job_of_separate_write(core, operation);
+
+	(void)failed_compare; /* of the key of the operation, which has no compare */
+	if (job)
+		ws_job_records_not_written(core, job);
+	else if (!ws_job_of_continuation(core, operation->key))
+		ws_continuation_orphaned(core, operation->key);
+	return false;
+}
+
 const struct ws_record_source ws_continuation_records = {
     .key_prefix = WS_KEY_PREFIX_JOB_CONTINUATION,
     .load = ws_continuation_load,
     .collect = ws_continuation_collect,
+    .written = ws_continuation_written,
+    .not_written = ws_continuation_not_written,
 };
--- a/src/core/jobs/job_records.c
+++ b/src/core/jobs/job_records.c
@@ -1,9 +1,12 @@
 /*
- * The record source of the jobs: job/<id> holds a live job, old/<id> an archived one. Decides which
- * records are due and in which order they are written, and handles the outcome of each write.
+ * The record source of the jobs: job/<id> holds a live job, more/<id>/<n> the attempts that have no
+ * room in it, old/<id> an archived one. Decides which records are due and in which order they are
+ * written, and handles the outcome of each write.
  */
 #include "../core_state.h"
 #include "../record_sources.h"
+#include "live_job_records.h"
+#include "record_parts.h"
 
 /* A record in which only completed tasks have changed is written after this many seconds if there
  * is spare write budget: users may see progress this late. */
@@ -12,10 +15,8 @@
 #define PROGRESS_DELAY_LEASE_DIVISOR 2
 /* After this fraction (1/n) of a lease, a portion of an array gets the rank of a whole job. */
 #define PORTION_DELAY_LEASE_DIVISOR 4
-/* Estimated record sizes: of a finished job, of a live job without attempts, of each attempt. */
+/* Estimated size of the operations that archive a finished job. */
 #define FINISHED_JOB_BYTES 256
-#define JOB_BYTES 1024
-#define ATTEMPT_BYTES 24
 /* A finished job needs two operations: one on its job/ key and one on its old/ key. */
 #define JOB_OPERATIONS 2
 
@@ -34,7 +35,7 @@
 	const char *job_id = record->key + strlen(WS_KEY_PREFIX_JOB);
 
 	ws_job_record_changed(core, job_id, record->value, record->revision);
-	ws_core_attempts_read(core, job_id, record->value);
+	ws_core_attempts_read(core, job_id, record->value, 0);
 }
 
 static void ws_jobs_loaded(struct ws_core *core)
@@ -79,56 +80,30 @@
 	return WS_JOB_RANK_ARRAY_PORTION;
 }
 
-/* Moves a finished job's record to its old/ key and deletes its continuation records. */
+/* Moves a finished job's record to its old/ key and deletes its continuation records. Those that do
+ * not fit into this transaction are orphaned when it is committed. */
 static void ws_job_add_finished(struct ws_write_batch *batch, struct ws_job *job)
 {
 	char key[WS_KEY_MAX];
 
+	job->record.own.write_in_flight = true;
 	snprintf(key, sizeof(key), "%s%s", WS_KEY_PREFIX_ARCHIVED_JOB, job->spec.id);
 	ws_write_batch_set_if(batch, key, 0, ws_archived_job_record_encode(job));
-	snprintf(key, sizeof(key), "%s%s", WS_KEY_PREFIX_JOB, job->spec.id);
+	ws_job_part_key(job, 0, key);
 	ws_write_batch_set_if(batch, key, job->record.revision, NULL);
-	/* those that do not fit into this transaction are deleted by the next leader as orphaned */
-	for (uint32_t i = 0;
-	     i < job->record.continuation_count && ws_write_batch_operations_left(batch); i++) {
-		snprintf(key, sizeof(key), "%s%s/%u", WS_KEY_PREFIX_JOB_CONTINUATION, job->spec.id,
-			 i);
+	for (uint32_t number = 1;
+	     number < ws_job_part_count(job) && ws_write_batch_operations_left(batch); number++) {
+		struct ws_record_part *part = ws_job_part(job, number);
+
+		if (!part->stored)
+			continue;
+		part->write_in_flight = part->delete_in_flight = true;
+		ws_job_part_key(job, number, key);
 		ws_write_batch_set(batch, key, NULL);
 	}
 	batch->bytes += FINISHED_JOB_BYTES;
 }
 
-/* Releases the planned attempts of a job whose record would exceed the size limit with them. */
-static void ws_job_release_planned(struct ws_core *core, struct ws_job *job)
-{
-	struct ws_attempt *attempt, *next;
-
-	DL_FOREACH_SAFE2 (job->attempts, attempt, next, job_next)
-		if (attempt->state == WS_ATTEMPT_PLANNED)
-			ws_attempt_release(core, attempt, WS_RELEASE_NEVER_SENT);
-	ws_log(core, WS_LOG_INFO, "job record size limit reached, planned attempts released job=%s",
-	       job->spec.id);
-}
-
-static void ws_job_add_live(struct ws_core *core, struct ws_write_batch *batch, struct ws_job *job)
-{
-	json_t *value = ws_core_encode_job_record(core, job, ws_job_record_size_limit(core));
-	char key[WS_KEY_MAX];
-
-	if (!value) {
-		ws_job_release_planned(core, job);
-		value = ws_core_encode_job_record(core, job, ws_job_record_size_limit(core));
-	}
-	if (!value) {
-		job->record.write_in_flight = false;
-		return;
-	}
-	snprintf(key, sizeof(key), "%s%s", WS_KEY_PREFIX_JOB, job->spec.id);
-	ws_write_batch_set_if(batch, key, job->record.revision, value);
-	/* most bytes of a record are its attempts */
-	batch->bytes += JOB_BYTES + ATTEMPT_BYTES * (size_t)job->attempt_count;
-}
-
 static void ws_job_add_to_batch(struct ws_core *core, struct ws_write_batch *batch,
 				struct ws_job *job)
 {
@@ -166,22 +141,11 @@
 
 /* ---- outcome of a write ---- */
 
-/* After a write of a job's record: its planned attempts are recorded, so they may be started. */
+/* After a write of a job's records: its planned attempts in them are recorded, so they may be
+ * started. */
 static void ws_job_mark_written(struct ws_job *job)
 {
-	struct ws_attempt *attempt, *next;
-
-	DL_FOREACH_SAFE2 (job->attempts, attempt, next, job_next) {
-		if (attempt->state == WS_ATTEMPT_RELEASED && !attempt->write_in_flight) {
-			ws_attempt_free(attempt); /* the record no longer lists it */
-			continue;
-		}
-		if (attempt->write_in_flight && attempt->state == WS_ATTEMPT_PLANNED) {
-			attempt->state = WS_ATTEMPT_RECORDED;
-			attempt->machine->commands.pending = true;
-		}
-		attempt->write_in_flight = false;
-	}
+	ws_job_parts_written(job);
 	for (uint32_t task = 0; task < job->spec.tasks; task++)
 		if (job->tasks[task].write_in_flight) {
 			job->tasks[task].recorded = true;
@@ -200,6 +164,7 @@
 	if (!operation->value) {
 		ws_tombstone_set(&core->jobs.archived, job->spec.id,
 				 core->now + core->settings->lease_s);
+		ws_job_parts_written(job);
 		ws_job_free(core, job);
 		return;
 	}
@@ -219,24 +184,33 @@
 		ws_core_job_commands_due(core, job);
 }
 
-/* Marks the job's record dirty again. If the compare failed because a user cancelled the job, the
- * job watch delivers the new record, so it is not read here. */
-static bool ws_job_not_written(struct ws_core *core, const struct ws_operation *operation,
-			       const struct ws_compare *failed_compare)
+/* Notes that a job's own record is newer than the replica. A user has cancelled the job: the job
+ * watch delivers the new record, so it is not read here. */
+static void ws_job_compare_failed(struct ws_core *core, const struct ws_compare *compare)
 {
-	struct ws_job *job = ws_job_of_key(core, operation->key);
-	struct ws_attempt *attempt;
+	struct ws_job *job = ws_job_of_key(core, compare->key);
 
-	if (!job)
-		return false;
-	if (failed_compare && failed_compare->revision == job->record.revision)
+	if (job && compare->revision == job->record.revision)
 		job->record.compare_failed = true;
+}
+
+void ws_job_records_not_written(struct ws_core *core, struct ws_job *job)
+{
 	job->record.write_in_flight = false;
 	for (uint32_t task = 0; task < job->spec.tasks; task++)
 		job->tasks[task].write_in_flight = false;
-	DL_FOREACH2 (job->attempts, attempt, job_next)
-		attempt->write_in_flight = false;
+	ws_job_parts_not_written(job);
 	ws_job_mark_dirty(core, job, true);
+}
+
+static bool ws_job_not_written(struct ws_core *core, const struct ws_operation *operation,
+			       const struct ws_compare *failed_compare)
+{
+	struct ws_job *job = ws_job_of_key(core, operation->key);
+
+	(void)failed_compare; /* handled by ws_job_compare_failed() */
+	if (job)
+		ws_job_records_not_written(core, job);
 	return false;
 }
 
@@ -249,4 +223,5 @@
     .written = ws_job_written,
     .committed = ws_job_committed,
     .not_written = ws_job_not_written,
+    .compare_failed = ws_job_compare_failed,
 };
--- a/src/core/jobs/jobs.c
+++ b/src/core/jobs/jobs.c
@@ -1,5 +1,6 @@
 /* The leader's replica of the live jobs: adds, updates, finishes and frees them. */
 #include "../core_state.h"
+#include "record_parts.h"
 
 /* Version of the eligible machine types of a job for which they were never determined. */
 #define NO_TYPES_VERSION (-1)
@@ -45,8 +46,7 @@
 	job->eligible_types_version = core->catalog.types_version;
 	job->eligible_types = 0;
 	for (size_t i = 0; i < core->catalog.type_count; i++)
-		if (ws_machine_type_fits(&core->catalog.types[i], &job->spec) &&
-		    ws_gang_fits_record(core, &job->spec, &core->catalog.types[i]))
+		if (ws_machine_type_fits(&core->catalog.types[i], &job->spec))
 			job->eligible_types |= 1u << i;
 }
 
@@ -69,6 +69,8 @@
 	if (job->record.dirty)
 		DL_DELETE2(core->jobs.dirty, job, dirty_prev, dirty_next);
 	HASH_DEL(core->jobs.by_id, job);
+	ws_job_parts_orphan(core, job);
+	ws_job_parts_free(job);
 	free(job->tasks);
 	free(job);
 }
@@ -149,7 +151,7 @@
 	job->record.revision = revision;
 	job->record.compare_failed = false;
 	ws_writer_wake(core);
-	job->record.continuation_count = ws_job_record_continuation_count(value);
+	ws_job_parts_named(job, ws_job_record_continuation_count(value));
 	if (!ws_job_status_decode(value, &phase, &done, &running))
 		return;
 	if (phase != WS_JOB_CANCELLED)
@@ -173,7 +175,7 @@
 	if (!job)
 		return NULL;
 	job->record.revision = revision;
-	job->record.continuation_count = ws_job_record_continuation_count(value);
+	ws_job_parts_named(job, ws_job_record_continuation_count(value));
 	job->team = ws_team_find(core, job->spec.team);
 	job->pinned_zone = ws_zone_index(core, job->spec.zone);
 	job->image_index = ws_image_index(core, job->spec.image);
@@ -235,6 +237,7 @@
 	HASH_CLEAR(hh, core->jobs.by_id);
 	for (; job; job = next) {
 		next = job->hh.next;
+		ws_job_parts_free(job);
 		free(job->tasks);
 		free(job);
 	}
--- a/src/core/jobs/jobs.h
+++ b/src/core/jobs/jobs.h
@@ -40,15 +40,35 @@
 	bool replicas_apart;
 };
 
-/* State of a job's record in the store, and whether it must be written. */
+/*
+ * A stored record that lists attempts of a job. The parts of a job are numbered: part 0 is the
+ * job's own record, job/<id>, and part n above 0 is the continuation record more/<id>/<n - 1>.
+ */
+struct ws_record_part {
+	bool stored; /* may exist in the store */
+	bool dirty;  /* the attempts that it must list have changed */
+	bool write_in_flight;
+	bool delete_in_flight;
+	bool closed; /* takes no further attempts in the layout under way */
+};
+
+/* In place of a part's number: no part lists the attempt. */
+#define WS_PART_NONE UINT32_MAX
+
+/* State of a job's records in the store, and whether they must be written. */
 struct ws_job_record_state {
-	uint64_t revision;
+	uint64_t revision; /* of the job's own record */
 	bool dirty;	   /* the job is in the list of dirty jobs */
 	bool write_urgent; /* has starts or an end to write, which users wait for */
 	bool write_in_flight;
 	bool compare_failed; /* the revision is outdated; writes wait for the job watch */
 	double dirty_since;
-	uint32_t continuation_count; /* number of the job's continuation records */
+	struct ws_record_part own;	      /* part 0 */
+	struct ws_record_part *continuations; /* parts 1 and up; owned */
+	uint32_t continuation_count;
+	/* number of continuation records according to the job's own record as it was read; those
+	 * beyond are outdated: a version that does not know them has written it since */
+	uint32_t named_continuations;
 };
 
 /* A gang's attempts and capacity reservations. A time of 0 means that the event has not occurred.
@@ -164,9 +184,12 @@
 
 	/* recorded state */
 	enum ws_attempt_state state;
-	bool write_in_flight; /* is in the write of its job's record in flight */
-	bool unrecorded;      /* reported by its worker, but in no record */
-	bool quarantined;     /* unrecorded; neither stopped nor reaped */
+	bool write_in_flight; /* is in the write of its job's records in flight */
+	uint32_t part;	      /* of its job's records, the one that is to list it */
+	uint32_t listed_part; /* the one that lists it, or may after a write in flight */
+	bool in_other_part; /* another part may list it as well until all dirty parts are written */
+	bool unrecorded;    /* reported by its worker, but in no record */
+	bool quarantined;   /* unrecorded; neither stopped nor reaped */
 	bool of_unknown_team; /* may run and its job is unknown: counts against every team */
 	bool awaiting_reconciliation; /* recorded at the election, not reconciled yet */
 
@@ -265,6 +288,12 @@
 	return attempt->number == number && attempt->task == task &&
 	       !strcmp(attempt->job_id, job_id);
 }
+/* Whether a job's records must list an attempt: it may be running, and was not found running
+ * without a record. */
+static inline bool ws_attempt_is_listed(const struct ws_attempt *attempt)
+{
+	return attempt->state != WS_ATTEMPT_RELEASED && !attempt->unrecorded;
+}
 /* Whether a command to run an attempt may be sent. */
 bool ws_attempt_is_runnable(const struct ws_core *core, const struct ws_attempt *attempt);
 /* Marks an attempt as stopping and counts its resources as about to become free. */
@@ -302,16 +331,23 @@
 
 /* Returns the maximum size in bytes of a job's record, with a reserve below the store's limit. */
 size_t ws_job_record_size_limit(const struct ws_core *core);
-/* Calls ws_job_record_encode() with the catalog's number of zones. */
-json_t *ws_core_encode_job_record(const struct ws_core *core, const struct ws_job *job,
-				  size_t limit);
+/* Whether new attempts of a job may be listed in continuation records. An array runs in slices
+ * instead: those of its tasks that its own record has no room for wait until others end. */
+bool ws_job_may_continue(const struct ws_job *job);
+/* Returns how many bytes attempts may take in a part of a job's records. */
+size_t ws_record_part_room(const struct ws_core *core, const struct ws_job *job, uint32_t part);
 /* Calls ws_attempt_list_growth() with the shared prefix of the machine names. */
 size_t ws_record_attempt_size(const struct ws_core *core, const struct ws_attempt *before,
 			      const struct ws_attempt *attempt);
-/*
- * Whether a record can list all attempts of a gang on machines of a type, since a gang is recorded
- * as a whole. It takes about 8 bytes for each machine, in addition to the description.
- */
-bool ws_gang_fits_record(const struct ws_core *core, const struct ws_job_spec *spec,
-			 const struct ws_machine_type *type);
+/* Returns how many bytes are left for new attempts of a job, SIZE_MAX if it may continue in further
+ * records. */
+size_t ws_record_bytes_left(const struct ws_core *core, const struct ws_job *job);
+
+/* ---- record_parts.c ---- */
+
+/* Notes that the attempts which a part must list have changed. Accepts WS_PART_NONE. */
+void ws_job_part_changed(struct ws_job *job, uint32_t number);
+/* Notes that a new leader has read a part that lists an attempt which another part lists as well:
+ * the part is written again without it. */
+void ws_job_part_repeats(struct ws_core *core, struct ws_attempt *attempt, uint32_t number);
 #endif
--- a/src/core/records/attempt_list.c
+++ b/src/core/records/attempt_list.c
@@ -9,6 +9,13 @@
  * the attempt's sequence number unless it equals the previous one, and "=" with the tasks as
  * ranges. An attempt number is the term, shifted left by WS_ATTEMPT_SHIFT, plus the sequence
  * number; all attempts of one placement pass have the same number.
+ *
+ * Compatibility: versions that do not know continuation records read a job's own record alone. So
+ * that they place no task which a continuation record lists, the own record also holds entries of
+ * term 0, one for each zone, with a machine that does not exist and the range of these tasks: such
+ * a leader waits until the lease of that machine has surely expired, and every other machine has
+ * either reported its tasks by then or lost its lease as well. This version skips these entries in
+ * a record that names its continuation records.
  */
 #include "attempt_list.h"
 #include "../core_state.h"
@@ -18,6 +25,12 @@
 #define WS_ZONE_UNKNOWN (-1)	 /* zone index of a machine whose zone is not known yet */
 #define WS_ENTRY_OVERHEAD_MAX 32 /* bytes of an entry's punctuation and term */
 
+/* Term of the entries that stand for continuation records; lower than that of any leader. */
+#define WS_CONTINUED_TERM 0
+/* Machine of these entries. It sorts before all names of machines, so that a version which reads it
+ * never asks the cloud to return it. */
+#define WS_CONTINUED_MACHINE "!continued"
+
 uint64_t ws_attempt_term(uint64_t attempt)
 {
 	return attempt >> WS_ATTEMPT_SHIFT;
@@ -86,11 +99,6 @@
 
 /* ---- encoding of a job's attempts ---- */
 
-static bool ws_attempt_is_listed(const struct ws_attempt *attempt)
-{
-	return attempt->state != WS_ATTEMPT_RELEASED && !attempt->unrecorded;
-}
-
 /* Returns true if two attempts are written under one machine name: machine, incarnation and attempt
  * number are the same. */
 static bool ws_same_machine_and_attempt(const struct ws_attempt *one,
@@ -102,14 +110,15 @@
 
 /* Returns the length of the common prefix of an entry's machine names, which is shorter than each
  * of the names. */
-static size_t ws_entry_shared_prefix(const struct ws_job *job, int zone, uint64_t term)
+static size_t ws_entry_shared_prefix(const struct ws_attempt_slice *slice, int zone, uint64_t term)
 {
-	const struct ws_attempt *attempt;
 	const char *first = NULL;
 	size_t length = 0;
 
-	DL_FOREACH2 (job->attempts, attempt, job_next) {
-		if (!ws_attempt_is_listed(attempt) || attempt->machine->zone_index != zone ||
+	for (size_t i = 0; i < slice->count; i++) {
+		const struct ws_attempt *attempt = slice->attempts[i];
+
+		if (attempt->machine->zone_index != zone ||
 		    ws_attempt_term(attempt->number) != term)
 			continue;
 		if (!first) {
@@ -121,20 +130,16 @@
 	return length;
 }
 
-/* Marks the attempts that form one range beginning with `attempt` as being written. Returns the
- * last of them. */
-static struct ws_attempt *ws_attempt_range_mark(struct ws_attempt *attempt)
+/* Returns the index of the last attempt of the range that begins at an index. */
+static size_t ws_attempt_range_end(const struct ws_attempt_slice *slice, size_t first)
 {
-	struct ws_attempt *next = attempt->job_next;
-
-	attempt->write_in_flight = true;
-	while (next && ws_attempt_is_listed(next) && ws_same_machine_and_attempt(attempt, next) &&
-	       next->task == attempt->task + 1) {
-		attempt = next;
-		attempt->write_in_flight = true;
-		next = attempt->job_next;
-	}
-	return attempt;
+	size_t last = first;
+
+	while (last + 1 < slice->count &&
+	       ws_same_machine_and_attempt(slice->attempts[last], slice->attempts[last + 1]) &&
+	       slice->attempts[last + 1]->task == slice->attempts[last]->task + 1)
+		last++;
+	return last;
 }
 
 static struct ws_attempt_range ws_attempt_range_of(const struct ws_attempt *first,
@@ -150,52 +155,90 @@
 	};
 }
 
-static void ws_zone_attempts_encode(const struct ws_job *job, int zone,
+static void ws_zone_attempts_encode(const struct ws_attempt_slice *slice, int zone,
 				    struct ws_attempt_entry_writer *writer, json_t *list)
 {
 	const struct ws_attempt *previous = NULL; /* last attempt of the unfinished entry */
 
-	for (struct ws_attempt *attempt = job->attempts; attempt; attempt = attempt->job_next) {
-		const struct ws_attempt *first = attempt;
-		uint64_t term = ws_attempt_term(attempt->number);
+	for (size_t i = 0; i < slice->count; i++) {
+		const struct ws_attempt *first = slice->attempts[i];
+		uint64_t term = ws_attempt_term(first->number);
 
-		if (!ws_attempt_is_listed(attempt) || attempt->machine->zone_index != zone)
+		if (first->machine->zone_index != zone)
 			continue;
 		if (previous && ws_attempt_term(previous->number) != term) {
 			ws_attempt_entry_close(writer, list);
 			previous = NULL;
 		}
 		if (!previous)
-			writer->shared_prefix = ws_entry_shared_prefix(job, zone, term);
-		attempt = ws_attempt_range_mark(attempt);
+			writer->shared_prefix = ws_entry_shared_prefix(slice, zone, term);
+		i = ws_attempt_range_end(slice, i);
 		if (ws_same_machine_and_attempt(previous, first)) {
-			ws_attempt_entry_add_tasks(writer, first->task, attempt->task);
+			ws_attempt_entry_add_tasks(writer, first->task, slice->attempts[i]->task);
 		} else {
-			struct ws_attempt_range range = ws_attempt_range_of(first, attempt);
+			struct ws_attempt_range range =
+			    ws_attempt_range_of(first, slice->attempts[i]);
 
 			ws_attempt_entry_add(writer, &range);
 		}
-		previous = attempt;
+		previous = slice->attempts[i];
 	}
 	if (previous)
 		ws_attempt_entry_close(writer, list);
 }
 
-json_t *ws_attempt_list_encode(const struct ws_job *job, int zone_count)
+static bool ws_slice_has_zone(const struct ws_attempt_slice *slice, int zone)
+{
+	for (size_t i = 0; i < slice->count; i++)
+		if (slice->attempts[i]->machine->zone_index == zone)
+			return true;
+	return false;
+}
+
+json_t *ws_attempt_list_encode(const struct ws_attempt_slice *slice, int zone_count)
 {
 	json_t *list = json_array();
 	struct ws_attempt_entry_writer writer = {0};
-	struct ws_attempt *attempt;
 
-	DL_FOREACH2 (job->attempts, attempt, job_next)
-		attempt->write_in_flight = false;
 	for (int zone = WS_ZONE_UNKNOWN; zone < zone_count; zone++)
-		if (zone == WS_ZONE_UNKNOWN || job->attempts_by_zone[zone])
-			ws_zone_attempts_encode(job, zone, &writer, list);
+		if (ws_slice_has_zone(slice, zone))
+			ws_zone_attempts_encode(slice, zone, &writer, list);
 	ws_attempt_entry_writer_free(&writer);
 	return list;
 }
 
+/* Appends the entry of one zone for versions that do not know continuation records. */
+static void ws_continued_entry_append(const struct ws_job *job, int zone, json_t *list)
+{
+	struct ws_attempt_range range = {.machine = WS_CONTINUED_MACHINE,
+					 .incarnation = WS_FIRST_INCARNATION,
+					 .first_task = UINT32_MAX};
+	struct ws_attempt_entry_writer writer = {0};
+	const struct ws_attempt *attempt;
+
+	DL_FOREACH2 (job->attempts, attempt, job_next) {
+		if (!ws_attempt_is_listed(attempt) || attempt->machine->zone_index != zone ||
+		    !attempt->part || attempt->part == WS_PART_NONE)
+			continue;
+		range.zone = attempt->machine->zone;
+		if (attempt->task < range.first_task)
+			range.first_task = attempt->task;
+		if (attempt->task > range.last_task)
+			range.last_task = attempt->task;
+	}
+	if (!range.zone)
+		return;
+	ws_attempt_entry_add(&writer, &range);
+	ws_attempt_entry_close(&writer, list);
+	ws_attempt_entry_writer_free(&writer);
+}
+
+void ws_attempt_list_append_continued(const struct ws_job *job, int zone_count, json_t *list)
+{
+	for (int zone = WS_ZONE_UNKNOWN; zone < zone_count; zone++)
+		ws_continued_entry_append(job, zone, list);
+}
+
 size_t ws_attempt_list_growth(const struct ws_attempt *previous, const struct ws_attempt *attempt,
 			      size_t shared_prefix)
 {
@@ -281,8 +324,10 @@
 	return end;
 }
 
-/* Decodes an entry up to the first malformed part; the rest of the entry is ignored. */
-static void ws_attempt_entry_decode(json_t *entry, struct ws_decoded_attempts *list)
+/* Decodes an entry up to the first malformed part; the rest of the entry is ignored. Entries that
+ * stand for continuation records are skipped if these are read as well. */
+static void ws_attempt_entry_decode(json_t *entry, bool has_continuations,
+				    struct ws_decoded_attempts *list)
 {
 	struct ws_attempt_entry_reader reader = {0};
 	struct ws_recorded_attempt attempt;
@@ -292,6 +337,8 @@
 	if (json_unpack(entry, "[I,s,s,s]", &term, &reader.zone, &reader.prefix, &text))
 		return;
 	reader.term = (uint64_t)term;
+	if (has_continuations && reader.term == WS_CONTINUED_TERM)
+		return;
 	while (*text) {
 		char *end = ws_attempt_machine_decode(&reader, (char *)text, &attempt);
 
@@ -307,11 +354,12 @@
 size_t ws_attempt_list_decode(json_t *record, struct ws_recorded_attempt **list)
 {
 	struct ws_decoded_attempts decoded = {0};
+	bool has_continuations = ws_job_record_continuation_count(record) > 0;
 	json_t *entry;
 	size_t i;
 
 	json_array_foreach (json_object_get(record, WS_FIELD_ATTEMPTS), i, entry)
-		ws_attempt_entry_decode(entry, &decoded);
+		ws_attempt_entry_decode(entry, has_continuations, &decoded);
 	*list = decoded.attempts;
 	return decoded.count;
 }
--- a/src/core/records/attempt_list.h
+++ b/src/core/records/attempt_list.h
@@ -34,6 +34,9 @@
 /* Returns the leadership term in which an attempt number was assigned. */
 uint64_t ws_attempt_term(uint64_t attempt);
 
-/* Encodes the attempts of a job that may still be running and marks them as being written. */
-json_t *ws_attempt_list_encode(const struct ws_job *job, int zone_count);
+/* Encodes attempts of a job. */
+json_t *ws_attempt_list_encode(const struct ws_attempt_slice *slice, int zone_count);
+
+/* Appends entries that stand for the attempts in a job's continuation records. */
+void ws_attempt_list_append_continued(const struct ws_job *job, int zone_count, json_t *list);
 #endif
--- a/src/core/records/continuation_record.c
+++ b/src/core/records/continuation_record.c
@@ -1,13 +1,11 @@
 /*
- * Continuation records: attempts of a cancelled job that do not fit into the job's own record.
+ * Continuation records: attempts of a job that do not fit into the job's own record, which names
+ * their number.
  *
- * Compatibility: a record may exceed the current size limit if it was written under a higher limit,
- * as the version before gangs did. Its job's attempts end over time, and the record is written
- * again once the remaining attempts fit; the job can finish at any time. Only a cancellation
- * cannot wait for that: it moves the attempts that do not fit to continuation records in the same
- * transaction, and a field of the job's record holds their number. Versions without support for
- * continuation records can no longer lead once the limit is lowered. This code can be removed when
- * the limit will not be lowered again.
+ * The leader distributes a live job's attempts over its records (jobs/record_layout.c). A user's
+ * cancellation is written by any node, which changes the phase alone; but a record that was written
+ * under a higher size limit, as by the version before gangs, may be too large to be written again.
+ * Then the attempts that do not fit move to continuation records in the same transaction.
  */
 #include "attempt_list.h"
 #include "record_fields.h"
@@ -113,6 +111,7 @@
 			 size_t continuations_max, size_t *count)
 {
 	struct ws_record_splitter splitter = {.limit = limit};
+	uint32_t named = ws_job_record_continuation_count(record);
 	json_t *filled = record;
 
 	splitter.count = ws_attempt_list_decode(record, &splitter.attempts);
@@ -122,7 +121,7 @@
 	json_object_set_new(record, WS_FIELD_COMPLETED_TASKS, json_string(""));
 	json_object_set_new(record, WS_FIELD_ATTEMPTS, json_array());
 	json_object_set_new(record, WS_FIELD_CONTINUATIONS,
-			    json_integer((json_int_t)continuations_max));
+			    json_integer(named + (json_int_t)continuations_max));
 	while (filled && splitter.next < splitter.count) {
 		size_t before = splitter.next;
 
@@ -133,10 +132,16 @@
 		filled = json_pack("{s:[]}", WS_FIELD_ATTEMPTS);
 		continuations[(*count)++] = filled;
 	}
-	json_object_set_new(record, WS_FIELD_CONTINUATIONS, json_integer((json_int_t)*count));
+	json_object_set_new(record, WS_FIELD_CONTINUATIONS,
+			    json_integer(named + (json_int_t)*count));
 	free(splitter.attempts);
 }
 
+json_t *ws_continuation_record_encode(const struct ws_attempt_slice *listed, int zone_count)
+{
+	return json_pack("{s:o}", WS_FIELD_ATTEMPTS, ws_attempt_list_encode(listed, zone_count));
+}
+
 uint32_t ws_job_record_continuation_count(json_t *record)
 {
 	return (uint32_t)json_integer_value(json_object_get(record, WS_FIELD_CONTINUATIONS));
--- a/src/core/records/job_record.c
+++ b/src/core/records/job_record.c
@@ -91,20 +91,29 @@
 	return ranges;
 }
 
-json_t *ws_job_record_encode(const struct ws_job *job, int zone_count, size_t limit)
+json_t *ws_job_record_encode(const struct ws_job *job, const struct ws_attempt_slice *listed,
+			     uint32_t continuation_count, int zone_count, size_t limit,
+			     size_t *bytes)
 {
 	json_t *record = ws_new_job_record_encode(&job->spec, job->phase, job->submitted_at_wall);
+	json_t *list = ws_attempt_list_encode(listed, zone_count);
 	size_t size;
 
-	json_object_set_new(record, WS_FIELD_ATTEMPTS, ws_attempt_list_encode(job, zone_count));
+	if (continuation_count)
+		ws_attempt_list_append_continued(job, zone_count, list);
+	json_object_set_new(record, WS_FIELD_ATTEMPTS, list);
+	if (continuation_count)
+		json_object_set_new(record, WS_FIELD_CONTINUATIONS,
+				    json_integer(continuation_count));
 	size = ws_record_size(record);
-	if (!size || size + WS_JOB_RECORD_RESERVE > limit) {
+	*bytes = size ? size + WS_JOB_RECORD_RESERVE : limit + 1;
+	if (*bytes > limit) {
 		json_decref(record);
 		return NULL;
 	}
 	if (job->tasks)
 		json_object_set_new(record, WS_FIELD_COMPLETED_TASKS,
-				    ws_completed_encode(job, limit - size - WS_JOB_RECORD_RESERVE));
+				    ws_completed_encode(job, limit - *bytes));
 	json_object_set_new(record, WS_FIELD_COMPLETED_COUNT, json_integer(job->done_count));
 	json_object_set_new(record, WS_FIELD_ATTEMPT_COUNT, json_integer(job->attempt_count));
 	return record;
--- a/src/core/records/records.h
+++ b/src/core/records/records.h
@@ -12,8 +12,8 @@
  *   types            machine types of the cloud                the leader, once
  *   job/<id>         a live job: description, phase, attempts  any node at submission and
  *                    that may be running, completed tasks      cancellation, then the leader
- *   more/<id>/<n>    attempts of a cancelled job that do not   the node that cancels it; deleted
- *                    fit into the job's own record             by the leader
+ *   more/<id>/<n>    attempts of a job that do not fit into    the leader; a node that cancels a
+ *                    the job's own record                      job whose record is too large
  *   old/<id>         an archived job: phase, completed tasks   the leader
  *   fleet/<n>        a shard of the machines: address, type,   the leader
  *                    zone, incarnation, cached images
@@ -69,14 +69,23 @@
 json_t *ws_new_job_record_encode(const struct ws_job_spec *spec, enum ws_job_phase phase,
 				 double submitted_at_wall);
 
+/* The attempts that one record lists, in the order of their job's list. */
+struct ws_attempt_slice {
+	struct ws_attempt *const *attempts;
+	size_t count;
+};
+
 /*
- * Encodes a live job's record of at most `limit` bytes: its description, the attempts that may
- * still be running, in zones with an index below `zone_count`, and its completed tasks. Marks the
- * attempts and tasks in the record as being written. Completed tasks that do not fit are left out
- * and not marked; they are therefore not reaped, and their results stay on their machines. Returns
- * NULL if the attempts do not fit.
+ * Encodes a live job's own record of at most `limit` bytes: its description, the attempts that it
+ * lists, in zones with an index below `zone_count`, the number of its continuation records, and its
+ * completed tasks. Marks the completed tasks in the record as being written. Those that do not fit
+ * are left out and not marked; they are therefore not reaped, and their results stay on their
+ * machines. Returns NULL if the attempts do not fit. Stores in `bytes` the size of the record apart
+ * from the completed tasks, whether it fits or not.
  */
-json_t *ws_job_record_encode(const struct ws_job *job, int zone_count, size_t limit);
+json_t *ws_job_record_encode(const struct ws_job *job, const struct ws_attempt_slice *listed,
+			     uint32_t continuation_count, int zone_count, size_t limit,
+			     size_t *bytes);
 
 /* Decodes a job's record, except for its attempts. Returns NULL if the record is malformed or out
  * of range, or if memory is exhausted. The caller frees the job and its tasks. */
@@ -118,11 +127,14 @@
 
 /* ---- continuation_record.c: more/<id>/<n> ---- */
 
+/* Encodes a continuation record. */
+json_t *ws_continuation_record_encode(const struct ws_attempt_slice *listed, int zone_count);
+
 /*
  * Splits the record of a cancelled job so that it has at most `limit` bytes. Attempts that do not
- * fit move to at most `continuations_max` continuation records; their number is stored in `count`.
- * The completed tasks are removed from the record. Attempts that do not fit into any of these
- * records are not recorded any more.
+ * fit move to at most `continuations_max` continuation records, which follow those that the record
+ * names already; their number is stored in `count`. The completed tasks are removed from the
+ * record. Attempts that do not fit into any of these records are not recorded any more.
  */
 void ws_job_record_split(json_t *record, size_t limit, json_t **continuations,
 			 size_t continuations_max, size_t *count);
--- a/src/core/scheduler/gang_placement.c
+++ b/src/core/scheduler/gang_placement.c
@@ -146,7 +146,7 @@
 	size_t record_bytes_left = ws_record_bytes_left(core, job);
 	size_t count = ws_gang_find_candidates(pass, job, zones);
 
-	for (size_t i = 0; i < count && unplaced && record_bytes_left; i++)
+	for (size_t i = 0; i < count && unplaced; i++)
 		unplaced -= ws_place_on_machine(core, job, pass->candidates[i], unplaced,
 						attempt_number, &record_bytes_left);
 	if (!unplaced) {
@@ -402,9 +402,6 @@
 		return;
 	if (job->attempt_count)
 		ws_gang_check_incomplete(core, job, assembling_since);
-	else if (placement.capacity.placeable_zones) /* its record is full: no reservation */
-		ws_unmet_demand_add(core, job, job->waiting,
-				    ws_gang_reservation_zones(pass, &placement));
 	else
 		ws_gang_await_capacity(pass, &placement);
 }
--- a/src/core/scheduler/pass.h
+++ b/src/core/scheduler/pass.h
@@ -120,13 +120,10 @@
 
 /* ---- task_placement.c ---- */
 
-/* Returns the bytes left for further attempts in a job's record. */
-size_t ws_record_bytes_left(const struct ws_core *core, const struct ws_job *job);
-
 /*
- * Plans attempts of waiting tasks on a machine, at most the limit and as many as fit into the job's
- * record. Returns their number. Reduces record_bytes_left by their size, or sets it to 0 if an
- * attempt does not fit into the record.
+ * Plans attempts of waiting tasks on a machine, at most the limit and as many as fit into
+ * record_bytes_left, see ws_record_bytes_left(). Returns their number. Reduces record_bytes_left by
+ * their size, or sets it to 0 if an attempt does not fit.
  */
 uint32_t ws_place_on_machine(struct ws_core *core, struct ws_job *job, struct ws_machine *machine,
 			     uint32_t limit, uint64_t attempt_number, size_t *record_bytes_left);
--- a/src/core/scheduler/task_placement.c
+++ b/src/core/scheduler/task_placement.c
@@ -4,32 +4,6 @@
  */
 #include "pass.h"
 
-/* Bytes of a job's record for the job's description, excluding the names in it. */
-#define WS_RECORD_DESCRIPTION_BYTES 640
-/* Bytes of a gang's record for its completed tasks. All tasks of a gang complete together, so a
- * single range lists them. */
-#define WS_RECORD_GANG_TASKS_BYTES 64
-
-/* In the record of an array, attempts may use three quarters of the space that the description
- * leaves; the rest is for the list of completed tasks. */
-size_t ws_record_bytes_left(const struct ws_core *core, const struct ws_job *job)
-{
-	size_t names =
-	    strlen(job->spec.image) + strlen(job->spec.team) + strlen(job->spec.job_class);
-	double limit = core->writer.value_bytes_max - WS_RECORD_DESCRIPTION_BYTES - (double)names -
-		       WS_NAME_MAX / 4.0 * (double)job->spec.type_count;
-	double used = 0;
-	const struct ws_attempt *attempt, *previous = NULL;
-
-	limit = job->spec.gang ? limit - WS_RECORD_GANG_TASKS_BYTES : limit * 3 / 4;
-	DL_FOREACH2 (job->attempts, attempt, job_next)
-		if (attempt->state != WS_ATTEMPT_RELEASED && !attempt->unrecorded) {
-			used += (double)ws_record_attempt_size(core, previous, attempt);
-			previous = attempt;
-		}
-	return limit > used ? (size_t)(limit - used) : 0;
-}
-
 /* Returns the first waiting task, or the job's number of tasks if none is waiting. */
 static uint32_t ws_next_waiting_task(struct ws_job *job)
 {
--- a/src/core/store/record_source.h
+++ b/src/core/store/record_source.h
@@ -46,6 +46,8 @@
 	 */
 	bool (*not_written)(struct ws_core *core, const struct ws_operation *operation,
 			    const struct ws_compare *failed_compare);
+	/* Called before not_written() for each failed compare of a key of the source. */
+	void (*compare_failed)(struct ws_core *core, const struct ws_compare *compare);
 	/* Reports whether a record that was read again exists, and its revision (0 if unknown or
 	 * if the record does not exist). */
 	void (*read_again)(struct ws_core *core, const char *key, bool found, uint64_t revision);
--- a/src/core/store/write_batch.h
+++ b/src/core/store/write_batch.h
@@ -6,6 +6,9 @@
 /* No record is added to a transaction above this size. The store accepts 64 KiB; the rest is left
  * for the last record added. */
 #define WS_TRANSACTION_FILL_BYTES 32768
+/* Largest estimated size of a transaction; the rest of the 64 KiB is for what the estimates leave
+ * out. */
+#define WS_TRANSACTION_BYTES_MAX 61440
 
 struct ws_write_batch {
 	struct ws_call *call;  /* the transaction, owned by the batch until it is sent */
--- a/src/core/store/write_counts.c
+++ b/src/core/store/write_counts.c
@@ -18,11 +18,11 @@
 		sum += by_kind[kind];
 	if (sum)
 		ws_log(core, WS_LOG_INFO,
-		       "store writes starts=%u ends=%u jobs_deferred=%u fleet=%u scale_outs=%u "
-		       "rate_limit=%.0f",
+		       "store writes starts=%u ends=%u jobs_deferred=%u continuations=%u fleet=%u "
+		       "scale_outs=%u rate_limit=%.0f",
 		       by_kind[WS_WRITE_STARTS], by_kind[WS_WRITE_ENDS],
-		       by_kind[WS_WRITE_JOBS_DEFERRED], by_kind[WS_WRITE_FLEET],
-		       by_kind[WS_WRITE_SCALE_OUTS], core->writer.rate);
+		       by_kind[WS_WRITE_JOBS_DEFERRED], by_kind[WS_WRITE_CONTINUATIONS],
+		       by_kind[WS_WRITE_FLEET], by_kind[WS_WRITE_SCALE_OUTS], core->writer.rate);
 	memset(counts->by_kind, 0, sizeof(counts->by_kind));
 	counts->next_log_at = core->now + core->settings->lease_s;
 }
--- a/src/core/store/write_counts.h
+++ b/src/core/store/write_counts.h
@@ -10,9 +10,10 @@
 	WS_WRITE_ENDS,
 	WS_WRITE_JOBS_DEFERRED,
 	WS_WRITE_FLEET,
-	WS_WRITE_SCALE_OUTS
+	WS_WRITE_SCALE_OUTS,
+	WS_WRITE_CONTINUATIONS
 };
-#define WS_WRITE_KIND_COUNT 5
+#define WS_WRITE_KIND_COUNT 6
 
 /* Modified only by write_counts.c. */
 struct ws_write_counts {
--- a/src/core/store/writer.c
+++ b/src/core/store/writer.c
@@ -108,11 +108,27 @@
 	return NULL;
 }
 
+/* Notifies the sources of the compares that failed, also those of keys without an operation. */
+static void ws_writer_compares_failed(struct ws_core *core, const struct ws_call *call,
+				      const struct ws_result *result)
+{
+	for (size_t i = 0; i < result->transaction.failed_count; i++) {
+		const char *key = result->transaction.failed_keys[i];
+		const struct ws_record_source *source = ws_record_source_of(core, key);
+		const struct ws_compare *compare = ws_writer_failed_compare(call, key, result);
+
+		if (source && source->compare_failed && compare)
+			source->compare_failed(core, compare);
+	}
+}
+
 /* Notifies the sources that their operations were not committed or that the outcome is unknown; the
  * records become due again. */
 static void ws_writer_not_committed(struct ws_core *core, const struct ws_call *call,
 				    const struct ws_result *result)
 {
+	if (result->outcome == WS_OUTCOME_CONFLICT)
+		ws_writer_compares_failed(core, call, result);
 	for (size_t i = 0; i < call->transaction.operation_count; i++) {
 		const struct ws_operation *operation = &call->transaction.operations[i];
 		const struct ws_record_source *source = ws_record_source_of(core, operation->key);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -4,6 +4,7 @@
 #include "sim_checks.h"
 #include "sim_digest.h"
 #include "sim_nodes.h"
+#include "sim_records.h"
 #include "sim_store.h"
 #include "sim_subsystems.h"
 #include "sim_users.h"
@@ -194,6 +195,7 @@
 	sim_calls_free(sim);
 	sim_workers_free(sim);
 	sim_nodes_free(sim);
+	sim_records_free(sim);
 	sim_store_free(sim);
 	sim_jobs_free(sim);
 	ws_domains_settings_free(&sim->domains_settings);
--- a/tests/sim_checks.c
+++ b/tests/sim_checks.c
@@ -1,5 +1,6 @@
 /* The invariants on running tasks. */
 #include "sim_checks.h"
+#include "sim_records.h"
 #include "sim_subsystems.h"
 
 #define CPU_TOLERANCE 1e-9
@@ -176,6 +177,8 @@
 	if (!job)
 		return;
 	check_placement(sim, &job->spec, worker, task, &counts);
+	if (sim->starts_on_record)
+		sim_records_check_start(sim, worker, task);
 	if (job->reported_cancelled_at > 0 && sim->now > job->reported_cancelled_at + sim->cancel_s)
 		sim_fail(sim, "cancelled job: %s/%u starts on %s", task->job, task->task,
 			 worker->name);
--- a/tests/sim_expect.c
+++ b/tests/sim_expect.c
@@ -1,5 +1,6 @@
 /* Expectations of scenarios about the cluster. */
 #include "sim_checks.h"
+#include "sim_records.h"
 #include "sim_scenario.h"
 
 /*
@@ -268,6 +269,19 @@
 	return entry ? (double)json_dumpb(entry->value, NULL, 0, JSON_COMPACT) : 0;
 }
 
+/* on-record JOB: its records list all its running tasks */
+static void check_on_record(struct sim *sim, const struct sim_expectation *expectation)
+{
+	sim_records_check_job(sim, expectation->first);
+}
+
+/* no-stray-records: every continuation record belongs to a live job */
+static void check_no_stray_records(struct sim *sim, const struct sim_expectation *expectation)
+{
+	(void)expectation;
+	sim_records_check_strays(sim);
+}
+
 /* usable MACHINE: the leader may assign tasks to the machine */
 static void check_usable(struct sim *sim, const struct sim_expectation *expectation)
 {
@@ -374,9 +388,12 @@
     {"max-worker-restarts", 1, .check = check_worker_restarts},
     {"member-lost-exits", 2, .count = count_member_lost_exits},
     {"no-leader", 0, .check = check_no_leader},
+    {"no-stray-records", 0, .check = check_no_stray_records},
+    {"on-record", 1, .check = check_on_record},
     {"per-pass", 2, .check = check_steps_per_pass},
     {"per-poll", 2, .check = check_ratio},
     {"per-start", 2, .check = check_ratio},
+    {"records", 3, .count_of = sim_records_count},
     {"rejected-writes", 2, .count = count_rejected_writes},
     {"running", 3, .count_of = count_running},
     {"scaled-in", 2, .count = count_scaled_in},
--- a/tests/sim_parts.h
+++ b/tests/sim_parts.h
@@ -6,7 +6,7 @@
 
 #define SIM_NODES 5
 #define SIM_WORKERS 8192
-#define SIM_GANG_MEMBERS 64
+#define SIM_GANG_MEMBERS 4096
 #define SIM_IMAGES 32
 #define SIM_JOBS 4096
 #define SIM_GANG_ATTEMPTS 16
@@ -157,6 +157,14 @@
 	UT_hash_handle hh;
 };
 
+/* The attempts that the records of a job list, at a revision of the store. */
+struct sim_listed {
+	char job[WS_ID_MAX];
+	uint64_t revision;
+	struct ws_recorded_attempt *attempts; /* by task */
+	size_t count;
+};
+
 /* A change in the history of the store. The value is NULL if the key was deleted. */
 struct sim_change {
 	char key[WS_KEY_MAX];
@@ -298,6 +306,7 @@
 	struct ws_machine_type types[8];
 	int zone_count, team_count, objective_count, type_count;
 	int instance_limit;
+	bool starts_on_record; /* every task that starts must be on record */
 	bool limits_lowered, domains_enabled, cold_start_enabled;
 	struct ws_domains_settings domains_settings;
 	struct ws_cold_start_settings cold_start_settings;
@@ -318,6 +327,7 @@
 	int session_count;
 	struct sim_session sessions[4096];
 	struct sim_entry *entries;
+	struct sim_listed listed;
 	struct sim_change *history;
 	size_t history_count, history_capacity;
 	uint64_t revision;
--- a/tests/sim_scenario.c
+++ b/tests/sim_scenario.c
@@ -168,6 +168,22 @@
 	return NULL;
 }
 
+/* limits KIB OPERATIONS: limits of a value and of a transaction */
+static const char *parse_limits(struct sim *sim, struct sim_setting *setting)
+{
+	sim->value_kb = next_number(setting);
+	sim->txn_ops = next_integer(setting);
+	return NULL;
+}
+
+/* starts-on-record: every task that starts must be on record */
+static const char *parse_starts_on_record(struct sim *sim, struct sim_setting *setting)
+{
+	(void)setting;
+	sim->starts_on_record = true;
+	return NULL;
+}
+
 static const char *parse_cancel(struct sim *sim, struct sim_setting *setting)
 {
 	sim->cancel_s = next_number(setting);
@@ -255,24 +271,16 @@
 }
 
 static const struct sim_setting_word cluster_setting_words[] = {
-    {"at", 1, parse_timed_line},
-    {"cancel", 1, parse_cancel},
-    {"capacity", 1, parse_capacity},
-    {"gang-peer", 1, parse_gang_peer},
-    {"gang-wait", 1, parse_gang_wait},
-    {"heartbeat", 1, parse_heartbeat_interval},
-    {"lease", 1, parse_lease},
-    {"nodes", 1, parse_nodes},
-    {"objective", 3, parse_objective},
-    {"owned", 2, parse_owned},
-    {"production-nodes", 1, parse_production_nodes},
-    {"seed", 1, parse_seed},
-    {"subsystem", 0, parse_subsystem},
-    {"team", 3, parse_team},
-    {"type", 5, parse_type},
-    {"upcoming-limits", 2, parse_upcoming_limits},
-    {"zone", 1, parse_zone},
-    {NULL, 0, NULL},
+    {"at", 1, parse_timed_line},       {"cancel", 1, parse_cancel},
+    {"capacity", 1, parse_capacity},   {"gang-peer", 1, parse_gang_peer},
+    {"gang-wait", 1, parse_gang_wait}, {"heartbeat", 1, parse_heartbeat_interval},
+    {"lease", 1, parse_lease},	       {"limits", 2, parse_limits},
+    {"nodes", 1, parse_nodes},	       {"objective", 3, parse_objective},
+    {"owned", 2, parse_owned},	       {"production-nodes", 1, parse_production_nodes},
+    {"seed", 1, parse_seed},	       {"starts-on-record", 0, parse_starts_on_record},
+    {"subsystem", 0, parse_subsystem}, {"team", 3, parse_team},
+    {"type", 5, parse_type},	       {"upcoming-limits", 2, parse_upcoming_limits},
+    {"zone", 1, parse_zone},	       {NULL, 0, NULL},
 };
 
 static const struct sim_setting_word *find_setting_word(const char *word)
--- a/tests/stored_records_test.c
+++ b/tests/stored_records_test.c
@@ -129,6 +129,19 @@
 	return decoded->job && count <= FIXTURE_ATTEMPTS_MAX;
 }
 
+static json_t *encode_job(struct decoded_job *decoded)
+{
+	struct ws_attempt *listed[FIXTURE_ATTEMPTS_MAX];
+	struct ws_attempt_slice slice = {.attempts = listed};
+	struct ws_attempt *attempt;
+	size_t bytes;
+
+	DL_FOREACH2 (decoded->job->attempts, attempt, job_next)
+		listed[slice.count++] = attempt;
+	return ws_job_record_encode(decoded->job, &slice, 0, decoded->zone_count, FIXTURE_LIMIT,
+				    &bytes);
+}
+
 static bool job_keeps_bytes(const struct stored_record *record)
 {
 	struct decoded_job *decoded = calloc(1, sizeof(*decoded));
@@ -137,11 +150,10 @@
 
 	if (same)
 		same = same_bytes(
-		    record,
-		    has_attempts
-			? ws_job_record_encode(decoded->job, decoded->zone_count, FIXTURE_LIMIT)
-			: ws_new_job_record_encode(&decoded->job->spec, decoded->job->phase,
-						   decoded->job->submitted_at_wall));
+		    record, has_attempts
+				? encode_job(decoded)
+				: ws_new_job_record_encode(&decoded->job->spec, decoded->job->phase,
+							   decoded->job->submitted_at_wall));
 	if (decoded && decoded->job) {
 		free(decoded->job->tasks);
 		free(decoded->job);
