--- a/src/core/autoscaler/demand_packing.c
+++ b/src/core/autoscaler/demand_packing.c
@@ -67,16 +67,15 @@
 		return 0;
 	if (!(demand->job->eligible_types >> (kind->type - core->catalog.types) & 1))
 		return 0;
-	return ws_tasks_fit(spec, &bin->free, demand->tasks);
+	return ws_tasks_fit(&demand->job->task_capacity, &bin->free, demand->tasks);
 }
 
 /* Places tasks on some machines of a bin. If these are not all of its machines, they are split off
  * into a new bin. Returns the number of tasks placed. */
 static uint32_t ws_packing_fill(struct ws_packing *packing, int index,
-				const struct ws_job_spec *spec, uint32_t machine_count,
+				const struct ws_capacity *task, uint32_t machine_count,
 				uint32_t tasks_each)
 {
-	const struct ws_capacity task = ws_task_capacity(spec);
 	struct ws_bin *bin = &packing->bins[index];
 
 	if (machine_count < bin->machine_count) {
@@ -87,14 +86,14 @@
 		ws_packing_add_bin(packing, &part);
 		bin = &packing->bins[packing->bin_count - 1];
 	}
-	ws_capacity_add(&bin->free, &task, -(double)tasks_each);
+	ws_capacity_add(&bin->free, task, -(double)tasks_each);
 	return machine_count * tasks_each;
 }
 
 uint32_t ws_packing_place(const struct ws_core *core, struct ws_packing *packing, int index,
 			  const struct ws_unmet_demand *demand, uint32_t tasks)
 {
-	const struct ws_job_spec *spec = &demand->job->spec;
+	const struct ws_capacity *task = &demand->job->task_capacity;
 	const uint32_t machine_count = packing->bins[index].machine_count;
 	const uint32_t fit = ws_bin_tasks_fit(core, &packing->bins[index], demand);
 	uint32_t filled, placed = 0;
@@ -103,10 +102,10 @@
 		return 0;
 	filled = tasks / fit < machine_count ? tasks / fit : machine_count;
 	if (filled)
-		placed = ws_packing_fill(packing, index, spec, filled, fit);
+		placed = ws_packing_fill(packing, index, task, filled, fit);
 	/* unless all machines are filled, the remaining tasks fit on one */
 	if (filled < machine_count && placed < tasks)
-		placed += ws_packing_fill(packing, index, spec, 1, tasks - placed);
+		placed += ws_packing_fill(packing, index, task, 1, tasks - placed);
 	return placed;
 }
 
--- a/src/core/autoscaler/scale_out_plan.c
+++ b/src/core/autoscaler/scale_out_plan.c
@@ -147,7 +147,7 @@
 
 		if (!(demand->job->eligible_types >> i & 1))
 			continue;
-		fit = fmax(1, ws_tasks_fit(spec, &empty, tasks));
+		fit = fmax(1, ws_tasks_fit(&demand->job->task_capacity, &empty, tasks));
 		for (size_t j = 0; j < type->zone_count; j++) {
 			struct ws_machine_kind kind = {
 			    .type = type, .zone_index = ws_zone_index(core, type->zones[j])};
--- a/src/core/catalog/catalog.c
+++ b/src/core/catalog/catalog.c
@@ -147,15 +147,14 @@
 	return amount > 0 ? fmin(limit, floor((free + WS_RESOURCE_TOLERANCE) / amount)) : limit;
 }
 
-uint32_t ws_tasks_fit(const struct ws_job_spec *spec, const struct ws_capacity *capacity,
+uint32_t ws_tasks_fit(const struct ws_capacity *task, const struct ws_capacity *capacity,
 		      uint32_t limit)
 {
-	const struct ws_capacity task = ws_task_capacity(spec);
 	double fit = limit;
 
-	fit = ws_amount_fit(task.cpus, capacity->cpus, fit);
-	fit = ws_amount_fit(task.gpus, capacity->gpus, fit);
-	fit = ws_amount_fit(task.mem_gb, capacity->mem_gb, fit);
-	fit = ws_amount_fit(task.report_bytes, capacity->report_bytes, fit);
+	fit = ws_amount_fit(task->cpus, capacity->cpus, fit);
+	fit = ws_amount_fit(task->gpus, capacity->gpus, fit);
+	fit = ws_amount_fit(task->mem_gb, capacity->mem_gb, fit);
+	fit = ws_amount_fit(task->report_bytes, capacity->report_bytes, fit);
 	return fit > 0 ? (uint32_t)fit : 0;
 }
--- a/src/core/catalog/catalog.h
+++ b/src/core/catalog/catalog.h
@@ -66,8 +66,8 @@
 struct ws_capacity ws_task_capacity(const struct ws_job_spec *spec);
 /* Adds a number of times one capacity to another; the number may be negative. */
 void ws_capacity_add(struct ws_capacity *capacity, const struct ws_capacity *added, double times);
-/* Returns how many tasks of a job fit into the given capacity, at most the limit. */
-uint32_t ws_tasks_fit(const struct ws_job_spec *spec, const struct ws_capacity *capacity,
+/* Returns how many tasks that each take `task` fit into the given capacity, at most the limit. */
+uint32_t ws_tasks_fit(const struct ws_capacity *task, const struct ws_capacity *capacity,
 		      uint32_t limit);
 /* Returns the mean number of CPUs of the known machine types, or 0 if none is known. */
 double ws_mean_machine_cpus(const struct ws_core *core);
--- a/src/core/fleet/commands.c
+++ b/src/core/fleet/commands.c
@@ -123,8 +123,9 @@
 	return true;
 }
 
-/* Appends reap commands for the exited tasks in a heartbeat that the worker may delete. */
-static void ws_commands_collect_reaps(struct ws_core *core, struct ws_machine *machine,
+/* Appends reap commands for the exited tasks in a heartbeat that the worker may delete. Returns
+ * false if the message is full. */
+static bool ws_commands_collect_reaps(struct ws_core *core, struct ws_machine *machine,
 				      const struct ws_heartbeat *heartbeat)
 {
 	for (size_t i = 0; i < heartbeat->task_count; i++) {
@@ -137,8 +138,9 @@
 			continue;
 		snprintf(command.job, sizeof(command.job), "%s", status->job);
 		if (!ws_command_add(core, &command))
-			return;
+			return false;
 	}
+	return true;
 }
 
 bool ws_commands_include_run(const struct ws_command *commands, size_t count)
@@ -159,17 +161,15 @@
 	fleet->command_count = 0;
 	fleet->command_bytes = 0;
 	fleet->command_list++;
-	if (!ws_commands_collect_attempts(core, machine, direct, false) ||
-	    !ws_commands_collect_attempts(core, machine, direct, true)) {
-		ws_event_count(core, WS_EVENT_COMMANDS_SLICED);
-		ws_log(core, WS_LOG_INFO,
-		       "commands sliced machine=%s commands=%zu bytes=%zu limit=%zu attempts=%u",
-		       machine->name, fleet->command_count, fleet->command_bytes,
-		       WS_COMMANDS_BYTES_MAX, machine->attempt_count);
+	if (ws_commands_collect_attempts(core, machine, direct, false) &&
+	    ws_commands_collect_attempts(core, machine, direct, true) &&
+	    (!heartbeat || ws_commands_collect_reaps(core, machine, heartbeat)))
 		return;
-	}
-	if (heartbeat)
-		ws_commands_collect_reaps(core, machine, heartbeat);
+	ws_event_count(core, WS_EVENT_COMMANDS_SLICED);
+	ws_log(core, WS_LOG_INFO,
+	       "commands sliced machine=%s commands=%zu bytes=%zu limit=%zu attempts=%u",
+	       machine->name, fleet->command_count, fleet->command_bytes, WS_COMMANDS_BYTES_MAX,
+	       machine->attempt_count);
 }
 
 static const char *ws_command_text(enum ws_command_kind kind)
--- a/src/core/fleet/fleet.h
+++ b/src/core/fleet/fleet.h
@@ -433,6 +433,9 @@
 			       const struct ws_heartbeat *heartbeat);
 /* Ends the suspicion if the worker wrote a heartbeat that is not stale after it began. */
 void ws_worker_check_suspicion(struct ws_machine *machine, const struct ws_heartbeat *heartbeat);
+/* Whether a message of a worker is not newer than one of an incarnation and a sequence number. */
+bool ws_heartbeat_counts_as_old(const struct ws_heartbeat *heartbeat, uint64_t incarnation,
+				uint64_t sequence);
 /*
  * Whether the reply to a call proves that the worker has restarted: it was written after the call
  * was sent, and yet its number is not above that of a message that came before.
--- a/src/core/fleet/fleet_sweep.c
+++ b/src/core/fleet/fleet_sweep.c
@@ -41,35 +41,56 @@
 		ws_machine_send_commands(core, machine);
 }
 
-/* Whether tasks of some job lack capacity. */
-static bool ws_jobs_lack_capacity(const struct ws_core *core)
+/* One sweep over the machines. */
+struct ws_sweep {
+	struct ws_core *core;
+	bool demand_determined, jobs_lack_capacity; /* determined when a machine asks for it */
+};
+
+/* Whether tasks of some job lack capacity. The jobs are searched once in a sweep. */
+static bool ws_jobs_lack_capacity(struct ws_sweep *sweep)
 {
-	const struct ws_job *job = core->jobs.by_id;
+	const struct ws_job *job = sweep->core->jobs.by_id;
 
+	if (sweep->demand_determined)
+		return sweep->jobs_lack_capacity;
 	while (job && !(job->unmet_since > 0))
 		job = job->hh.next;
-	return job != NULL;
+	sweep->demand_determined = true;
+	sweep->jobs_lack_capacity = job != NULL;
+	return sweep->jobs_lack_capacity;
+}
+
+/* Whether a machine is in contact and empty, and yet gets no tasks. */
+static bool ws_machine_is_unused(const struct ws_core *core, const struct ws_machine *machine,
+				 enum ws_machine_use use)
+{
+	return !machine->attempt_count && use != WS_USABLE && use != WS_USE_GONE &&
+	       !ws_heartbeat_overdue(core, machine->last_contact_at);
 }
 
 /*
  * Logs and counts a machine that is in contact and empty, and yet not usable for a lease while jobs
  * lack capacity. Logged once per lease.
  */
-static void ws_machine_check_unused(struct ws_core *core, struct ws_machine *machine)
+static void ws_machine_check_unused(struct ws_sweep *sweep, struct ws_machine *machine)
 {
+	struct ws_core *core = sweep->core;
 	enum ws_machine_use use;
 
-	if (machine->attempt_count || ws_heartbeat_overdue(core, machine->last_contact_at)) {
+	if (machine->attempt_count) {
 		machine->unused_since = 0;
 		return;
 	}
 	use = ws_machine_use(core, machine);
-	if (use == WS_USABLE || use == WS_USE_GONE || !machine->unused_since) {
-		machine->unused_since = use == WS_USABLE || use == WS_USE_GONE ? 0 : core->now;
+	if (!ws_machine_is_unused(core, machine, use)) {
+		machine->unused_since = 0;
 		return;
 	}
+	if (!machine->unused_since)
+		machine->unused_since = core->now;
 	if (core->now - machine->unused_since <= core->settings->lease_s ||
-	    !ws_jobs_lack_capacity(core))
+	    !ws_jobs_lack_capacity(sweep))
 		return;
 	ws_event_count(core, WS_EVENT_MACHINE_UNUSED);
 	ws_log(core, WS_LOG_INFO,
@@ -78,8 +99,10 @@
 	machine->unused_since = core->now;
 }
 
-static void ws_machine_sweep(struct ws_core *core, struct ws_machine *machine)
+static void ws_machine_sweep(struct ws_sweep *sweep, struct ws_machine *machine)
 {
+	struct ws_core *core = sweep->core;
+
 	if (machine->gone) {
 		if (!machine->attempts)
 			ws_machine_remove(core, machine);
@@ -90,7 +113,7 @@
 	if (machine->attempt_count && core->now > machine->lease.earlier_expires_at)
 		ws_machine_release_earlier_incarnations(core, machine, WS_RECONCILED_LEASE_EXPIRED,
 							WS_RELEASE_LEASE_EXPIRED);
-	ws_machine_check_unused(core, machine);
+	ws_machine_check_unused(sweep, machine);
 	if (machine->preemption_noticed &&
 	    core->now < machine->preemption_at + core->settings->lease_s)
 		ws_machine_drain(core, machine);
@@ -98,6 +121,7 @@
 
 void ws_fleet_tick(struct ws_core *core)
 {
+	struct ws_sweep sweep = {.core = core};
 	struct ws_machine *machine, *next;
 
 	if (core->now < core->fleet.next_sweep_at)
@@ -110,6 +134,6 @@
 	ws_tombstones_clear(core, &core->jobs.orphaned_continuations, false);
 	HASH_ITER (hh, core->fleet.machines, machine, next) {
 		core->fleet.sweep_steps++;
-		ws_machine_sweep(core, machine);
+		ws_machine_sweep(&sweep, machine);
 	}
 }
--- a/src/core/fleet/heartbeats.c
+++ b/src/core/fleet/heartbeats.c
@@ -167,8 +167,8 @@
 	return heartbeat->fencing_token < machine->restart.min_token ||
 	       heartbeat->incarnation < machine->lease.min_incarnation ||
 	       heartbeat->incarnation < machine->incarnation ||
-	       (heartbeat->incarnation == machine->heartbeat.incarnation &&
-		heartbeat->sequence <= machine->heartbeat.sequence);
+	       ws_heartbeat_counts_as_old(heartbeat, machine->heartbeat.incarnation,
+					  machine->heartbeat.sequence);
 }
 
 /* Applies a heartbeat that is not stale. Returns false if the reply to a command was newer, or the
--- a/src/core/fleet/machine_leases.c
+++ b/src/core/fleet/machine_leases.c
@@ -181,31 +181,37 @@
 	return ws_machine_use(core, machine) == WS_USABLE;
 }
 
-/* Releases all attempts on a machine that is gone or failed, or whose lease has expired. */
-static void ws_machine_release_attempts(struct ws_core *core, struct ws_machine *machine,
-					enum ws_reconciliation_result result,
-					enum ws_release_evidence evidence)
+/* Releases the attempts on a machine that are of an incarnation up to the last one. */
+static void ws_machine_release_incarnations(struct ws_core *core, struct ws_machine *machine,
+					    uint64_t last_incarnation,
+					    enum ws_reconciliation_result result,
+					    enum ws_release_evidence evidence)
 {
 	for (struct ws_attempt *attempt = machine->attempts, *next_attempt; attempt;
 	     attempt = next_attempt) {
 		next_attempt = attempt->machine_next;
+		if (attempt->incarnation > last_incarnation)
+			continue;
 		ws_attempt_reconcile(core, attempt, result);
 		ws_attempt_release(core, attempt, evidence);
 	}
 }
 
+/* Releases all attempts on a machine that is gone or failed, or whose lease has expired. */
+static void ws_machine_release_attempts(struct ws_core *core, struct ws_machine *machine,
+					enum ws_reconciliation_result result,
+					enum ws_release_evidence evidence)
+{
+	ws_machine_release_incarnations(core, machine, UINT64_MAX, result, evidence);
+}
+
 void ws_machine_release_earlier_incarnations(struct ws_core *core, struct ws_machine *machine,
 					     enum ws_reconciliation_result result,
 					     enum ws_release_evidence evidence)
 {
-	for (struct ws_attempt *attempt = machine->attempts, *next_attempt; attempt;
-	     attempt = next_attempt) {
-		next_attempt = attempt->machine_next;
-		if (attempt->incarnation >= machine->incarnation)
-			continue;
-		ws_attempt_reconcile(core, attempt, result);
-		ws_attempt_release(core, attempt, evidence);
-	}
+	if (machine->incarnation)
+		ws_machine_release_incarnations(core, machine, machine->incarnation - 1, result,
+						evidence);
 }
 
 void ws_machine_expire_lease(struct ws_core *core, struct ws_machine *machine)
--- a/src/core/fleet/worker_restarts.c
+++ b/src/core/fleet/worker_restarts.c
@@ -154,6 +154,13 @@
 		machine->restart.suspected = false;
 }
 
+bool ws_heartbeat_counts_as_old(const struct ws_heartbeat *heartbeat, uint64_t incarnation,
+				uint64_t sequence)
+{
+	return heartbeat->incarnation < incarnation ||
+	       (heartbeat->incarnation == incarnation && heartbeat->sequence <= sequence);
+}
+
 bool ws_heartbeat_shows_restart(const struct ws_machine *machine,
 				const struct ws_heartbeat *heartbeat)
 {
@@ -161,17 +168,15 @@
 
 	if (!restart->suspected || heartbeat->fencing_token < restart->resolving_token)
 		return false;
-	return heartbeat->incarnation < restart->known_incarnation ||
-	       (heartbeat->incarnation == restart->known_incarnation &&
-		heartbeat->sequence <= restart->known_sequence) ||
+	return ws_heartbeat_counts_as_old(heartbeat, restart->known_incarnation,
+					  restart->known_sequence) ||
 	       heartbeat->incarnation < machine->lease.min_incarnation;
 }
 
 bool ws_reply_shows_restart(const struct ws_call *call, const struct ws_heartbeat *reply)
 {
-	return reply->incarnation < call->commands.incarnation ||
-	       (reply->incarnation == call->commands.incarnation &&
-		reply->sequence <= call->commands.known_sequence);
+	return ws_heartbeat_counts_as_old(reply, call->commands.incarnation,
+					  call->commands.known_sequence);
 }
 
 /* Moves the live attempts on a machine to the incarnation in which the worker restarted: those that
--- a/src/core/jobs/attempts.c
+++ b/src/core/jobs/attempts.c
@@ -48,11 +48,11 @@
 static void ws_attempt_account_machine(const struct ws_attempt *attempt, int sign)
 {
 	struct ws_machine *machine = attempt->machine;
-	const struct ws_capacity task = ws_task_capacity(&attempt->job->spec);
+	const struct ws_capacity *task = &attempt->job->task_capacity;
 
-	ws_capacity_add(&machine->used, &task, sign);
+	ws_capacity_add(&machine->used, task, sign);
 	if (attempt->stopping)
-		ws_capacity_add(&machine->stopping, &task, sign);
+		ws_capacity_add(&machine->stopping, task, sign);
 	if (!machine->attempt_count) /* discards accumulated rounding errors */
 		machine->used = machine->stopping = (struct ws_capacity){0};
 }
@@ -225,11 +225,8 @@
 
 void ws_attempt_mark_stopping(struct ws_attempt *attempt)
 {
-	if (!attempt->stopping && attempt->job) {
-		const struct ws_capacity task = ws_task_capacity(&attempt->job->spec);
-
-		ws_capacity_add(&attempt->machine->stopping, &task, 1);
-	}
+	if (!attempt->stopping && attempt->job)
+		ws_capacity_add(&attempt->machine->stopping, &attempt->job->task_capacity, 1);
 	attempt->stopping = true;
 }
 
--- a/src/core/jobs/jobs.c
+++ b/src/core/jobs/jobs.c
@@ -179,6 +179,7 @@
 	job->team = ws_team_find(core, job->spec.team);
 	job->pinned_zone = ws_zone_index(core, job->spec.zone);
 	job->image_index = ws_image_index(core, job->spec.image);
+	job->task_capacity = ws_task_capacity(&job->spec);
 	job->eligible_types_version = NO_TYPES_VERSION;
 	job->waiting = job->spec.tasks - job->done_count;
 	job->first_seen_at = core->now;
--- a/src/core/jobs/jobs.h
+++ b/src/core/jobs/jobs.h
@@ -16,6 +16,7 @@
  */
 #ifndef WS_JOBS_H
 #define WS_JOBS_H
+#include "../catalog/catalog.h"
 #include "../core.h"
 #include "../extension/hooks.h"
 #include "../tombstones.h"
@@ -85,10 +86,11 @@
 /* A live job, or a done or cancelled job that is not archived yet. */
 struct ws_job {
 	struct ws_job_spec spec;
-	enum ws_job_phase phase;  /* as last read or written */
-	bool started;		  /* recorded as running */
-	double submitted_at_wall; /* wall-clock time, for deadlines and queue order */
-	double first_seen_at;	  /* when this leader added the job */
+	enum ws_job_phase phase;	  /* as last read or written */
+	bool started;			  /* recorded as running */
+	struct ws_capacity task_capacity; /* what each task takes of its machine */
+	double submitted_at_wall;	  /* wall-clock time, for deadlines and queue order */
+	double first_seen_at;		  /* when this leader added the job */
 	struct ws_job_record_state record;
 	struct ws_job *dirty_prev, *dirty_next;
 
--- a/src/core/message_size.h
+++ b/src/core/message_size.h
@@ -6,10 +6,13 @@
 #define WS_MESSAGE_SIZE_H
 #include "core.h"
 
-/* What the tasks in a worker's report may take: the limit less the fields of the machine. */
-#define WS_REPORT_TASKS_BYTES_MAX ((size_t)62 * 1024)
+/* What the list in a message between the leader and a worker may take: the limit less the other
+ * fields. */
+#define WS_WORKER_LIST_BYTES_MAX ((size_t)62 * 1024)
+/* What the tasks in a worker's report may take. */
+#define WS_REPORT_TASKS_BYTES_MAX WS_WORKER_LIST_BYTES_MAX
 /* What the commands in a message to a worker may take. */
-#define WS_COMMANDS_BYTES_MAX ((size_t)62 * 1024)
+#define WS_COMMANDS_BYTES_MAX WS_WORKER_LIST_BYTES_MAX
 
 /* The bytes of a task's entry in a worker's report, in any state, with spaces between its fields.
  */
--- a/src/core/scheduler/capacity.c
+++ b/src/core/scheduler/capacity.c
@@ -55,12 +55,12 @@
 
 bool ws_capacity_fits_task(const struct ws_capacity *capacity, const struct ws_job *job)
 {
-	const struct ws_capacity task = ws_task_capacity(&job->spec);
+	const struct ws_capacity *task = &job->task_capacity;
 
-	return task.cpus <= capacity->cpus + WS_CAPACITY_TOLERANCE &&
-	       task.gpus <= capacity->gpus + WS_CAPACITY_TOLERANCE &&
-	       task.mem_gb <= capacity->mem_gb + WS_CAPACITY_TOLERANCE &&
-	       task.report_bytes <= capacity->report_bytes + WS_CAPACITY_TOLERANCE;
+	return task->cpus <= capacity->cpus + WS_CAPACITY_TOLERANCE &&
+	       task->gpus <= capacity->gpus + WS_CAPACITY_TOLERANCE &&
+	       task->mem_gb <= capacity->mem_gb + WS_CAPACITY_TOLERANCE &&
+	       task->report_bytes <= capacity->report_bytes + WS_CAPACITY_TOLERANCE;
 }
 
 bool ws_has_free_capacity(const struct ws_job *job, const struct ws_machine *machine)
@@ -77,22 +77,18 @@
 
 void ws_planned_capacity_reserve(const struct ws_job *job, struct ws_machine *machine)
 {
-	const struct ws_capacity task = ws_task_capacity(&job->spec);
-
-	ws_capacity_add(&machine->planned, &task, -1);
+	ws_capacity_add(&machine->planned, &job->task_capacity, -1);
 }
 
 void ws_planned_capacity_release(const struct ws_job *job, struct ws_machine *machine)
 {
-	const struct ws_capacity task = ws_task_capacity(&job->spec);
-
-	ws_capacity_add(&machine->planned, &task, 1);
+	ws_capacity_add(&machine->planned, &job->task_capacity, 1);
 }
 
 uint32_t ws_tasks_fit_planned(const struct ws_job *job, const struct ws_machine *machine,
 			      uint32_t limit)
 {
-	return ws_tasks_fit(&job->spec, &machine->planned, limit);
+	return ws_tasks_fit(&job->task_capacity, &machine->planned, limit);
 }
 
 uint32_t ws_tasks_fit_now(const struct ws_job *job, const struct ws_machine *machine,
@@ -100,7 +96,8 @@
 {
 	const struct ws_capacity free_capacity = ws_machine_free_capacity(machine);
 
-	return ws_tasks_fit(&job->spec, &free_capacity, ws_tasks_fit_planned(job, machine, limit));
+	return ws_tasks_fit(&job->task_capacity, &free_capacity,
+			    ws_tasks_fit_planned(job, machine, limit));
 }
 
 bool ws_image_is_cached(const struct ws_machine *machine, int image)
--- a/src/core/scheduler/preemption.c
+++ b/src/core/scheduler/preemption.c
@@ -3,7 +3,6 @@
  * machine the tasks whose preemption costs least are the victims, and the machines with the lowest
  * total cost are used first.
  */
-#include "../message_size.h"
 #include "pass.h"
 
 /* Returned in place of a cost if preemption cannot free enough capacity. */
@@ -105,15 +104,12 @@
 static void ws_choose_victim(const struct ws_core *core, const struct ws_machine *machine,
 			     const struct ws_attempt *victim, struct ws_capacity *capacity)
 {
-	struct ws_capacity task;
-
 	for (struct ws_attempt *attempt = machine->attempts; attempt;
 	     attempt = attempt->machine_next) {
 		if (!ws_stops_with_victim(attempt, victim))
 			continue;
-		task = ws_task_capacity(&attempt->job->spec);
 		attempt->mark = core->fleet.mark;
-		ws_capacity_add(capacity, &task, 1);
+		ws_capacity_add(capacity, &attempt->job->task_capacity, 1);
 	}
 }
 
@@ -165,7 +161,7 @@
 	       ws_scheduling_rank(job) <= infeasible->rank &&
 	       job->spec.cpus >= infeasible->task.cpus && job->spec.gpus >= infeasible->task.gpus &&
 	       job->spec.mem_gb >= infeasible->task.mem_gb &&
-	       (double)ws_job_report_entry_bytes(&job->spec) >= infeasible->task.report_bytes &&
+	       job->task_capacity.report_bytes >= infeasible->task.report_bytes &&
 	       (!job->spec.allows_preemptible || infeasible->allows_preemptible) &&
 	       !(job->eligible_types & ~infeasible->eligible_types) &&
 	       !(request->zones & ~infeasible->zones);
@@ -180,7 +176,7 @@
 	pass->infeasible_preemption = (struct ws_infeasible_preemption){
 	    .valid = true,
 	    .rank = ws_scheduling_rank(job),
-	    .task = ws_task_capacity(&job->spec),
+	    .task = job->task_capacity,
 	    .allows_preemptible = job->spec.allows_preemptible,
 	    .eligible_types = job->eligible_types,
 	    .zones = request->zones,
--- a/tests/attempt_list_test.c
+++ b/tests/attempt_list_test.c
@@ -1,8 +1,8 @@
 /*
- * The upper bound of the bytes that attempts take in a record, by which they are placed and assigned
- * to records: the encoded list is never larger, for any machines, attempts and order, and also after
- * attempts of the list are gone. Otherwise a record outgrows the store's limit and cannot be
- * written.
+ * The upper bound of the bytes that attempts take in a record, by which they are placed and
+ * assigned to records: the encoded list is never larger, for any machines, attempts and order, and
+ * also after attempts of the list are gone. Otherwise a record outgrows the store's limit and
+ * cannot be written.
  */
 #include "../src/core/core_state.h"
 #include "../src/core/records/attempt_list.h"
