--- a/src/core/fleet/worker_restarts.c
+++ b/src/core/fleet/worker_restarts.c
@@ -19,56 +19,34 @@
  *   earlier fencing token than the one sent from then on are stale.
  */
 #include "../core_state.h"
+#include <xxhash.h>
 
 /*
  * Upper bound on the messages a second of a worker that gets no answers: it sends a heartbeat every
  * half a second at most, and the others are replies to direct calls.
  */
 #define UNANSWERED_MESSAGES_PER_S 4
-#define FNV_OFFSET_BASIS 14695981039346656037ULL
-#define FNV_PRIME 1099511628211ULL
 
 bool ws_message_may_follow_restart(const struct ws_core *core, const struct ws_heartbeat *heartbeat)
 {
 	return (double)heartbeat->sequence <= UNANSWERED_MESSAGES_PER_S * core->settings->lease_s;
 }
 
-/* Adds a byte to a digest: the hash function FNV-1a. */
-static uint64_t ws_digest_add_byte(uint64_t digest, unsigned char byte)
-{
-	return (digest ^ byte) * FNV_PRIME;
-}
-
-static uint64_t ws_digest_add_number(uint64_t digest, uint64_t number)
-{
-	for (size_t i = 0; i < sizeof(number); i++)
-		digest = ws_digest_add_byte(digest, (unsigned char)(number >> (8 * i)));
-	return digest;
-}
-
-static uint64_t ws_digest_add_text(uint64_t digest, const char *text)
-{
-	for (; *text; text++)
-		digest = ws_digest_add_byte(digest, (unsigned char)*text);
-	return digest;
-}
-
-/* Returns a digest of what a restart would change in a heartbeat. */
+/* Returns a digest of what a restart would change in a heartbeat. Each part is hashed with the digest
+ * of the parts before it as the seed. */
 static uint64_t ws_heartbeat_digest(const struct ws_heartbeat *heartbeat)
 {
-	uint64_t digest = FNV_OFFSET_BASIS;
+	const uint64_t numbers[] = {heartbeat->incarnation, heartbeat->sequence,
+				    heartbeat->fencing_token};
+	uint64_t digest = XXH64(numbers, sizeof(numbers), 0);
 
-	digest = ws_digest_add_number(digest, heartbeat->incarnation);
-	digest = ws_digest_add_number(digest, heartbeat->sequence);
-	digest = ws_digest_add_number(digest, heartbeat->fencing_token);
 	for (size_t i = 0; i < heartbeat->task_count; i++) {
 		const struct ws_task_status *status = &heartbeat->tasks[i];
+		const uint64_t fields[] = {status->task, status->attempt, status->state,
+					   status->exit_reason};
 
-		digest = ws_digest_add_text(digest, status->job);
-		digest = ws_digest_add_number(digest, status->task);
-		digest = ws_digest_add_number(digest, status->attempt);
-		digest = ws_digest_add_number(digest, status->state);
-		digest = ws_digest_add_number(digest, status->exit_reason);
+		digest = XXH64(status->job, strlen(status->job), digest);
+		digest = XXH64(fields, sizeof(fields), digest);
 	}
 	return digest;
 }
