Continuation records of a job whose own record can't be read are kept

Cause: 'no job in the replica' was read as 'no job on record'. The loader notes jobs whose own record is malformed; their further records are read, as the own one is as far as possible, and stay.

--- a/src/core/jobs/continuation_records.c
+++ b/src/core/jobs/continuation_records.c
@@ -8,17 +8,22 @@
 #include "../record_sources.h"
 #include "record_parts.h"
 
-/* Expiry time of an orphaned record's tombstone, which must last until the record is deleted. */
-#define NEVER_EXPIRES 1e18
 /* Larger numbers are taken for malformed keys. */
 #define CONTINUATION_NUMBER_MAX WS_MAX_TASKS
 
-static struct ws_job *ws_job_of_continuation(struct ws_core *core, const char *key)
+/* Copies the id of the job that a key names to a buffer of WS_ID_MAX bytes. */
+static void ws_continuation_job_id(const char *key, char *job_id)
 {
 	const char *name = key + strlen(WS_KEY_PREFIX_JOB_CONTINUATION);
+
+	snprintf(job_id, WS_ID_MAX, "%.*s", (int)strcspn(name, "/"), name);
+}
+
+static struct ws_job *ws_job_of_continuation(struct ws_core *core, const char *key)
+{
 	char job_id[WS_ID_MAX];
 
-	snprintf(job_id, sizeof(job_id), "%.*s", (int)strcspn(name, "/"), name);
+	ws_continuation_job_id(key, job_id);
 	return ws_job_find(core, job_id);
 }
 
@@ -36,20 +41,25 @@
 void ws_continuation_orphaned(struct ws_core *core, const char *key)
 {
 	if (strlen(key) < WS_NAME_MAX)
-		ws_tombstone_set(&core->jobs.orphaned_continuations, key, NEVER_EXPIRES);
+		ws_tombstone_set(&core->jobs.orphaned_continuations, key, INFINITY);
 }
 
 static void ws_continuation_load(struct ws_core *core, const struct ws_kv *record)
 {
-	struct ws_job *job = ws_job_of_continuation(core, record->key);
 	uint32_t part = ws_part_of_continuation(record->key);
+	char job_id[WS_ID_MAX];
+	struct ws_job *job;
 
-	if (!job || part == WS_PART_NONE) {
+	ws_continuation_job_id(record->key, job_id);
+	job = ws_job_find(core, job_id);
+	if (part == WS_PART_NONE ||
+	    (!job && !ws_tombstone_is_set(core, &core->jobs.unreadable, job_id))) {
 		ws_continuation_orphaned(core, record->key);
 		return;
 	}
-	ws_job_part_add(job, part)->stored = true;
-	ws_core_attempts_read(core, job->spec.id, record->value, part);
+	if (job)
+		ws_job_part_add(job, part)->stored = true;
+	ws_core_attempts_read(core, job_id, record->value, part);
 }
 
 /* Deletes the orphaned records. Their tombstones expire now and are freed by the periodic cleanup.
--- a/src/core/jobs/job_records.c
+++ b/src/core/jobs/job_records.c
@@ -35,6 +35,8 @@
 	const char *job_id = record->key + strlen(WS_KEY_PREFIX_JOB);
 
 	ws_job_record_changed(core, job_id, record->value, record->revision);
+	if (!ws_job_find(core, job_id))
+		ws_tombstone_set(&core->jobs.unreadable, job_id, INFINITY);
 	ws_core_attempts_read(core, job_id, record->value, 0);
 }
 
--- a/src/core/jobs/jobs.c
+++ b/src/core/jobs/jobs.c
@@ -247,5 +247,6 @@
 		core->jobs.teams[i].used_cpus = core->jobs.teams[i].used_gpus = 0;
 	ws_tombstones_clear(core, &core->jobs.archived, true);
 	ws_tombstones_clear(core, &core->jobs.orphaned_continuations, true);
+	ws_tombstones_clear(core, &core->jobs.unreadable, true);
 	ws_quarantine_clear(core);
 }
--- a/src/core/jobs/jobs.h
+++ b/src/core/jobs/jobs.h
@@ -237,6 +237,7 @@
 	uint32_t attempts_of_unknown_teams;
 	struct ws_tombstone *archived; /* by this leader; a late watch may still deliver them */
 	struct ws_tombstone *orphaned_continuations; /* continuation records without a live job */
+	struct ws_tombstone *unreadable;	     /* jobs whose own record is malformed */
 	uint64_t attempt_sequence; /* sequence part of this leader's newest attempt number */
 };
 
