Random large jobs: faults while records are written, small machines; no reap while on record

The simulator now also checks, in scenarios with starts-on-record, that no record of a live job lists an attempt whose state a worker is told to delete: a later leader would take it for one that may run.

--- a/tests/random_large_jobs.c
+++ b/tests/random_large_jobs.c
@@ -8,13 +8,12 @@
  */
 #include "random_parts.h"
 
-#define MACHINE_CPUS 64
+#define ZONE_CPUS 1200
 #define ALL_NEW_S 60 /* gangs are submitted once all nodes have this version */
 #define LAST_FAULT_S 250
 #define END_S 415
 
 static const unsigned value_limits_kb[] = {2, 4, 16};
-static unsigned machines; /* in each zone */
 static const unsigned operation_limits[] = {4, 8, 12, 24};
 
 static unsigned draw_value_limit(unsigned highest)
@@ -25,7 +24,7 @@
 /* Returns a number of tasks, fewer for a job whose tasks must be in one zone. */
 static unsigned draw_tasks(unsigned jobs, bool one_zone)
 {
-	unsigned room = machines * MACHINE_CPUS * (one_zone ? 1 : 2) * 2 / 3 / jobs;
+	unsigned room = ZONE_CPUS * (one_zone ? 1 : 2) * 2 / 3 / jobs;
 
 	return 100 + random_draw(room - 100);
 }
@@ -56,6 +55,20 @@
 	random_event(54, "upgrade 2 for=1");
 }
 
+/* Draws a fault of the store or of the leader while the records of a large job are written. */
+static void draw_fault_of_start(double at)
+{
+	switch (random_draw(4)) {
+	case 0:
+		random_event(at, "crash-on-call transaction %sskip=%u for=%u",
+			     random_chance(50) ? "after " : "", random_draw(5), 1 + random_draw(5));
+		break;
+	case 1: random_event(at, "time-out-writes 0.%u for=3 max=6", 3 + random_draw(6)); break;
+	case 2: random_event(at, "slow-store 0.%u for=5", 2 + random_draw(8)); break;
+	default: break;
+	}
+}
+
 static void draw_service(unsigned number, unsigned jobs, bool small)
 {
 	static const char *const where[] = {"", " spread", " one-zone"};
@@ -63,6 +76,8 @@
 	unsigned tasks = small ? 1 + random_draw(4) : draw_tasks(jobs, kind == 2);
 	double at = 18 + random_draw(small ? 150 : 60);
 
+	if (!small)
+		draw_fault_of_start(at);
 	random_event(at, "submit job-%06u service priority=production tasks=%u cpus=1 image-gb=0%s",
 		     number, tasks, where[kind]);
 	if (random_chance(25)) {
@@ -79,6 +94,7 @@
 	unsigned tasks = draw_tasks(jobs, one_zone);
 	double at = ALL_NEW_S + random_draw(120);
 
+	draw_fault_of_start(at);
 	random_event(at, "submit job-%06u gang tasks=%u cpus=1 run=%u image-gb=0%s", number, tasks,
 		     10 + random_draw(20), one_zone ? " one-zone" : "");
 	if (random_chance(20))
@@ -122,9 +138,8 @@
 void random_generate(void)
 {
 	bool long_lease = random_chance(50);
-	unsigned jobs = 1 + random_draw(3);
+	unsigned jobs = 1 + random_draw(3), machine_cpus = random_chance(50) ? 64 : 8;
 
-	machines = 10 + random_draw(14);
 	random_line("seed %u", random_draw(1000000));
 	random_line("lease %d", long_lease ? 45 : 16);
 	random_line("heartbeat %d", long_lease ? 3 : 2);
@@ -132,9 +147,9 @@
 	random_line("starts-on-record");
 	random_line("zone a");
 	random_line("zone b");
-	random_line("type std %u 512 1.0 20 a b", MACHINE_CPUS);
-	random_line("owned std a %u", machines);
-	random_line("owned std b %u", machines);
+	random_line("type std %u 512 1.0 20 a b", machine_cpus);
+	random_line("owned std a %u", ZONE_CPUS / machine_cpus);
+	random_line("owned std b %u", ZONE_CPUS / machine_cpus);
 	random_line("team t 5000 5000");
 	random_line("capacity 30"); /* one zone may be full */
 	draw_limits();
@@ -146,7 +161,7 @@
 			draw_gang(number, jobs);
 	for (unsigned number = 10; number < 20; number++)
 		draw_service(number, jobs, true);
-	for (unsigned i = 3 + random_draw(8); i; i--)
+	for (unsigned i = 3 + random_draw(30); i; i--)
 		draw_machine_fault();
 	for (unsigned i = 1 + random_draw(4); i; i--)
 		draw_controller_fault();
--- a/tests/sim_records.c
+++ b/tests/sim_records.c
@@ -38,6 +38,17 @@
 	free(attempts);
 }
 
+static bool has_own_record(struct sim *sim, const char *job_id)
+{
+	char key[WS_KEY_MAX];
+	struct sim_entry *own;
+
+	snprintf(key, sizeof(key), "%s%s", WS_KEY_PREFIX_JOB, job_id);
+	HASH_FIND_STR(sim->entries, key, own);
+	return own != NULL;
+}
+
+/* Without the job's own record the others list nothing: its job is over, and they are deleted. */
 static const struct sim_listed *listed_attempts(struct sim *sim, const char *job_id)
 {
 	struct sim_listed *listed = &sim->listed;
@@ -48,6 +59,8 @@
 	listed->count = 0;
 	listed->revision = sim->revision;
 	snprintf(listed->job, sizeof(listed->job), "%s", job_id);
+	if (!has_own_record(sim, job_id))
+		return listed;
 	HASH_ITER (hh, sim->entries, entry, next)
 		if (is_record_of(entry->key, job_id))
 			append_record(listed, entry->value);
@@ -84,6 +97,15 @@
 			 task->job, task->task, (unsigned long long)task->attempt, worker->name);
 }
 
+void sim_records_check_reap(struct sim *sim, const struct sim_worker *worker,
+			    const struct sim_task *task)
+{
+	/* the version in production does not know what continuation records list */
+	if (sim_acting_leader(sim) && is_listed(sim, worker, task))
+		sim_fail(sim, "record: %s/%u attempt %llu on %s is reaped but still on record",
+			 task->job, task->task, (unsigned long long)task->attempt, worker->name);
+}
+
 void sim_records_check_job(struct sim *sim, const char *job_id)
 {
 	for (int i = 0; i < sim->worker_count; i++) {
@@ -101,18 +123,16 @@
 
 void sim_records_check_strays(struct sim *sim)
 {
-	struct sim_entry *entry, *next, *own;
+	struct sim_entry *entry, *next;
 
 	HASH_ITER (hh, sim->entries, entry, next) {
-		char key[WS_KEY_MAX];
+		char job_id[WS_ID_MAX];
 		const char *name = entry->key + strlen(CONTINUATION_PREFIX);
 
 		if (strncmp(entry->key, CONTINUATION_PREFIX, strlen(CONTINUATION_PREFIX)) != 0)
 			continue;
-		snprintf(key, sizeof(key), "%s%.*s", WS_KEY_PREFIX_JOB, (int)strcspn(name, "/"),
-			 name);
-		HASH_FIND_STR(sim->entries, key, own);
-		if (!own)
+		snprintf(job_id, sizeof(job_id), "%.*s", (int)strcspn(name, "/"), name);
+		if (!has_own_record(sim, job_id))
 			sim_fail(sim, "record: %s is left of a job that is over", entry->key);
 	}
 }
--- a/tests/sim_records.h
+++ b/tests/sim_records.h
@@ -6,6 +6,9 @@
 /* Checks that the records of its job list an attempt that starts: record, then run. */
 void sim_records_check_start(struct sim *sim, const struct sim_worker *worker,
 			     const struct sim_task *task);
+/* Checks that no record lists an attempt whose state its worker is told to delete. */
+void sim_records_check_reap(struct sim *sim, const struct sim_worker *worker,
+			    const struct sim_task *task);
 /* Checks that the records of a job list all its running tasks. */
 void sim_records_check_job(struct sim *sim, const char *job_id);
 /* Checks that every continuation record belongs to a live job. */
--- a/tests/sim_scenario.c
+++ b/tests/sim_scenario.c
@@ -176,7 +176,7 @@
 	return NULL;
 }
 
-/* starts-on-record: every task that starts must be on record */
+/* starts-on-record: every task that starts must be on record, and none that is reaped may be */
 static const char *parse_starts_on_record(struct sim *sim, struct sim_setting *setting)
 {
 	(void)setting;
--- a/tests/sim_worker_tasks.c
+++ b/tests/sim_worker_tasks.c
@@ -1,4 +1,5 @@
 /* Tasks of simulated workers: RUN, STOP and REAP commands, image fetches and runs. */
+#include "sim_records.h"
 #include "sim_checks.h"
 #include "sim_message_sizes.h"
 #include "sim_subsystems.h"
@@ -160,6 +161,8 @@
 			stop_task(sim, worker, found.task, command);
 		break;
 	case WS_COMMAND_REAP:
+		if (found.task && sim->starts_on_record)
+			sim_records_check_reap(sim, worker, found.task);
 		if (found.task)
 			reap_task(sim, worker, found.task);
 		break;
