Entries for the version in production: a machine for each zone

With one machine for all zones that version counts all continued tasks in the first zone, and would have one more place in another for a job that is to be spread.

--- a/src/core/records/attempt_list.c
+++ b/src/core/records/attempt_list.c
@@ -22,14 +22,15 @@
 #include "record_fields.h"
 
 #define WS_FIRST_INCARNATION 1
+#define WS_INT_DIGITS_MAX 11	 /* of an int, with its sign */
 #define WS_ZONE_UNKNOWN (-1)	 /* zone index of a machine whose zone is not known yet */
 #define WS_ENTRY_OVERHEAD_MAX 32 /* bytes of an entry's punctuation and term */
 
 /* Term of the entries that stand for continuation records; lower than that of any leader. */
 #define WS_CONTINUED_TERM 0
-/* Machine of these entries. It sorts before all names of machines, so that a version which reads it
- * never asks the cloud to return it. */
-#define WS_CONTINUED_MACHINE "!continued"
+/* Machines of these entries, one for each zone. They sort before all names of machines, so that a
+ * version which reads them takes them for owned and never asks the cloud to return them. */
+#define WS_CONTINUED_MACHINE "!continued-"
 
 uint64_t ws_attempt_term(uint64_t attempt)
 {
@@ -210,9 +211,9 @@
 /* Appends the entry of one zone for versions that do not know continuation records. */
 static void ws_continued_entry_append(const struct ws_job *job, int zone, json_t *list)
 {
-	struct ws_attempt_range range = {.machine = WS_CONTINUED_MACHINE,
-					 .incarnation = WS_FIRST_INCARNATION,
-					 .first_task = UINT32_MAX};
+	char machine[sizeof(WS_CONTINUED_MACHINE) + WS_INT_DIGITS_MAX];
+	struct ws_attempt_range range = {
+	    .machine = machine, .incarnation = WS_FIRST_INCARNATION, .first_task = UINT32_MAX};
 	struct ws_attempt_entry_writer writer = {0};
 	const struct ws_attempt *attempt;
 
@@ -228,6 +229,7 @@
 	}
 	if (!range.zone)
 		return;
+	snprintf(machine, sizeof(machine), WS_CONTINUED_MACHINE "%d", zone);
 	ws_attempt_entry_add(&writer, &range);
 	ws_attempt_entry_close(&writer, list);
 	ws_attempt_entry_writer_free(&writer);
