Records: a number of continuation records out of range counts as none

The leader keeps state for each continuation record that a job's own record names; a number that no job can have would exhaust its memory. Check in records_test.

--- a/src/core/jobs/continuation_records.c
+++ b/src/core/jobs/continuation_records.c
@@ -8,9 +8,6 @@
 #include "../record_sources.h"
 #include "record_parts.h"
 
-/* Larger numbers are taken for malformed keys. */
-#define CONTINUATION_NUMBER_MAX WS_MAX_TASKS
-
 /* Copies the id of the job that a key names to a buffer of WS_ID_MAX bytes. */
 static void ws_continuation_job_id(const char *key, char *job_id)
 {
@@ -34,8 +31,8 @@
 	char *end;
 	unsigned long value = strtoul(number, &end, 10);
 
-	return end != number && !*end && value < CONTINUATION_NUMBER_MAX ? (uint32_t)value + 1
-									 : WS_PART_NONE;
+	return end != number && !*end && value < WS_CONTINUATIONS_MAX ? (uint32_t)value + 1
+								      : WS_PART_NONE;
 }
 
 void ws_continuation_orphaned(struct ws_core *core, const char *key)
--- a/src/core/jobs/live_job_records.c
+++ b/src/core/jobs/live_job_records.c
@@ -33,6 +33,8 @@
 {
 	struct ws_attempt *attempt;
 
+	if (!write->job->record.continuation_count)
+		return;
 	write->moves = ws_alloc(write->job->attempt_count + 1, sizeof(*write->moves));
 	DL_FOREACH2 (write->job->attempts, attempt, job_next)
 		if (ws_attempt_is_listed(attempt) && attempt->listed_part != WS_PART_NONE &&
--- a/src/core/records/continuation_record.c
+++ b/src/core/records/continuation_record.c
@@ -144,5 +144,7 @@
 
 uint32_t ws_job_record_continuation_count(json_t *record)
 {
-	return (uint32_t)json_integer_value(json_object_get(record, WS_FIELD_CONTINUATIONS));
+	json_int_t count = json_integer_value(json_object_get(record, WS_FIELD_CONTINUATIONS));
+
+	return count > 0 && count <= WS_CONTINUATIONS_MAX ? (uint32_t)count : 0;
 }
--- a/src/core/records/records.h
+++ b/src/core/records/records.h
@@ -139,7 +139,12 @@
 void ws_job_record_split(json_t *record, size_t limit, json_t **continuations,
 			 size_t continuations_max, size_t *count);
 
-/* Returns the number of continuation records that belong to a job's record. */
+/* Largest number of continuation records of a job: one for each task. */
+#define WS_CONTINUATIONS_MAX WS_MAX_TASKS
+
+/* Returns the number of continuation records that belong to a job's record; 0 if it is out of
+ * range.
+ */
 uint32_t ws_job_record_continuation_count(json_t *record);
 
 /* ---- machine_shard_record.c: fleet/<n> ---- */
--- a/tests/records_test.c
+++ b/tests/records_test.c
@@ -199,6 +199,12 @@
 		json_decref(continuations[i]);
 	}
 	check("no attempt is lost", total == 400);
+	json_object_set_new(value, "mo", json_integer(-1));
+	check("a negative number of continuation records counts as none",
+	      ws_job_record_continuation_count(value) == 0);
+	json_object_set_new(value, "mo", json_integer(1LL << 40));
+	check("a number of continuation records out of range counts as none",
+	      ws_job_record_continuation_count(value) == 0);
 	json_decref(value);
 }
 
