--- a/src/core/fleet/worker_restarts.c
+++ b/src/core/fleet/worker_restarts.c
@@ -32,8 +32,8 @@
 	return (double)heartbeat->sequence <= UNANSWERED_MESSAGES_PER_S * core->settings->lease_s;
 }
 
-/* Returns a digest of what a restart would change in a heartbeat. Each part is hashed with the digest
- * of the parts before it as the seed. */
+/* Returns a digest of what a restart would change in a heartbeat. Each part is hashed with the
+ * digest of the parts before it as the seed. */
 static uint64_t ws_heartbeat_digest(const struct ws_heartbeat *heartbeat)
 {
 	const uint64_t numbers[] = {heartbeat->incarnation, heartbeat->sequence,
--- a/tests/random_large_jobs.c
+++ b/tests/random_large_jobs.c
@@ -56,15 +56,15 @@
 }
 
 /* Draws a fault of the store or of the leader while the records of a large job are written. */
-static void draw_fault_of_start(double at)
+static void draw_fault_of_start(double time)
 {
 	switch (random_draw(4)) {
 	case 0:
-		random_event(at, "crash-on-call transaction %sskip=%u for=%u",
+		random_event(time, "crash-on-call transaction %sskip=%u for=%u",
 			     random_chance(50) ? "after " : "", random_draw(5), 1 + random_draw(5));
 		break;
-	case 1: random_event(at, "time-out-writes 0.%u for=3 max=6", 3 + random_draw(6)); break;
-	case 2: random_event(at, "slow-store 0.%u for=5", 2 + random_draw(8)); break;
+	case 1: random_event(time, "time-out-writes 0.%u for=3 max=6", 3 + random_draw(6)); break;
+	case 2: random_event(time, "slow-store 0.%u for=5", 2 + random_draw(8)); break;
 	default: break;
 	}
 }
